Add the design page, shared records and the store client

Cause: the modules need one reference for interfaces, messages and failure behaviour, and shared types, before they can be written side by side. Ruled out: letting each module declare its own identifiers; the records cross all of them. Conclusion: the base for the modules; no invariant is implemented yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,14 @@
+.PHONY: all build check test demo
+
+all: build
+
+build:
+	go build -o bin/ ./...
+
+check:
+	@out=$$(go tool gofumpt -l .); test -z "$$out" || { echo "gofumpt: $$out"; exit 1; }
+	go vet ./...
+	go tool staticcheck -checks all ./...
+
+test:
+	go test -race ./...
--- /dev/null
+++ b/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the wagtailhoist binary, a file each.
+package cmds
--- /dev/null
+++ b/cmds/main.go
@@ -0,0 +1,54 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of the binary.
+const (
+	exitOK    = 0
+	exitFail  = 1
+	exitUsage = 2
+)
+
+type commands struct {
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+// streams are the outputs that a command writes to.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs the command that args name and returns the exit code of the process.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var cli commands
+	code := -1
+	parser, err := kong.New(&cli,
+		kong.Name("wagtailhoist"),
+		kong.Description("Schedules multi-accelerator jobs under team guarantees and routes requests to minions."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(c int) { code = c }),
+	)
+	if err != nil {
+		fmt.Fprintln(stderr, "wagtailhoist:", err)
+		return exitFail
+	}
+	ctx, err := parser.Parse(args)
+	if code >= 0 {
+		return code
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "wagtailhoist:", err)
+		return exitUsage
+	}
+	if err := ctx.Run(streams{out: stdout, err: stderr}); err != nil {
+		fmt.Fprintln(stderr, "wagtailhoist:", err)
+		return exitFail
+	}
+	return exitOK
+}
--- /dev/null
+++ b/io/store/client.go
@@ -0,0 +1,208 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+const (
+	// defaultTimeout bounds a call; the service answers in milliseconds when it is healthy.
+	defaultTimeout = 2 * time.Second
+	// watchWait is how long one watch call may wait for a change.
+	watchWait = 10 * time.Second
+	// maxBody bounds an answer, in bytes; values go up to 1 MB each, a list holds several.
+	maxBody = 64 << 20
+)
+
+// Client calls the service over HTTP with JSON bodies.
+type Client struct {
+	// URL is the root of the service, for example http://10.0.0.9:7400.
+	URL string
+	// HTTP sends the calls; nil means http.DefaultClient.
+	HTTP *http.Client
+	// Timeout bounds each call, watches excepted; 0 means 2 s.
+	Timeout time.Duration
+}
+
+var _ Store = (*Client)(nil)
+
+type putBody struct {
+	Value []byte `json:"value"`
+}
+
+type listBody struct {
+	Items    []Item `json:"items"`
+	Revision uint64 `json:"revision"`
+}
+
+type leaseBody struct {
+	ID  uint64 `json:"id,omitempty"`
+	TTL int64  `json:"ttl,omitempty"` // milliseconds
+}
+
+type conflictBody struct {
+	Have uint64 `json:"have"`
+}
+
+// Get returns the item of key, or a NotFoundError.
+func (c *Client) Get(ctx context.Context, key string) (Item, error) {
+	var item Item
+	err := c.call(ctx, request{op: "get", method: http.MethodGet, path: kvPath(key), key: key}, &item)
+	return item, err
+}
+
+// Put sets key by compare-and-swap and returns the new version.
+func (c *Client) Put(ctx context.Context, key string, value []byte, version, lease uint64) (uint64, error) {
+	query := url.Values{"version": {strconv.FormatUint(version, 10)}}
+	if lease != 0 {
+		query.Set("lease", strconv.FormatUint(lease, 10))
+	}
+	var item Item
+	err := c.call(ctx, request{
+		op: "put", method: http.MethodPut, path: kvPath(key), query: query,
+		key: key, version: version, lease: lease, body: putBody{Value: value},
+	}, &item)
+	return item.Version, err
+}
+
+// Delete removes key if it still has the given version.
+func (c *Client) Delete(ctx context.Context, key string, version uint64) error {
+	query := url.Values{"version": {strconv.FormatUint(version, 10)}}
+	return c.call(ctx, request{
+		op: "delete", method: http.MethodDelete, path: kvPath(key), query: query, key: key, version: version,
+	}, nil)
+}
+
+// List returns all items whose keys begin with prefix.
+func (c *Client) List(ctx context.Context, prefix string) ([]Item, uint64, error) {
+	var list listBody
+	query := url.Values{"prefix": {prefix}}
+	err := c.call(ctx, request{op: "list", method: http.MethodGet, path: "/kv", query: query}, &list)
+	return list.Items, list.Revision, err
+}
+
+// Watch waits for changes below prefix after the store revision.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]Item, uint64, error) {
+	var list listBody
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatUint(after, 10)},
+		"wait":   {strconv.FormatInt(watchWait.Milliseconds(), 10)},
+	}
+	err := c.call(ctx, request{
+		op: "watch", method: http.MethodGet, path: "/watch", query: query, wait: watchWait,
+	}, &list)
+	return list.Items, list.Revision, err
+}
+
+// Grant returns a new lease with the given time to live.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var lease leaseBody
+	err := c.call(ctx, request{
+		op: "grant", method: http.MethodPost, path: "/leases", body: leaseBody{TTL: ttl.Milliseconds()},
+	}, &lease)
+	return lease.ID, err
+}
+
+// Renew extends a lease by its time to live.
+func (c *Client) Renew(ctx context.Context, lease uint64) error {
+	return c.call(ctx, request{
+		op: "renew", method: http.MethodPost, path: fmt.Sprintf("/leases/%d/renew", lease), lease: lease,
+	}, nil)
+}
+
+// Revoke ends a lease and deletes its keys.
+func (c *Client) Revoke(ctx context.Context, lease uint64) error {
+	return c.call(ctx, request{
+		op: "revoke", method: http.MethodDelete, path: fmt.Sprintf("/leases/%d", lease), lease: lease,
+	}, nil)
+}
+
+// request is one call to the service, with the values that its errors name.
+type request struct {
+	op, method, path string
+	query            url.Values
+	body             any
+	key              string
+	version, lease   uint64
+	wait             time.Duration
+}
+
+func kvPath(key string) string { return "/kv/" + url.PathEscape(key) }
+
+func (c *Client) call(ctx context.Context, r request, out any) error {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout+r.wait)
+	defer cancel()
+	req, err := c.build(ctx, r)
+	if err != nil {
+		return err
+	}
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return &UnavailableError{Op: r.op, Cause: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return &UnavailableError{Op: r.op, Cause: err}
+	}
+	return r.decode(resp.StatusCode, data, out)
+}
+
+func (c *Client) build(ctx context.Context, r request) (*http.Request, error) {
+	var body io.Reader
+	if r.body != nil {
+		data, err := json.Marshal(r.body)
+		if err != nil {
+			return nil, fmt.Errorf("encoding store %s: %w", r.op, err)
+		}
+		body = bytes.NewReader(data)
+	}
+	target := c.URL + r.path
+	if len(r.query) > 0 {
+		target += "?" + r.query.Encode()
+	}
+	return http.NewRequestWithContext(ctx, r.method, target, body)
+}
+
+func (r request) decode(status int, data []byte, out any) error {
+	switch status {
+	case http.StatusOK, http.StatusNoContent:
+		if out == nil || len(data) == 0 {
+			return nil
+		}
+		if err := json.Unmarshal(data, out); err != nil {
+			return &UnavailableError{Op: r.op, Cause: err}
+		}
+		return nil
+	case http.StatusNotFound:
+		if r.key == "" {
+			return &LeaseError{Lease: r.lease}
+		}
+		return &NotFoundError{Key: r.key}
+	case http.StatusGone:
+		return &LeaseError{Lease: r.lease}
+	case http.StatusConflict:
+		var conflict conflictBody
+		if err := json.Unmarshal(data, &conflict); err != nil {
+			return &UnavailableError{Op: r.op, Cause: err}
+		}
+		return &ConflictError{Key: r.key, Want: r.version, Have: conflict.Have}
+	}
+	return &UnavailableError{Op: r.op, Cause: fmt.Errorf("status %d", status)}
+}
