Add stand-ins for the platform, minions, callers and links

Cause: every other part needs the outside systems to run against. Change: one binary 'stand' with platform, minion, caller and relay.

--- /dev/null
+++ b/stand/main.go
@@ -0,0 +1,29 @@
+// Command stand runs the stand-ins for the systems around wagtailhoist.
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kong"
+
+	"wagtailhoist/stand/caller"
+	"wagtailhoist/stand/minion"
+	"wagtailhoist/stand/plat"
+	"wagtailhoist/stand/relay"
+	"wagtailhoist/stand/serve"
+)
+
+type commands struct {
+	Platform plat.Command   `cmd:"" help:"Run the store and the worker service."`
+	Minion   minion.Command `cmd:"" help:"Run an HTTP back end."`
+	Caller   caller.Command `cmd:"" help:"Send requests and verify the answers."`
+	Relay    relay.Command  `cmd:"" help:"Run a TCP relay."`
+}
+
+func main() {
+	var cli commands
+	ctx, cancel := serve.Signal()
+	defer cancel()
+	cmd := kong.Parse(&cli, kong.Name("stand"), kong.BindTo(ctx, (*context.Context)(nil)))
+	cmd.FatalIfErrorf(cmd.Run())
+}
--- /dev/null
+++ b/stand/plat/doc.go
@@ -0,0 +1,2 @@
+// Package plat runs the store and the worker service in one process.
+package plat
--- /dev/null
+++ b/stand/tasks/seed.go
@@ -0,0 +1,58 @@
+package tasks
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+)
+
+// perRack is the number of workers in a rack.
+const perRack = 3
+
+// regions of the known data centres; an unknown data centre is a region of its own.
+var regions = map[string]string{
+	"lausanne": "ch-west", "fribourg": "ch-west", "chur": "ch-east",
+	"glasgow-a": "west-scotland", "paisley-b": "west-scotland", "edinburgh-a": "east-scotland",
+}
+
+// Read returns the workers of a JSON file.
+func Read(path string) ([]Worker, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var workers []Worker
+	if err := json.Unmarshal(data, &workers); err != nil {
+		return nil, fmt.Errorf("reading workers from %s: %w", path, err)
+	}
+	return workers, nil
+}
+
+// Seed returns workers for a list such as lausanne=4,fribourg=3 or region/centre=4, three to a rack.
+func Seed(list string, cores, memory, gpus int) ([]Worker, error) {
+	var workers []Worker
+	for _, part := range strings.Split(list, ",") {
+		name, count, ok := strings.Cut(strings.TrimSpace(part), "=")
+		n, err := strconv.Atoi(count)
+		if !ok || err != nil || n < 0 {
+			return nil, fmt.Errorf("bad data centre %q", part)
+		}
+		region, centre, ok := strings.Cut(name, "/")
+		if !ok {
+			region, centre = regions[name], name
+			if region == "" {
+				region = name
+			}
+		}
+		for i := range n {
+			workers = append(workers, Worker{
+				ID: fmt.Sprintf("%s-w%d", centre, i+1), Region: region, Centre: centre,
+				Rack:  fmt.Sprintf("%s-r%d", centre, i/perRack+1),
+				Cores: cores, Memory: memory, GPUs: gpus, Up: true,
+			})
+		}
+	}
+	return workers, nil
+}
