Add the client of the worker service and contract suites with fault cases

Cause: controllers decide on typed errors; a lost answer must not look like success or like a definite failure.

--- /dev/null
+++ b/io/works/works.go
@@ -0,0 +1,78 @@
+package works
+
+import (
+	"context"
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+// Command is what each change carries; the service refuses an epoch below the highest it has seen for the cell.
+type Command struct {
+	Cell  model.CellID `json:"cell"`
+	Epoch model.Epoch  `json:"epoch"`
+	// Plan is the revision of the cell's plan that the change follows from.
+	Plan uint64 `json:"plan"`
+}
+
+// State is the state of a task at the service.
+type State string
+
+// States of a task; all but the first three are final.
+const (
+	Prepared State = "prepared"
+	Running  State = "running"
+	Paused   State = "paused"
+	Done     State = "done"
+	Stopped  State = "stopped"
+	Failed   State = "failed"
+	Lost     State = "lost"
+	Expired  State = "expired"
+)
+
+// Task is a task with its state.
+type Task struct {
+	Command
+	ID     string         `json:"id"`
+	Worker model.WorkerID `json:"worker"`
+	GPUs   int            `json:"gpus"`
+	Job    model.JobID    `json:"job"`
+	// Lease is the grant that the task ends with.
+	Lease uint64 `json:"lease"`
+	// Share is the part of its accelerators that the task may use, 0 to 1; 0 means that it does not run.
+	Share float64 `json:"share"`
+	State State   `json:"state,omitempty"`
+	// Saved counts the checkpoints.
+	Saved int `json:"saved,omitempty"`
+}
+
+// Usage is the observed use of a worker by a job; it lags behind.
+type Usage struct {
+	Worker model.WorkerID `json:"worker"`
+	Job    model.JobID    `json:"job"`
+	GPUs   float64        `json:"gpus"`
+}
+
+// Works is the worker service as the whole of its calls; packages that need fewer declare a smaller interface.
+type Works interface {
+	// Workers lists all workers.
+	Workers(ctx context.Context) ([]model.Worker, error)
+	// Tasks lists the tasks of a cell, ended ones included.
+	Tasks(ctx context.Context, cell model.CellID) ([]Task, error)
+	// Prepare creates a task. A task that exists with the same content is returned as it is.
+	Prepare(ctx context.Context, task Task) (Task, error)
+	// Throttle sets the share of a task. A task that has ended is returned as it is.
+	Throttle(ctx context.Context, id string, cmd Command, share float64) (Task, error)
+	// Checkpoint saves a task.
+	Checkpoint(ctx context.Context, id string, cmd Command) (Task, error)
+	// Stop ends a task.
+	Stop(ctx context.Context, id string, cmd Command) (Task, error)
+	// Grant creates a lease for tasks.
+	Grant(ctx context.Context, cmd Command, ttl time.Duration) (uint64, error)
+	// Renew extends a grant by its ttl.
+	Renew(ctx context.Context, grant uint64, cmd Command) error
+	// Revoke ends a grant and its tasks.
+	Revoke(ctx context.Context, grant uint64, cmd Command) error
+	// Usage reports the observed use of the workers.
+	Usage(ctx context.Context) ([]Usage, error)
+}
--- /dev/null
+++ b/stand/plat/works_test.go
@@ -0,0 +1,209 @@
+package plat_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/works"
+	"wagtailhoist/stand/fault"
+	"wagtailhoist/stand/tasks"
+)
+
+var first = works.Command{Cell: "lausanne", Epoch: 1, Plan: 1}
+
+// task prepares a grant and returns a task under it.
+func (b *bench) task(t *testing.T, id string, worker model.WorkerID, gpus int) works.Task {
+	t.Helper()
+	grant := must[uint64](t)(b.works.Grant(b.ctx, first, time.Minute))
+	return works.Task{Command: first, ID: id, Worker: worker, GPUs: gpus, Job: "j", Lease: grant}
+}
+
+func (b *bench) state(id string) tasks.Task {
+	for _, task := range b.Tasks.List("") {
+		if task.ID == id {
+			return task
+		}
+	}
+	return tasks.Task{}
+}
+
+func TestWorksChangesUnderFaults(t *testing.T) {
+	prepared := func(t *testing.T, b *bench) works.Task {
+		return must[works.Task](t)(b.works.Prepare(b.ctx, b.task(t, "j-1-0", "lausanne-w1", 8)))
+	}
+	// on returns a change of a prepared task.
+	on := func(do func(*bench, works.Task) error, effect func(tasks.Task) bool) func(*testing.T, *bench) (func() error, func() bool) {
+		return func(t *testing.T, b *bench) (func() error, func() bool) {
+			task := prepared(t, b)
+			return func() error { return do(b, task) }, func() bool { return effect(b.state(task.ID)) }
+		}
+	}
+	runChanges(t, []change{
+		{"prepare", func(t *testing.T, b *bench) (func() error, func() bool) {
+			task := b.task(t, "j-1-0", "lausanne-w1", 8)
+			return func() error {
+				_, err := b.works.Prepare(b.ctx, task)
+				return err
+			}, func() bool { return b.state(task.ID).State == tasks.Prepared }
+		}, nil, false},
+		{"release", on(func(b *bench, task works.Task) error {
+			_, err := b.works.Throttle(b.ctx, task.ID, first, 1)
+			return err
+		}, func(task tasks.Task) bool { return task.State == tasks.Running && task.Share == 1 }), nil, false},
+		{"checkpoint", on(func(b *bench, task works.Task) error {
+			_, err := b.works.Checkpoint(b.ctx, task.ID, first)
+			return err
+		}, func(task tasks.Task) bool { return task.Saved > 0 }), nil, false},
+		{"stop", on(func(b *bench, task works.Task) error {
+			_, err := b.works.Stop(b.ctx, task.ID, first)
+			return err
+		}, func(task tasks.Task) bool { return task.State == tasks.Stopped }), nil, false},
+		{"revoke", on(func(b *bench, task works.Task) error {
+			return b.works.Revoke(b.ctx, task.Lease, first)
+		}, func(task tasks.Task) bool { return task.State == tasks.Expired }), new(*works.GrantError), false},
+		{"grant", func(_ *testing.T, b *bench) (func() error, func() bool) {
+			return func() error {
+				_, err := b.works.Grant(b.ctx, first, time.Minute)
+				return err
+			}, func() bool { return b.Tasks.Renew(1, tasks.Command{Cell: "lausanne", Epoch: 1}, time.Now()) == nil }
+		}, nil, false},
+		{"renew", func(t *testing.T, b *bench) (func() error, func() bool) {
+			// The grant began 30 s ago and ends in 30 s, so that 45 s from now it lives only if it was renewed.
+			task := b.task(t, "j-1-0", "lausanne-w1", 8)
+			task.Lease, _ = b.Tasks.Grant(tasks.Command{Cell: "lausanne", Epoch: 1}, time.Minute, time.Now().Add(-30*time.Second))
+			must[works.Task](t)(b.works.Prepare(b.ctx, task))
+			return func() error { return b.works.Renew(b.ctx, task.Lease, first) }, func() bool {
+				b.Tasks.Advance(time.Now().Add(45 * time.Second))
+				return b.state(task.ID).State == tasks.Prepared
+			}
+		}, nil, true},
+	}, func(err error) bool {
+		var unavailable *works.UnavailableError
+		return errors.As(err, &unavailable)
+	})
+}
+
+// Guards against late commands of an old owner: each kind of command with a lower epoch has to be refused with
+// both epochs, and to change nothing.
+func TestWorksFencesLowerEpochs(t *testing.T) {
+	b := newBench(t)
+	task := must[works.Task](t)(b.works.Prepare(b.ctx, b.task(t, "j-1-0", "lausanne-w1", 4)))
+	second := works.Command{Cell: "lausanne", Epoch: 2, Plan: 9}
+	must[uint64](t)(b.works.Grant(b.ctx, second, time.Minute))
+	late := task
+	late.ID = "j-1-1"
+	for name, do := range map[string]func() error{
+		"prepare":    func() error { _, err := b.works.Prepare(b.ctx, late); return err },
+		"release":    func() error { _, err := b.works.Throttle(b.ctx, task.ID, first, 1); return err },
+		"checkpoint": func() error { _, err := b.works.Checkpoint(b.ctx, task.ID, first); return err },
+		"stop":       func() error { _, err := b.works.Stop(b.ctx, task.ID, first); return err },
+		"grant":      func() error { _, err := b.works.Grant(b.ctx, first, time.Minute); return err },
+		"renew":      func() error { return b.works.Renew(b.ctx, task.Lease, first) },
+		"revoke":     func() error { return b.works.Revoke(b.ctx, task.Lease, first) },
+	} {
+		var fenced *works.FencedError
+		if err := do(); !errors.As(err, &fenced) || fenced.Want != 1 || fenced.Have != 2 {
+			t.Errorf("%s: got %v, want epoch 1 fenced by 2", name, err)
+		}
+	}
+	if got := b.state(task.ID); got.State != tasks.Prepared || got.Saved != 0 {
+		t.Errorf("task: got %+v, want it unchanged", got)
+	}
+	other := works.Command{Cell: "chur", Epoch: 1}
+	must[uint64](t)(b.works.Grant(b.ctx, other, time.Minute))
+}
+
+// Guards against tasks that outlive their owner: the end of a grant stops its tasks and no others, and nothing
+// can be prepared under it.
+func TestWorksGrantEnd(t *testing.T) {
+	b := newBench(t)
+	short := b.task(t, "j-1-0", "lausanne-w1", 4)
+	long := b.task(t, "k-1-0", "lausanne-w1", 4)
+	short.Lease = must[uint64](t)(b.works.Grant(b.ctx, first, time.Second))
+	for _, task := range []works.Task{short, long} {
+		must[works.Task](t)(b.works.Prepare(b.ctx, task))
+		must[works.Task](t)(b.works.Throttle(b.ctx, task.ID, first, 1))
+	}
+	b.Tasks.Advance(time.Now().Add(2 * time.Second))
+	if got := b.state(short.ID).State; got != tasks.Expired {
+		t.Errorf("task of the ended grant: got %s, want expired", got)
+	}
+	if got := b.state(long.ID).State; got != tasks.Running {
+		t.Errorf("task of the other grant: got %s, want running", got)
+	}
+	short.ID = "j-1-1"
+	var ended *works.GrantError
+	if _, err := b.works.Prepare(b.ctx, short); !errors.As(err, &ended) || ended.Grant != short.Lease {
+		t.Errorf("preparing: got %v, want a grant error", err)
+	}
+	if err := b.works.Renew(b.ctx, short.Lease, first); !errors.As(err, &ended) {
+		t.Errorf("renewing: got %v, want a grant error", err)
+	}
+}
+
+// Guards against double starts and oversubscription: an ended task is not prepared again, a live one not with
+// other content, and a worker takes no more than it has.
+func TestWorksRefusals(t *testing.T) {
+	b := newBench(t)
+	task := must[works.Task](t)(b.works.Prepare(b.ctx, b.task(t, "j-1-0", "lausanne-w1", 6)))
+	b.Faults.Add(fault.Fault{Mode: fault.Lose, Worker: "lausanne-w2"})
+	moved, ended := task, b.task(t, "j-2-0", "lausanne-w3", 1)
+	moved.Worker = "lausanne-w3"
+	must[works.Task](t)(b.works.Prepare(b.ctx, ended))
+	must[works.Task](t)(b.works.Stop(b.ctx, ended.ID, first))
+	for _, tc := range []struct {
+		task   works.Task
+		reason string
+	}{
+		{moved, "exists"},
+		{ended, "exists"},
+		{b.task(t, "j-1-1", "lausanne-w1", 3), "full"},
+		{b.task(t, "j-1-2", "lausanne-w2", 1), "worker"},
+		{b.task(t, "j-1-3", "nowhere", 1), "worker"},
+	} {
+		var refused *works.RefusedError
+		if _, err := b.works.Prepare(b.ctx, tc.task); !errors.As(err, &refused) || refused.Reason != tc.reason {
+			t.Errorf("%s on %s: got %v, want refused: %s", tc.task.ID, tc.task.Worker, err, tc.reason)
+		}
+	}
+	var unknown *works.UnknownError
+	if _, err := b.works.Stop(b.ctx, "none", first); !errors.As(err, &unknown) || unknown.Task != "none" {
+		t.Errorf("stopping: got %v, want an unknown task", err)
+	}
+}
+
+// Guards against checks that read a log without the events they look for: a lost worker and a worker that fails
+// everything both show in the log, and a task never runs before its release.
+func TestWorksLog(t *testing.T) {
+	b := newBench(t)
+	for i, worker := range []model.WorkerID{"lausanne-w1", "lausanne-w2"} {
+		task := b.task(t, []string{"j-1-0", "j-1-1"}[i], worker, 8)
+		must[works.Task](t)(b.works.Prepare(b.ctx, task))
+	}
+	b.Faults.Add(fault.Fault{Mode: fault.Fail, Worker: "lausanne-w2"})
+	for _, id := range []string{"j-1-0", "j-1-1"} {
+		must[works.Task](t)(b.works.Throttle(b.ctx, id, first, 1))
+	}
+	b.Faults.Add(fault.Fault{Mode: fault.Lose, Worker: "lausanne-w1"})
+	var got []string
+	for _, e := range b.Tasks.Log(0) {
+		got = append(got, e.Task+" "+e.Event)
+	}
+	want := []string{
+		"j-1-0 prepared", "j-1-1 prepared", "j-1-0 running", "j-1-1 running", "j-1-1 failed", "j-1-0 lost",
+	}
+	if len(got) != len(want) {
+		t.Fatalf("log: got %q, want %q", got, want)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("event %d: got %q, want %q", i, got[i], want[i])
+		}
+	}
+	workers, err := b.works.Workers(b.ctx)
+	if err != nil || len(workers) != 3 || workers[0].Up || !workers[1].Up || workers[0].Rack != "lausanne-r1" {
+		t.Errorf("workers: got %+v, %v, want the first down", workers, err)
+	}
+}
