Add a thin request path from callers to minions

Both ends of a link send pings by their own timers, so no pong is needed: each direction is watched on its own. The end of a body follows from its announced length, so the End frame of the design is not needed either.

No tests yet.

--- /dev/null
+++ b/cmds/agent.go
@@ -0,0 +1,130 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/agent"
+	"wagtailhoist/io/link"
+)
+
+type agentCmd struct {
+	ID          string   `required:"" help:"Identifier of the node."`
+	Region      string   `required:"" help:"Region of the node."`
+	Centre      string   `required:"" help:"Data centre of the node."`
+	Listen      string   `default:"127.0.0.1:0" help:"Address of the link listener."`
+	Advertise   string   `help:"Address that entries dial, if it differs from the listener's."`
+	Minion      string   `required:"" help:"URL of the minion."`
+	Service     string   `default:"default" help:"Service that the minion provides."`
+	Slots       int      `default:"8" help:"Requests that the minion serves at a time."`
+	Connections int      `default:"64" help:"Connections that the minion accepts."`
+	Join        []string `required:"" help:"Link addresses of entries."`
+	Token       string   `help:"Link token."`
+}
+
+// Run serves until the process is told to stop.
+func (c *agentCmd) Run(s streams) error {
+	return serve(s,
+		fx.Supply(c),
+		fx.Provide(newAgentSelf, newAgentMinion, newAgent),
+		fx.Invoke(startAgent),
+	)
+}
+
+// agentSelf is the identity and listener of an agent.
+type agentSelf struct {
+	listener net.Listener
+	record   model.Record
+	settings link.Settings
+}
+
+func newAgentSelf(c *agentCmd) (agentSelf, error) {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return agentSelf{}, err
+	}
+	address := c.Advertise
+	if address == "" {
+		address = l.Addr().String()
+	}
+	rec := model.Record{
+		ID: model.NodeID(c.ID), Incarnation: model.NewIncarnation(time.Now()), Region: model.Region(c.Region),
+		Centre: model.Centre(c.Centre), Address: address, Service: c.Service, Load: model.Load{Slots: c.Slots},
+	}
+	hello := link.Hello{
+		Node: rec.ID, Incarnation: rec.Incarnation, Role: link.RoleAgent, Region: rec.Region, Centre: rec.Centre, Address: address,
+	}
+	return agentSelf{l, rec, link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}}, nil
+}
+
+func newAgentMinion(c *agentCmd) (*agent.Minion, error) {
+	return agent.NewMinion(c.Minion, c.Connections)
+}
+
+func newAgent(self agentSelf, m *agent.Minion, log *slog.Logger) *agent.Agent {
+	return agent.New(self.record, m, log)
+}
+
+// expireEvery is the interval at which an agent forgets old attempts.
+const expireEvery = 5 * time.Second
+
+func startAgent(life fx.Lifecycle, c *agentCmd, self agentSelf, a *agent.Agent, m *agent.Minion, log *slog.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	joined := make(chan struct{})
+	server := linkServer(self.settings, a.Serve, a.Ready)
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			log.Info("listening", "link", self.listener.Addr().String())
+			go serveHTTP(server, self.listener, log)
+			go func() {
+				defer close(joined)
+				a.Join(ctx, c.Join, self.settings)
+			}()
+			go func() {
+				for ctx.Err() == nil {
+					a.Expire(time.Now())
+					time.Sleep(expireEvery)
+				}
+			}()
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			log.Info("draining")
+			err := a.Drain(stop)
+			cancel()
+			<-joined
+			m.Close()
+			_ = server.Close()
+			log.Info("stopped")
+			return err
+		},
+	})
+}
+
+// linkServer returns the server of a process's link listener.
+func linkServer(s link.Settings, serve func(*link.Link), ready func() bool) *http.Server {
+	r := mux.NewRouter()
+	r.HandleFunc(link.Path, func(w http.ResponseWriter, req *http.Request) {
+		l, err := link.Accept(w, req, s)
+		if err != nil {
+			return
+		}
+		serve(l)
+	})
+	r.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	return &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}
+}
--- /dev/null
+++ b/cmds/entry.go
@@ -0,0 +1,108 @@
+package cmds
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/front"
+	"wagtailhoist/io/link"
+)
+
+type entryCmd struct {
+	ID     string        `required:"" help:"Identifier of the node."`
+	Region string        `required:"" help:"Region of the node."`
+	Centre string        `required:"" help:"Data centre of the node."`
+	Listen string        `default:"127.0.0.1:0" help:"Address of the callers' listener."`
+	Link   string        `default:"127.0.0.1:0" help:"Address of the link listener."`
+	Token  string        `help:"Link token."`
+	Drain  time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
+}
+
+// Run serves until the process is told to stop.
+func (c *entryCmd) Run(s streams) error {
+	return serve(s,
+		fx.Supply(c),
+		fx.Provide(newEntrySelf, newEntryPool, newEntryDispatcher, func() *front.Roster { return new(front.Roster) }),
+		fx.Invoke(startEntry),
+	)
+}
+
+// entrySelf is the identity and the listeners of an entry.
+type entrySelf struct {
+	callers, links net.Listener
+	settings       link.Settings
+}
+
+func newEntrySelf(c *entryCmd) (entrySelf, error) {
+	callers, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return entrySelf{}, err
+	}
+	links, err := net.Listen("tcp", c.Link)
+	if err != nil {
+		return entrySelf{}, err
+	}
+	hello := link.Hello{
+		Node: model.NodeID(c.ID), Incarnation: model.NewIncarnation(time.Now()), Role: link.RoleEntry,
+		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: links.Addr().String(),
+	}
+	return entrySelf{callers, links, link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}}, nil
+}
+
+func newEntryPool(self entrySelf) *front.Pool { return &front.Pool{Settings: self.settings} }
+
+func newEntryDispatcher(self entrySelf, r *front.Roster, p *front.Pool) *front.Dispatcher {
+	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: r, Pool: p}
+}
+
+func startEntry(life fx.Lifecycle, c *entryCmd, self entrySelf, r *front.Roster, d *front.Dispatcher, log *slog.Logger) {
+	var draining, stopping atomic.Bool
+	handle := front.Chain(front.Claiming(front.NoClaims{}, d.Do, d.Next), front.Stopping(stopping.Load))
+	callers := &http.Server{
+		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody},
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	links := linkServer(self.settings, func(l *link.Link) { hear(l, r) }, func() bool { return !draining.Load() })
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			log.Info("listening", "listen", self.callers.Addr().String(), "link", self.links.Addr().String())
+			go serveHTTP(callers, self.callers, log)
+			go serveHTTP(links, self.links, log)
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			log.Info("draining")
+			draining.Store(true)
+			time.Sleep(c.Drain)
+			stopping.Store(true)
+			err := callers.Shutdown(stop)
+			d.Pool.Close()
+			_ = links.Close()
+			log.Info("stopped")
+			return err
+		},
+	})
+}
+
+// hear takes the announcements of an agent until its link is closed.
+func hear(l *link.Link, r *front.Roster) {
+	defer l.Close()
+	for {
+		f, err := l.Receive()
+		if err != nil {
+			return
+		}
+		if a, ok := f.(link.Announce); ok {
+			for _, rec := range a.Records {
+				r.Hear(time.Now(), rec)
+			}
+		}
+	}
+}
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -15,6 +15,8 @@
 )
 
 type commands struct {
+	Entry   entryCmd   `cmd:"" help:"Run an entry."`
+	Agent   agentCmd   `cmd:"" help:"Run an agent."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -31,6 +33,7 @@
 	parser, err := kong.New(&cli,
 		kong.Name("wagtailhoist"),
 		kong.Description("Schedules multi-accelerator jobs under team guarantees and routes requests to minions."),
+		kong.DefaultEnvars("WAGTAILHOIST"),
 		kong.Writers(stdout, stderr),
 		kong.Exit(func(c int) { code = c }),
 	)
--- /dev/null
+++ b/cmds/serve.go
@@ -0,0 +1,43 @@
+package cmds
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+)
+
+const (
+	startLimit = 15 * time.Second
+	// stopLimit exceeds the longest deadline of a request (10 min), which a graceful shutdown may have to wait for.
+	stopLimit = 11 * time.Minute
+)
+
+// serve constructs a process from options, runs it until SIGTERM or SIGINT, and shuts it down gracefully.
+func serve(s streams, options ...fx.Option) error {
+	log := slog.New(slog.NewJSONHandler(s.err, nil))
+	app := fx.New(append(options,
+		fx.Supply(log),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)...)
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	<-app.Wait()
+	ctx, cancel = context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	return app.Stop(ctx)
+}
+
+func serveHTTP(s *http.Server, l net.Listener, log *slog.Logger) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		log.Error("listener failed", "address", l.Addr().String(), "error", err)
+	}
+}
--- /dev/null
+++ b/io/agent/agent.go
@@ -0,0 +1,222 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"wagtailhoist/core/ledger"
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/link"
+)
+
+// Runner runs a request at the minion.
+type Runner interface {
+	Do(ctx context.Context, b link.Begin, body []byte) Result
+}
+
+// Agent accepts attempts from entries and runs them at its minion.
+type Agent struct {
+	// Record is what the agent announces; Address, State, Load and Sequence are kept up to date.
+	record model.Record
+	runner Runner
+	log    *slog.Logger
+
+	mu    sync.Mutex
+	book  *ledger.Ledger
+	tasks map[model.Attempt]*task
+	// changed is closed and replaced when the announced state changes.
+	changed chan struct{}
+}
+
+// task is an attempt that holds a slot or has an answer.
+type task struct {
+	begin link.Begin
+	body  *link.Body
+	// owner is the link that gets the answer: that of the Begin or the last Attach.
+	owner  *link.Link
+	result *Result
+}
+
+// New returns an agent that announces record and runs attempts with runner.
+func New(record model.Record, runner Runner, log *slog.Logger) *Agent {
+	return &Agent{
+		record:  record,
+		runner:  runner,
+		log:     log,
+		book:    ledger.New(record.Incarnation, record.Load.Slots, ledger.Retain),
+		tasks:   map[model.Attempt]*task{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Serve handles the frames of an entry until its link is closed.
+func (a *Agent) Serve(l *link.Link) {
+	defer a.leave(l)
+	for {
+		f, err := l.Receive()
+		if err != nil {
+			a.log.Debug("link closed", "peer", l.Peer().Node, "error", err)
+			return
+		}
+		switch f := f.(type) {
+		case link.Begin:
+			a.begin(l, f)
+		case link.Data:
+			a.data(l, f)
+		case link.Fence:
+			a.fence(l, f)
+		case link.Attach:
+			a.attach(l, f)
+		case link.Done:
+			a.mu.Lock()
+			a.book.Done(f.Attempt)
+			a.forget(f.Attempt)
+			a.mu.Unlock()
+		}
+	}
+}
+
+func (a *Agent) begin(l *link.Link, b link.Begin) {
+	body, err := link.NewBody(b.Attempt, b.Length, b.Sum, b.Body)
+	a.mu.Lock()
+	reason := a.book.Begin(time.Now(), b.Attempt, b.Incarnation, b.Deadline)
+	if reason == ledger.Accepted && err != nil {
+		a.book.Abandon(b.Attempt)
+		reason = "body"
+	}
+	if reason == ledger.Accepted {
+		b.Body = nil
+		t := &task{begin: b, body: body, owner: l}
+		if body.Whole() && !a.book.Start(time.Now(), b.Attempt) {
+			reason = ledger.Late
+		} else {
+			a.tasks[b.Attempt] = t
+		}
+		if reason == ledger.Accepted && body.Whole() {
+			go a.run(t)
+		}
+	}
+	load := a.book.Load()
+	a.mu.Unlock()
+	switch {
+	case reason == ledger.Accepted || reason == ledger.Duplicate:
+		_ = l.Send(link.Accepted{Attempt: b.Attempt, Load: load})
+	default:
+		_ = l.Send(link.Refuse{Attempt: b.Attempt, Reason: string(reason), Load: load})
+	}
+}
+
+func (a *Agent) data(l *link.Link, d link.Data) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t, ok := a.tasks[d.Attempt]
+	if !ok || t.body.Whole() || t.owner != l {
+		return
+	}
+	if err := t.body.Add(d); err != nil {
+		a.log.Warn("request body refused", "error", err)
+		a.abandon(l, d.Attempt)
+		return
+	}
+	if !t.body.Whole() {
+		return
+	}
+	if !a.book.Start(time.Now(), d.Attempt) {
+		a.abandon(l, d.Attempt)
+		return
+	}
+	go a.run(t)
+}
+
+// abandon gives up an attempt whose body did not become whole in time; the caller holds the lock.
+func (a *Agent) abandon(l *link.Link, at model.Attempt) {
+	a.book.Abandon(at)
+	a.forget(at)
+	load := a.book.Load()
+	go l.Send(link.Refuse{Attempt: at, Reason: "body", Load: load}) //nolint:errcheck
+}
+
+func (a *Agent) run(t *task) {
+	ctx, cancel := context.WithDeadline(context.Background(), t.begin.Deadline)
+	res := a.runner.Do(ctx, t.begin, t.body.Bytes())
+	cancel()
+	a.mu.Lock()
+	for _, old := range a.book.Finish(t.begin.Attempt, len(res.Body)) {
+		a.forget(old)
+	}
+	t.result = &res
+	owner, load := t.owner, a.book.Load()
+	a.mu.Unlock()
+	reply(owner, t.begin.Attempt, &res, load)
+}
+
+// reply sends a result over an entry's link; if the link breaks, the entry attaches again.
+func reply(l *link.Link, at model.Attempt, res *Result, load model.Load) {
+	if res.Err != nil {
+		_ = l.Send(link.Fail{Attempt: at, Ran: res.Ran, Reason: res.Err.Error(), Load: load})
+		return
+	}
+	err := l.Send(link.Answer{
+		Attempt: at, Status: res.Status, Header: res.Header, Load: load,
+		Length: len(res.Body), Sum: link.Sum(res.Body), Body: link.First(res.Body),
+	})
+	if err == nil {
+		_ = l.SendRest(at, res.Body)
+	}
+}
+
+func (a *Agent) fence(l *link.Link, f link.Fence) {
+	a.mu.Lock()
+	state := a.book.Fence(time.Now(), f.Attempt, f.Incarnation, f.Deadline)
+	if state == ledger.NeverBegun {
+		a.forget(f.Attempt)
+	}
+	a.mu.Unlock()
+	_ = l.Send(link.Fenced{Attempt: f.Attempt, State: uint8(state)})
+}
+
+func (a *Agent) attach(l *link.Link, f link.Attach) {
+	a.mu.Lock()
+	t, ok := a.tasks[f.Attempt]
+	state, load := a.book.State(f.Attempt), a.book.Load()
+	var res *Result
+	if ok {
+		t.owner = l
+		res = t.result
+	}
+	a.mu.Unlock()
+	switch {
+	case !ok:
+		_ = l.Send(link.Fenced{Attempt: f.Attempt, State: uint8(state)})
+	case res != nil:
+		// A long answer must not keep this link's other frames from being read.
+		go reply(l, f.Attempt, res, load)
+	}
+}
+
+// leave fences the attempts whose body was still arriving over a closed link.
+func (a *Agent) leave(l *link.Link) {
+	l.Close()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for at, t := range a.tasks {
+		if t.owner == l && !t.body.Whole() {
+			a.book.Abandon(at)
+			a.forget(at)
+		}
+	}
+}
+
+// forget drops the body and the answer of an attempt; the caller holds the lock.
+func (a *Agent) forget(at model.Attempt) { delete(a.tasks, at) }
+
+// Expire forgets attempts that are long past their deadline.
+func (a *Agent) Expire(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, at := range a.book.Expire(now) {
+		a.forget(at)
+	}
+}
--- /dev/null
+++ b/io/agent/drain.go
@@ -0,0 +1,55 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+const (
+	// drainPoll is the interval at which a draining agent looks at its attempts.
+	drainPoll = 20 * time.Millisecond
+	// unreadLimit is how long a draining agent waits for the acknowledgement of its last
+	// answers: an entry needs link.Silence to notice a silent link, and the rest to attach again.
+	unreadLimit = 10 * time.Second
+	// farewell lets the announcement of the state gone leave before the process ends.
+	farewell = 100 * time.Millisecond
+)
+
+// Drain refuses new attempts, announces it, and returns when the accepted ones have
+// finished and their answers were read, or when ctx ends.
+func (a *Agent) Drain(ctx context.Context) error {
+	a.mu.Lock()
+	a.book.Drain()
+	a.mu.Unlock()
+	a.publish(model.Draining)
+	defer func() {
+		a.publish(model.Gone)
+		time.Sleep(farewell)
+	}()
+	idle := time.Now()
+	for {
+		a.mu.Lock()
+		busy, unread := a.book.Pending()
+		a.mu.Unlock()
+		if busy > 0 {
+			idle = time.Now()
+		}
+		if busy == 0 && (unread == 0 || time.Since(idle) > unreadLimit) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(drainPoll):
+		}
+	}
+}
+
+// Ready reports whether the agent accepts new attempts.
+func (a *Agent) Ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.record.State == model.Ready
+}
--- /dev/null
+++ b/io/front/attempt.go
@@ -0,0 +1,196 @@
+package front
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"wagtailhoist/core/ledger"
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/tries"
+	"wagtailhoist/io/link"
+)
+
+const (
+	// acceptLimit is the time in which an agent has to accept or refuse before its entry
+	// asks over a fresh link; it is many round trips between regions (40 ms).
+	acceptLimit = time.Second
+	// fenceLimit is the time in which a fence has to be answered before it is sent again.
+	fenceLimit = time.Second
+	// fencePause separates the tries to reach an agent for a fence.
+	fencePause = 100 * time.Millisecond
+	// elsewhereAfter is how long an idempotent request waits for its fence before it goes to another agent.
+	elsewhereAfter = 2 * time.Second
+)
+
+// trial is one attempt of a request at one agent.
+type trial struct {
+	pool    *Pool
+	record  model.Record
+	begin   link.Begin
+	body    []byte
+	patient bool // waits for a fence until the deadline
+
+	wire *wire
+	wait *waiter
+}
+
+// ending is how a trial ended.
+type ending struct {
+	end    tries.End
+	reason string
+	load   model.Load
+	answer *answered
+	// failed says that the agent or its minion is at fault.
+	failed bool
+}
+
+// run sends the attempt and returns its end, at the deadline of ctx at the latest.
+func (t *trial) run(ctx context.Context) ending {
+	w, err := t.pool.Get(ctx, t.record.Address)
+	if err != nil {
+		return ending{end: tries.NotRun, reason: "agent cannot be reached", failed: true}
+	}
+	// The record may be of an earlier process; the attempt belongs to the one that is linked.
+	t.begin.Incarnation = w.Peer().Incarnation
+	t.hold(w)
+	defer t.drop()
+	if !time.Now().Before(t.begin.Deadline) {
+		return ending{end: tries.NotRun, reason: "deadline passed before the request was sent"}
+	}
+	if w.Send(t.begin) == nil {
+		// A long body may fill the link; the agent's refusal has to be seen meanwhile.
+		go func() { _ = w.SendRest(t.begin.Attempt, t.body) }()
+	}
+	return t.follow(ctx)
+}
+
+// hold waits for the attempt's frames on w alone.
+func (t *trial) hold(w *wire) {
+	t.drop()
+	t.wire, t.wait = w, newWaiter(t.begin.Attempt)
+	w.expect(t.wait)
+}
+
+func (t *trial) drop() {
+	if t.wire != nil {
+		t.wire.forget(t.wait)
+		t.wire = nil
+	}
+}
+
+// follow waits for the end of the attempt, over fresh links where the first one fails.
+func (t *trial) follow(ctx context.Context) ending {
+	limit := time.NewTimer(acceptLimit)
+	defer limit.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ending{end: tries.Unknown, reason: "no answer before the deadline", failed: true}
+		case event := <-t.wait.events:
+			if _, ok := event.(accepted); ok {
+				limit.Stop()
+				continue
+			}
+			if _, ok := event.(corrupt); !ok {
+				if e, ok := t.settle(event); ok {
+					return e
+				}
+				continue
+			}
+		case <-limit.C:
+		case <-t.wire.Done():
+		}
+		limit.Stop()
+		if e, ok := t.recover(ctx); ok {
+			return e
+		}
+	}
+}
+
+// settle returns the end that an event means, if any.
+func (t *trial) settle(event any) (ending, bool) {
+	switch e := event.(type) {
+	case answered:
+		_ = t.wire.Send(link.Done{Attempt: t.begin.Attempt})
+		return ending{end: tries.Answered, answer: &e, load: e.frame.Load}, true
+	case refused:
+		return ending{end: tries.NotRun, reason: "agent refused: " + e.frame.Reason, load: e.frame.Load}, true
+	case failed:
+		_ = t.wire.Send(link.Done{Attempt: t.begin.Attempt})
+		end := tries.NotRun
+		if e.frame.Ran {
+			end = tries.Unknown
+		}
+		return ending{end: end, reason: e.frame.Reason, load: e.frame.Load, failed: true}, true
+	case fenced:
+		return fencedEnd(e.state)
+	}
+	return ending{}, false
+}
+
+func fencedEnd(s ledger.State) (ending, bool) {
+	switch s {
+	case ledger.NeverBegun:
+		return ending{end: tries.NotRun, reason: "request did not reach the minion", failed: true}, true
+	case ledger.Unknown:
+		return ending{end: tries.Unknown, reason: "agent does not know the outcome", failed: true}, true
+	}
+	return ending{}, false
+}
+
+// recover learns over a fresh link what became of the attempt. It returns an end, or
+// attaches the trial to the fresh link.
+func (t *trial) recover(ctx context.Context) (ending, bool) {
+	giveUp := time.Now().Add(elsewhereAfter)
+	for ctx.Err() == nil && (t.patient || time.Now().Before(giveUp)) {
+		w, err := t.pool.Fresh(ctx, t.record.Address, t.wire)
+		if err != nil {
+			sleep(ctx, fencePause/2+rand.N(fencePause))
+			continue
+		}
+		if w.Peer().Incarnation != t.begin.Incarnation {
+			return ending{end: tries.Unknown, reason: "agent restarted", failed: true}, true
+		}
+		t.hold(w)
+		if w.Send(link.Fence{Attempt: t.begin.Attempt, Incarnation: t.begin.Incarnation, Deadline: t.begin.Deadline}) != nil {
+			continue
+		}
+		state, ok := t.fenced(ctx)
+		if !ok {
+			continue
+		}
+		if e, ok := fencedEnd(state); ok {
+			return e, true
+		}
+		_ = w.Send(link.Attach{Attempt: t.begin.Attempt})
+		return ending{}, false
+	}
+	return ending{end: tries.Unknown, reason: "agent cannot be reached", failed: true}, true
+}
+
+func (t *trial) fenced(ctx context.Context) (ledger.State, bool) {
+	limit := time.NewTimer(fenceLimit)
+	defer limit.Stop()
+	for {
+		select {
+		case event := <-t.wait.events:
+			if f, ok := event.(fenced); ok {
+				return f.state, true
+			}
+		case <-limit.C:
+			return 0, false
+		case <-t.wire.Done():
+			return 0, false
+		case <-ctx.Done():
+			return 0, false
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/io/front/dispatch.go
@@ -0,0 +1,93 @@
+package front
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/tries"
+	"wagtailhoist/io/link"
+)
+
+// retryPause is the mean pause before a request is tried again.
+const retryPause = 20 * time.Millisecond
+
+// Call is a caller's request.
+type Call struct {
+	Service    string
+	Team       model.Team
+	Key        string
+	Idempotent bool
+	Deadline   time.Time
+	Method     string
+	// Path is the path with the query.
+	Path   string
+	Host   string
+	Header map[string][]string
+	Body   []byte
+}
+
+// Reply is the end of a call. Status, Header and Body are set if the outcome is answered.
+type Reply struct {
+	Outcome tries.Outcome
+	Reason  string
+	Attempt model.Attempt
+	Status  int
+	Header  map[string][]string
+	Body    []byte
+	// Code replaces the status that the outcome stands for, if it is not 0.
+	Code int
+}
+
+// Dispatcher sends calls to agents.
+type Dispatcher struct {
+	Self   model.Incarnation
+	Router Router
+	Pool   *Pool
+
+	sequence atomic.Uint64
+}
+
+// Next returns a new attempt identifier.
+func (d *Dispatcher) Next() model.Attempt {
+	return model.Attempt{Entry: d.Self, Sequence: d.sequence.Add(1)}
+}
+
+// Do runs the call and returns its end. first is the identifier of the first attempt.
+func (d *Dispatcher) Do(ctx context.Context, c Call, first model.Attempt) Reply {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	state := tries.Tries{Idempotent: c.Idempotent, Deadline: c.Deadline}
+	reply := Reply{Reason: "deadline passed before the request was sent", Attempt: first}
+	ask := Request{Service: c.Service, Team: c.Team, Bytes: len(c.Body)}
+	sum := link.Sum(c.Body)
+	for at := first; state.May(time.Now()); at = d.Next() {
+		if state.Count() > 0 {
+			sleep(ctx, retryPause/2+rand.N(retryPause))
+		}
+		rec, err := d.Router.Pick(time.Now(), ask)
+		if err != nil {
+			if state.Count() == 0 {
+				reply.Reason = err.Error()
+			}
+			break
+		}
+		ask.Tried = append(ask.Tried, rec.ID)
+		t := trial{pool: d.Pool, record: rec, body: c.Body, patient: !c.Idempotent, begin: link.Begin{
+			Attempt: at, Deadline: c.Deadline, Team: c.Team, Key: c.Key, Method: c.Method, Path: c.Path,
+			Host: c.Host, Header: c.Header, Length: len(c.Body), Sum: sum, Body: link.First(c.Body),
+		}}
+		start := time.Now()
+		end := t.run(ctx)
+		state.Record(end.end)
+		d.Router.Report(time.Now(), rec.ID, Result{Failed: end.failed, Load: end.load, Took: time.Since(start)})
+		reply.Attempt, reply.Reason = at, end.reason
+		if end.answer != nil {
+			reply.Status, reply.Header, reply.Body = end.answer.frame.Status, end.answer.frame.Header, end.answer.body
+		}
+	}
+	reply.Outcome = state.Outcome()
+	return reply
+}
--- /dev/null
+++ b/io/front/http.go
@@ -0,0 +1,197 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/tries"
+	"wagtailhoist/io/link"
+)
+
+// Headers of callers' requests and of answers.
+const (
+	HeaderTeam    = "Wagtailhoist-Team"
+	HeaderTimeout = "Wagtailhoist-Timeout"
+	HeaderService = "Wagtailhoist-Service"
+	HeaderOutcome = "Wagtailhoist-Outcome"
+	// HeaderSum is the xxhash64 of the answer's body in hexadecimal.
+	HeaderSum = "Wagtailhoist-Sum"
+	HeaderKey = "Idempotency-Key"
+)
+
+const (
+	defaultTimeout = 30 * time.Second
+	// maxTimeout is below the retention of claims, so that no attempt outlives its claim.
+	maxTimeout = 10 * time.Minute
+	// retryAfter is the Retry-After of refusals, in seconds.
+	retryAfter = "1"
+)
+
+// Server answers callers.
+type Server struct {
+	Handle Handler
+	// MaxBody is the largest body of a request in bytes.
+	MaxBody int64
+}
+
+// ServeHTTP runs the request and writes its answer or its outcome.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	call, code, err := s.read(now, r)
+	if err != nil {
+		reply := notRun(err.Error())
+		reply.Code = code
+		writeOutcome(w, r, reply)
+		return
+	}
+	reply := s.Handle(r.Context(), call)
+	if reply.Outcome == tries.OutcomeAnswered {
+		writeAnswer(w, r, reply)
+		return
+	}
+	writeOutcome(w, r, reply)
+}
+
+// read returns the call that r makes, or the status that refuses it.
+func (s *Server) read(now time.Time, r *http.Request) (Call, int, error) {
+	timeout := defaultTimeout
+	if v := r.Header.Get(HeaderTimeout); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+			return Call{}, http.StatusBadRequest, fmt.Errorf("%s %q is not between 1 and %d ms", HeaderTimeout, v, maxTimeout.Milliseconds())
+		}
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.MaxBody))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return Call{}, http.StatusRequestEntityTooLarge, fmt.Errorf("body exceeds %d bytes", large.Limit)
+		}
+		return Call{}, http.StatusBadRequest, fmt.Errorf("read body: %w", err)
+	}
+	keys := r.Header.Values(HeaderKey)
+	if len(keys) > 1 || len(keys) == 1 && (keys[0] == "" || len(keys[0]) > 256) {
+		return Call{}, http.StatusBadRequest, fmt.Errorf("%s must be one value of 1 to 256 bytes", HeaderKey)
+	}
+	key := r.Header.Get(HeaderKey)
+	return Call{
+		Service:    r.Header.Get(HeaderService),
+		Team:       model.Team(r.Header.Get(HeaderTeam)),
+		Key:        key,
+		Idempotent: key == "" && idempotent(r.Method),
+		Deadline:   now.Add(timeout),
+		Method:     r.Method,
+		Path:       r.URL.RequestURI(),
+		Host:       r.Host,
+		Header:     forwarded(r.Header),
+		Body:       body,
+	}, 0, nil
+}
+
+func idempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// hop lists the headers that end at each connection, and those that this side sets itself.
+var hop = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Expect": true,
+	HeaderOutcome: true, HeaderSum: true,
+}
+
+// forwarded returns the headers that go on to the other side.
+func forwarded(h http.Header) map[string][]string {
+	out := make(map[string][]string, len(h))
+	for k, v := range h {
+		if !hop[k] {
+			out[k] = v
+		}
+	}
+	for _, v := range h.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			delete(out, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return out
+}
+
+func writeAnswer(w http.ResponseWriter, r *http.Request, reply Reply) {
+	h := w.Header()
+	for k, v := range forwarded(reply.Header) {
+		h[k] = v
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // net/http would guess a type that the minion did not give
+	}
+	h.Set(HeaderOutcome, string(reply.Outcome))
+	h.Set(HeaderSum, strconv.FormatUint(link.Sum(reply.Body), 16))
+	switch {
+	case r.Method == http.MethodHead:
+		if v := http.Header(reply.Header).Get("Content-Length"); v != "" {
+			h.Set("Content-Length", v)
+		}
+	case reply.Status != http.StatusNoContent && reply.Status != http.StatusNotModified:
+		h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	}
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+}
+
+// outcome is the body of answers that the system itself gives.
+type outcome struct {
+	Outcome tries.Outcome `json:"outcome"`
+	Reason  string        `json:"reason"`
+	Attempt string        `json:"attempt,omitempty"`
+}
+
+func writeOutcome(w http.ResponseWriter, r *http.Request, reply Reply) {
+	o := outcome{Outcome: reply.Outcome, Reason: reply.Reason}
+	if reply.Attempt.Entry != 0 {
+		o.Attempt = reply.Attempt.String()
+	}
+	body, err := json.Marshal(o)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	body = append(body, '\n')
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(HeaderOutcome, string(reply.Outcome))
+	h.Set(HeaderSum, strconv.FormatUint(link.Sum(body), 16))
+	code := reply.Code
+	if code == 0 {
+		code = status(reply.Outcome)
+	}
+	if code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests {
+		h.Set("Retry-After", retryAfter)
+	}
+	w.WriteHeader(code)
+	if r.Method != http.MethodHead {
+		_, _ = w.Write(body)
+	}
+}
+
+func status(o tries.Outcome) int {
+	switch o {
+	case tries.OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	case tries.OutcomeDuplicate:
+		return http.StatusConflict
+	}
+	return http.StatusGatewayTimeout
+}
--- /dev/null
+++ b/io/front/pool.go
@@ -0,0 +1,176 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/link"
+)
+
+// Pool holds the links to agents, one for each agent, and replaces those that break.
+type Pool struct {
+	Settings link.Settings
+	// Dropped counts frames that belong to no attempt in progress: late, duplicate or mismatched answers.
+	Dropped atomic.Uint64
+
+	mu    sync.Mutex
+	slots map[string]*slot
+}
+
+// slot is the place of one agent's link; its lock is held while dialling, so that all
+// waiting attempts share the new link.
+type slot struct {
+	mu      sync.Mutex
+	current *wire
+}
+
+// wire is a link to an agent with the attempts that wait for its frames.
+type wire struct {
+	*link.Link
+	pool *Pool
+
+	mu      sync.Mutex
+	waiters map[model.Attempt]*waiter
+	// retired wires have been replaced; the last waiter closes them.
+	retired bool
+}
+
+// Get returns the link to the agent at address, and dials it if there is none.
+func (p *Pool) Get(ctx context.Context, address string) (*wire, error) {
+	return p.get(ctx, address, nil)
+}
+
+// Fresh returns a link to the agent at address that is not old, which is replaced.
+func (p *Pool) Fresh(ctx context.Context, address string, old *wire) (*wire, error) {
+	return p.get(ctx, address, old)
+}
+
+func (p *Pool) get(ctx context.Context, address string, old *wire) (*wire, error) {
+	p.mu.Lock()
+	if p.slots == nil {
+		p.slots = map[string]*slot{}
+	}
+	s, ok := p.slots[address]
+	if !ok {
+		s = &slot{}
+		p.slots[address] = s
+	}
+	p.mu.Unlock()
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil && s.current != old && s.current.alive() {
+		return s.current, nil
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	l, err := link.Dial(ctx, address, p.Settings)
+	if err != nil {
+		return nil, err
+	}
+	w := &wire{Link: l, pool: p, waiters: map[model.Attempt]*waiter{}}
+	if s.current != nil {
+		s.current.retire()
+	}
+	s.current = w
+	go w.receive()
+	return w, nil
+}
+
+// Close closes all links.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.slots {
+		s.mu.Lock()
+		if s.current != nil {
+			s.current.Close()
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (w *wire) alive() bool {
+	select {
+	case <-w.Done():
+		return false
+	default:
+		return true
+	}
+}
+
+// expect hands the frames of the attempt to wt until forget is called.
+func (w *wire) expect(wt *waiter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiters[wt.attempt] = wt
+}
+
+func (w *wire) forget(wt *waiter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.waiters, wt.attempt)
+	if w.retired && len(w.waiters) == 0 {
+		w.Close()
+	}
+}
+
+func (w *wire) retire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retired = true
+	if len(w.waiters) == 0 {
+		w.Close()
+	}
+}
+
+func (w *wire) receive() {
+	for {
+		f, err := w.Receive()
+		if err != nil {
+			return
+		}
+		at, ok := attemptOf(f)
+		if !ok {
+			continue
+		}
+		w.mu.Lock()
+		wt := w.waiters[at]
+		w.mu.Unlock()
+		if wt == nil {
+			w.drop(f)
+			continue
+		}
+		wt.take(f)
+	}
+}
+
+// drop counts a frame nobody waits for. The answer of an attempt that was given up is
+// acknowledged, so that the agent does not keep it.
+func (w *wire) drop(f link.Frame) {
+	w.pool.Dropped.Add(1)
+	if a, ok := f.(link.Answer); ok {
+		_ = w.Send(link.Done{Attempt: a.Attempt})
+	}
+}
+
+func attemptOf(f link.Frame) (model.Attempt, bool) {
+	switch f := f.(type) {
+	case link.Accepted:
+		return f.Attempt, true
+	case link.Refuse:
+		return f.Attempt, true
+	case link.Answer:
+		return f.Attempt, true
+	case link.Data:
+		return f.Attempt, true
+	case link.Fail:
+		return f.Attempt, true
+	case link.Fenced:
+		return f.Attempt, true
+	}
+	return model.Attempt{}, false
+}
--- /dev/null
+++ b/io/link/frames.go
@@ -0,0 +1,229 @@
+package link
+
+import (
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+// Kind numbers the frame types; it is the first byte of a frame on the wire.
+type Kind uint8
+
+// Kinds of frames. They stay below 24, so that each one is a CBOR integer of one byte.
+const (
+	KindHello Kind = 1 + iota
+	KindPing
+	KindAnnounce
+	KindKnown
+	KindBegin
+	KindData
+	KindAccept
+	KindRefuse
+	KindAnswer
+	KindFail
+	KindFence
+	KindFenced
+	KindAttach
+	KindDone
+	KindConfig
+)
+
+// Frame is a message on a link.
+type Frame interface{ Kind() Kind }
+
+// decoders lists the frame types that a link accepts; a new type is added here and nowhere else.
+var decoders = map[Kind]func([]byte) (Frame, error){
+	KindHello:    decode[Hello],
+	KindPing:     decode[Ping],
+	KindAnnounce: decode[Announce],
+	KindKnown:    decode[Known],
+	KindBegin:    decode[Begin],
+	KindData:     decode[Data],
+	KindAccept:   decode[Accepted],
+	KindRefuse:   decode[Refuse],
+	KindAnswer:   decode[Answer],
+	KindFail:     decode[Fail],
+	KindFence:    decode[Fence],
+	KindFenced:   decode[Fenced],
+	KindAttach:   decode[Attach],
+	KindDone:     decode[Done],
+	KindConfig:   decode[Config],
+}
+
+// Role says what kind of process is at an end of a link.
+type Role string
+
+// Roles of processes.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Hello is the first frame in both directions.
+type Hello struct {
+	Node        model.NodeID      `cbor:"1,keyasint"`
+	Incarnation model.Incarnation `cbor:"2,keyasint"`
+	Role        Role              `cbor:"3,keyasint"`
+	Region      model.Region      `cbor:"4,keyasint,omitempty"`
+	Centre      model.Centre      `cbor:"5,keyasint,omitempty"`
+	Protocol    int               `cbor:"6,keyasint"`
+	// Address is the host:port at which the sender accepts links.
+	Address string `cbor:"7,keyasint,omitempty"`
+}
+
+// Ping is the heartbeat; both ends send it, so a pong is not needed.
+type Ping struct{}
+
+// Announce carries records of agents.
+type Announce struct {
+	Records []model.Record `cbor:"1,keyasint"`
+}
+
+// Entry is the address of an entry's link listener.
+type Entry struct {
+	ID      model.NodeID `cbor:"1,keyasint"`
+	Region  model.Region `cbor:"2,keyasint,omitempty"`
+	Address string       `cbor:"3,keyasint"`
+}
+
+// Known tells an agent or a peer which entries exist and the sender's configuration revision.
+type Known struct {
+	Entries  []Entry        `cbor:"1,keyasint"`
+	Revision model.Revision `cbor:"2,keyasint"`
+}
+
+// Begin asks an agent to run a request once.
+type Begin struct {
+	Attempt     model.Attempt       `cbor:"1,keyasint"`
+	Incarnation model.Incarnation   `cbor:"2,keyasint"`
+	Deadline    time.Time           `cbor:"3,keyasint"`
+	Team        model.Team          `cbor:"4,keyasint,omitempty"`
+	Key         string              `cbor:"5,keyasint,omitempty"`
+	Method      string              `cbor:"6,keyasint"`
+	Path        string              `cbor:"7,keyasint"`
+	Host        string              `cbor:"8,keyasint,omitempty"`
+	Header      map[string][]string `cbor:"9,keyasint,omitempty"`
+	Length      int                 `cbor:"10,keyasint"`
+	Sum         uint64              `cbor:"11,keyasint"`
+	// Body is set for bodies of at most Chunk bytes; longer ones follow in Data frames.
+	Body []byte `cbor:"12,keyasint,omitempty"`
+}
+
+// Data carries a part of the body of a request or an answer.
+type Data struct {
+	Attempt model.Attempt `cbor:"1,keyasint"`
+	Offset  int           `cbor:"2,keyasint"`
+	Bytes   []byte        `cbor:"3,keyasint"`
+}
+
+// Accepted says that the agent holds a slot for the attempt and runs it once its body is whole.
+type Accepted struct {
+	Attempt model.Attempt `cbor:"1,keyasint"`
+	Load    model.Load    `cbor:"2,keyasint"`
+}
+
+// Refuse says that the attempt did not run and that this process will never run it.
+type Refuse struct {
+	Attempt model.Attempt `cbor:"1,keyasint"`
+	Reason  string        `cbor:"2,keyasint"`
+	Load    model.Load    `cbor:"3,keyasint"`
+}
+
+// Answer is the minion's answer to an attempt.
+type Answer struct {
+	Attempt model.Attempt       `cbor:"1,keyasint"`
+	Status  int                 `cbor:"2,keyasint"`
+	Header  map[string][]string `cbor:"3,keyasint,omitempty"`
+	Length  int                 `cbor:"4,keyasint"`
+	Sum     uint64              `cbor:"5,keyasint"`
+	Load    model.Load          `cbor:"6,keyasint"`
+	// Body is set for bodies of at most Chunk bytes; longer ones follow in Data frames.
+	Body []byte `cbor:"7,keyasint,omitempty"`
+}
+
+// Fail says that an accepted attempt has no answer.
+type Fail struct {
+	Attempt model.Attempt `cbor:"1,keyasint"`
+	// Ran is false only if the minion cannot have seen any part of the request.
+	Ran    bool       `cbor:"2,keyasint"`
+	Reason string     `cbor:"3,keyasint"`
+	Load   model.Load `cbor:"4,keyasint"`
+}
+
+// Fence asks an agent what became of an attempt and forbids it to begin from now on.
+type Fence struct {
+	Attempt     model.Attempt     `cbor:"1,keyasint"`
+	Incarnation model.Incarnation `cbor:"2,keyasint"`
+	Deadline    time.Time         `cbor:"3,keyasint"`
+}
+
+// Fenced answers a Fence or an Attach that finds no answer to send.
+type Fenced struct {
+	Attempt model.Attempt `cbor:"1,keyasint"`
+	State   uint8         `cbor:"2,keyasint"`
+}
+
+// Attach asks for the answer of an attempt from its start over this link.
+type Attach struct {
+	Attempt model.Attempt `cbor:"1,keyasint"`
+}
+
+// Done says that the entry holds the whole answer, so the agent can free it.
+type Done struct {
+	Attempt model.Attempt `cbor:"1,keyasint"`
+}
+
+// Config carries a configuration revision between processes.
+type Config struct {
+	Revision model.Revision `cbor:"1,keyasint"`
+	Change   string         `cbor:"2,keyasint,omitempty"`
+	Author   string         `cbor:"3,keyasint,omitempty"`
+	Document []byte         `cbor:"4,keyasint,omitempty"`
+	// Confirmed says that the store confirmed the revision.
+	Confirmed bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Kind returns KindHello.
+func (Hello) Kind() Kind { return KindHello }
+
+// Kind returns KindPing.
+func (Ping) Kind() Kind { return KindPing }
+
+// Kind returns KindAnnounce.
+func (Announce) Kind() Kind { return KindAnnounce }
+
+// Kind returns KindKnown.
+func (Known) Kind() Kind { return KindKnown }
+
+// Kind returns KindBegin.
+func (Begin) Kind() Kind { return KindBegin }
+
+// Kind returns KindData.
+func (Data) Kind() Kind { return KindData }
+
+// Kind returns KindAccept.
+func (Accepted) Kind() Kind { return KindAccept }
+
+// Kind returns KindRefuse.
+func (Refuse) Kind() Kind { return KindRefuse }
+
+// Kind returns KindAnswer.
+func (Answer) Kind() Kind { return KindAnswer }
+
+// Kind returns KindFail.
+func (Fail) Kind() Kind { return KindFail }
+
+// Kind returns KindFence.
+func (Fence) Kind() Kind { return KindFence }
+
+// Kind returns KindFenced.
+func (Fenced) Kind() Kind { return KindFenced }
+
+// Kind returns KindAttach.
+func (Attach) Kind() Kind { return KindAttach }
+
+// Kind returns KindDone.
+func (Done) Kind() Kind { return KindDone }
+
+// Kind returns KindConfig.
+func (Config) Kind() Kind { return KindConfig }
