--- a/cmds/agent.go
+++ b/cmds/agent.go
@@ -83,17 +83,12 @@
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			log.Info("listening", "link", self.listener.Addr().String())
-			go serveHTTP(server, self.listener, log)
+			go serveHTTP(server, link.Listen(self.listener, link.Guests), log)
 			go func() {
 				defer close(joined)
 				a.Join(ctx, c.Join, self.settings)
 			}()
-			go func() {
-				for ctx.Err() == nil {
-					a.Expire(time.Now())
-					time.Sleep(expireEvery)
-				}
-			}()
+			go every(ctx, expireEvery, a.Expire)
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -62,11 +62,15 @@
 	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: r, Pool: p}
 }
 
+// sweepEvery is the interval at which an entry closes unused links.
+const sweepEvery = 10 * time.Second
+
 func startEntry(life fx.Lifecycle, c *entryCmd, self entrySelf, r *front.Roster, d *front.Dispatcher, log *slog.Logger) {
 	var draining, stopping atomic.Bool
+	ctx, cancel := context.WithCancel(context.Background())
 	handle := front.Chain(front.Claiming(front.NoClaims{}, d.Do, d.Next), front.Stopping(stopping.Load))
 	callers := &http.Server{
-		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody},
+		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody, Closing: draining.Load},
 		ReadHeaderTimeout: 5 * time.Second,
 	}
 	links := linkServer(self.settings, func(l *link.Link) { hear(l, r) }, func() bool { return !draining.Load() })
@@ -74,7 +78,8 @@
 		OnStart: func(context.Context) error {
 			log.Info("listening", "listen", self.callers.Addr().String(), "link", self.links.Addr().String())
 			go serveHTTP(callers, self.callers, log)
-			go serveHTTP(links, self.links, log)
+			go serveHTTP(links, link.Listen(self.links, link.Guests), log)
+			go every(ctx, sweepEvery, d.Pool.Sweep)
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
@@ -83,6 +88,7 @@
 			time.Sleep(c.Drain)
 			stopping.Store(true)
 			err := callers.Shutdown(stop)
+			cancel()
 			d.Pool.Close()
 			_ = links.Close()
 			log.Info("stopped")
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -41,3 +41,17 @@
 		log.Error("listener failed", "address", l.Addr().String(), "error", err)
 	}
 }
+
+// every calls fn with the time at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, fn func(time.Time)) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			fn(now)
+		}
+	}
+}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -97,14 +97,16 @@
 		return Duplicate
 	}
 	reason := l.admit(now, deadline)
-	switch reason {
-	case Accepted:
+	if reason == Accepted {
 		l.attempts[a] = &entry{phase: receiving, deadline: deadline}
 		l.busy++
-	case Late, Far:
-	default:
-		l.attempts[a] = &entry{phase: fenced, deadline: deadline}
+		return Accepted
 	}
+	// The bound keeps a faulty entry from filling the memory with far deadlines.
+	if far := now.Add(Longest); deadline.After(far) {
+		deadline = far
+	}
+	l.attempts[a] = &entry{phase: fenced, deadline: deadline}
 	return reason
 }
 
--- a/io/agent/drain.go
+++ b/io/agent/drain.go
@@ -13,6 +13,10 @@
 	// unreadLimit is how long a draining agent waits for the acknowledgement of its last
 	// answers: an entry needs link.Silence to notice a silent link, and the rest to attach again.
 	unreadLimit = 10 * time.Second
+	// linger is the least time from the start of draining to the end of the process. Entries
+	// that have not heard of it yet get refusals, where a closed port would leave a request
+	// that was just sent without a known outcome. It is the bound of P6.
+	linger = 3 * time.Second
 	// farewell lets the announcement of the state gone leave before the process ends.
 	farewell = 100 * time.Millisecond
 )
@@ -28,7 +32,8 @@
 		a.publish(model.Gone)
 		time.Sleep(farewell)
 	}()
-	idle := time.Now()
+	start := time.Now()
+	idle := start
 	for {
 		a.mu.Lock()
 		busy, unread := a.book.Pending()
@@ -36,7 +41,7 @@
 		if busy > 0 {
 			idle = time.Now()
 		}
-		if busy == 0 && (unread == 0 || time.Since(idle) > unreadLimit) {
+		if busy == 0 && (unread == 0 || time.Since(idle) > unreadLimit) && time.Since(start) > linger {
 			return nil
 		}
 		select {
--- a/io/agent/join.go
+++ b/io/agent/join.go
@@ -1,10 +1,14 @@
 package agent
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wagtailhoist/core/model"
 	"wagtailhoist/io/link"
 )
@@ -12,46 +16,115 @@
 const (
 	// announceEvery is the interval between announcements.
 	announceEvery = time.Second
-	// redial is the pause before a failed entry is dialled again.
-	redial = 500 * time.Millisecond
+	// joinEvery is the interval at which the choice of entries is looked at.
+	joinEvery = 200 * time.Millisecond
+	// avoid is how long an entry that failed is left out of the choice.
+	avoid = 2 * time.Second
+	// homes is the number of entries that an agent announces itself to.
+	homes = 3
 )
 
-// Join announces the agent at each of the entries until ctx ends.
-func (a *Agent) Join(ctx context.Context, entries []string, s link.Settings) {
+// homing keeps links to the entries of an agent's choice.
+type homing struct {
+	agent    *Agent
+	seeds    []string
+	settings link.Settings
+
+	mu     sync.Mutex
+	known  []link.Entry
+	open   map[string]context.CancelFunc
+	failed map[string]time.Time
+}
+
+// Join announces the agent at three entries until ctx ends. The seeds are addresses of
+// entries, or of a balancer before them; entries tell the agent which others exist.
+func (a *Agent) Join(ctx context.Context, seeds []string, s link.Settings) {
+	h := &homing{
+		agent: a, seeds: seeds, settings: s,
+		open: map[string]context.CancelFunc{}, failed: map[string]time.Time{},
+	}
 	var wait sync.WaitGroup
-	for _, address := range entries {
+	defer wait.Wait()
+	tick := time.NewTicker(joinEvery)
+	defer tick.Stop()
+	for {
+		h.adjust(ctx, &wait)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// adjust opens and closes links so that they match the choice.
+func (h *homing) adjust(ctx context.Context, wait *sync.WaitGroup) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for address, at := range h.failed {
+		if time.Since(at) > avoid {
+			delete(h.failed, address)
+		}
+	}
+	want := choose(h.agent.record.ID, h.agent.record.Region, h.known, h.seeds, func(address string) bool {
+		_, failed := h.failed[address]
+		return !failed
+	})
+	for address, cancel := range h.open {
+		if !slices.Contains(want, address) {
+			cancel()
+		}
+	}
+	for _, address := range want {
+		if _, ok := h.open[address]; ok {
+			continue
+		}
+		one, cancel := context.WithCancel(ctx)
+		h.open[address] = cancel
 		wait.Go(func() {
-			for ctx.Err() == nil {
-				a.announce(ctx, address, s)
-				select {
-				case <-ctx.Done():
-				case <-time.After(redial):
-				}
-			}
+			defer cancel()
+			h.announce(one, address)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			delete(h.open, address)
+			h.failed[address] = time.Now()
 		})
 	}
-	wait.Wait()
+}
+
+// choose returns the entries to announce to: the first three of the known ones of the
+// region by rendezvous hashing, or the seeds as long as fewer are known and usable.
+func choose(id model.NodeID, region model.Region, known []link.Entry, seeds []string, usable func(string) bool) []string {
+	var out []string
+	for _, e := range known {
+		if e.Region == region && usable(e.Address) {
+			out = append(out, e.Address)
+		}
+	}
+	rank := func(address string) uint64 { return xxhash.Sum64String(string(id) + "\x00" + address) }
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
+	out = out[:min(homes, len(out))]
+	for _, s := range seeds {
+		if len(out) < homes && usable(s) && !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
 }
 
 // announce sends the record over one link until the link breaks or ctx ends.
-func (a *Agent) announce(ctx context.Context, address string, s link.Settings) {
-	l, err := link.Dial(ctx, address, s)
+func (h *homing) announce(ctx context.Context, address string) {
+	l, err := link.Dial(ctx, address, h.settings)
 	if err != nil {
-		a.log.Debug("entry refused the link", "entry", address, "error", err)
+		h.agent.log.Debug("entry cannot be linked", "entry", address, "error", err)
 		return
 	}
 	defer l.Close()
-	go func() {
-		for {
-			if _, err := l.Receive(); err != nil {
-				return
-			}
-		}
-	}()
+	go h.listen(l)
 	tick := time.NewTicker(announceEvery)
 	defer tick.Stop()
 	for {
-		rec, changed := a.next()
+		rec, changed := h.agent.next()
 		if l.Send(link.Announce{Records: []model.Record{rec}}) != nil {
 			return
 		}
@@ -66,6 +139,21 @@
 	}
 }
 
+// listen takes the list of entries from an entry.
+func (h *homing) listen(l *link.Link) {
+	for {
+		f, err := l.Receive()
+		if err != nil {
+			return
+		}
+		if k, ok := f.(link.Known); ok && len(k.Entries) > 0 {
+			h.mu.Lock()
+			h.known = k.Entries
+			h.mu.Unlock()
+		}
+	}
+}
+
 // next returns the record with a sequence of its own, and a channel that is closed when its state changes.
 func (a *Agent) next() (model.Record, <-chan struct{}) {
 	a.mu.Lock()
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return ending{end: tries.NotRun, reason: "agent cannot be reached", failed: true}
 	}
+	if w.Peer().Node != t.record.ID {
+		return ending{end: tries.NotRun, reason: "address belongs to another agent", failed: true}
+	}
 	// The record may be of an earlier process; the attempt belongs to the one that is linked.
 	t.begin.Incarnation = w.Peer().Incarnation
 	t.hold(w)
--- a/io/front/http.go
+++ b/io/front/http.go
@@ -26,10 +26,15 @@
 	HeaderKey = "Idempotency-Key"
 )
 
+// DefaultService is the service of requests without a service header.
+const DefaultService = "default"
+
 const (
 	defaultTimeout = 30 * time.Second
 	// maxTimeout is below the retention of claims, so that no attempt outlives its claim.
 	maxTimeout = 10 * time.Minute
+	// readLimit is the time in which a caller has to send its body.
+	readLimit = 30 * time.Second
 	// retryAfter is the Retry-After of refusals, in seconds.
 	retryAfter = "1"
 )
@@ -39,12 +44,20 @@
 	Handle Handler
 	// MaxBody is the largest body of a request in bytes.
 	MaxBody int64
+	// Closing returns true while callers have to be told to close their connections; nil means never.
+	Closing func() bool
 }
 
 // ServeHTTP runs the request and writes its answer or its outcome.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
+	if s.Closing != nil && s.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+	// A caller that stops sending must not hold up a graceful shutdown.
+	_ = http.NewResponseController(w).SetReadDeadline(now.Add(readLimit))
 	call, code, err := s.read(now, r)
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if err != nil {
 		reply := notRun(err.Error())
 		reply.Code = code
@@ -82,8 +95,12 @@
 		return Call{}, http.StatusBadRequest, fmt.Errorf("%s must be one value of 1 to 256 bytes", HeaderKey)
 	}
 	key := r.Header.Get(HeaderKey)
+	service := r.Header.Get(HeaderService)
+	if service == "" {
+		service = DefaultService
+	}
 	return Call{
-		Service:    r.Header.Get(HeaderService),
+		Service:    service,
 		Team:       model.Team(r.Header.Get(HeaderTeam)),
 		Key:        key,
 		Idempotent: key == "" && idempotent(r.Method),
--- a/io/front/pool.go
+++ b/io/front/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"wagtailhoist/core/model"
 	"wagtailhoist/io/link"
@@ -35,8 +36,13 @@
 	waiters map[model.Attempt]*waiter
 	// retired wires have been replaced; the last waiter closes them.
 	retired bool
+	// idle is when the last waiter left.
+	idle time.Time
 }
 
+// idleLimit is the time after which a link without attempts is closed, so that an entry does not keep links to a whole fleet.
+const idleLimit = time.Minute
+
 // Get returns the link to the agent at address, and dials it if there is none.
 func (p *Pool) Get(ctx context.Context, address string) (*wire, error) {
 	return p.get(ctx, address, nil)
@@ -71,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &wire{Link: l, pool: p, waiters: map[model.Attempt]*waiter{}}
+	w := &wire{Link: l, pool: p, waiters: map[model.Attempt]*waiter{}, idle: time.Now()}
 	if s.current != nil {
 		s.current.retire()
 	}
@@ -80,6 +86,31 @@
 	return w, nil
 }
 
+// Sweep closes the links that carried no attempt for a minute.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.slots {
+		if !s.mu.TryLock() {
+			continue // being dialled, so not idle
+		}
+		if w := s.current; w != nil && (!w.alive() || w.idleSince(now) > idleLimit) {
+			w.retire()
+			s.current = nil
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (w *wire) idleSince(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.waiters) > 0 {
+		return 0
+	}
+	return now.Sub(w.idle)
+}
+
 // Close closes all links.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -113,6 +144,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.waiters, wt.attempt)
+	w.idle = time.Now()
 	if w.retired && len(w.waiters) == 0 {
 		w.Close()
 	}
--- a/io/front/ports.go
+++ b/io/front/ports.go
@@ -98,7 +98,7 @@
 		if h.record.State != model.Ready || now.Sub(h.at) > forgetAfter {
 			continue
 		}
-		if req.Service != "" && req.Service != h.record.Service {
+		if req.Service != h.record.Service {
 			continue
 		}
 		if !contains(req.Tried, h.record.ID) {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -61,6 +61,8 @@
 
 	write  sync.Mutex
 	buffer bytes.Buffer
+	// sent is when the last frame was sent, in nanoseconds since the Unix epoch.
+	sent atomic.Int64
 
 	once sync.Once
 	done chan struct{}
@@ -135,6 +137,9 @@
 		return fmt.Errorf("got frame %d of protocol %d instead of a hello of protocol %d", f.Kind(), hello.Protocol, Protocol)
 	}
 	l.peer = hello
+	if c, ok := l.ws.NetConn().(*guestConn); ok {
+		c.admit()
+	}
 	go l.beat()
 	return nil
 }
@@ -170,6 +175,7 @@
 		return errors.Wrapf(err, "send frame %d", f.Kind())
 	}
 	l.count.Sent.Add(uint64(l.buffer.Len()))
+	l.sent.Store(time.Now().UnixNano())
 	return nil
 }
 
@@ -194,6 +200,9 @@
 		if errors.As(err, &timeout) && timeout.Timeout() {
 			l.count.Silent.Add(1)
 		}
+		if errors.Is(err, websocket.ErrReadLimit) {
+			l.count.Malformed.Add(1)
+		}
 		return nil, err
 	}
 	l.count.Received.Add(uint64(len(b)))
@@ -229,7 +238,8 @@
 	}
 }
 
-// beat sends pings until the link is closed. It does not depend on received frames, so
+// beat sends pings until the link is closed, unless another frame was sent shortly before:
+// links that carry announcements need no pings. It does not depend on received frames, so
 // that each direction of a link is watched on its own.
 func (l *Link) beat() {
 	tick := time.NewTicker(Heartbeat)
@@ -239,6 +249,9 @@
 		case <-l.done:
 			return
 		case <-tick.C:
+			if time.Since(time.Unix(0, l.sent.Load())) < Heartbeat/2 {
+				continue
+			}
 			if l.Send(Ping{}) != nil {
 				return
 			}
--- /dev/null
+++ b/io/link/link_test.go
@@ -0,0 +1,285 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gorilla/websocket"
+
+	"wagtailhoist/core/model"
+)
+
+// listen accepts links and hands them to the returned channel.
+func listen(t *testing.T, s Settings) (string, <-chan *Link) {
+	t.Helper()
+	links := make(chan *Link, 8)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l, err := Accept(w, r, s); err == nil {
+			links <- l
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), links
+}
+
+func pair(t *testing.T, s Settings) (*Link, *Link) {
+	t.Helper()
+	address, links := listen(t, s)
+	near, err := Dial(context.Background(), address, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	far := <-links
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return near, far
+}
+
+// Each registered frame has to arrive as it was sent; a frame missing from the table would close links.
+func TestFramesArrive(t *testing.T) {
+	near, far := pair(t, Settings{Token: "t", Self: Hello{Node: "n", Role: RoleEntry}})
+	if got, want := far.Peer().Node, model.NodeID("n"); got != want {
+		t.Errorf("peer: got %q, want %q", got, want)
+	}
+	a := model.Attempt{Entry: 1, Sequence: 2}
+	when := time.UnixMilli(1_700_000_000_123)
+	for _, f := range []Frame{
+		Announce{[]model.Record{{ID: "a", Incarnation: 3, State: model.Draining}}},
+		Known{[]Entry{{"e", "r", "127.0.0.1:1"}}, 4},
+		Begin{Attempt: a, Deadline: when, Method: "POST", Path: "/", Header: map[string][]string{"A": {"b"}}, Length: 1, Body: []byte("x")},
+		Data{a, 5, []byte("y")},
+		Accepted{a, model.Load{Running: 1, Slots: 8}},
+		Refuse{a, "full", model.Load{}},
+		Answer{Attempt: a, Status: 200, Length: 1, Sum: 9, Body: []byte("z")},
+		Fail{a, true, "broken", model.Load{}},
+		Fence{a, 3, when},
+		Fenced{a, 2},
+		Attach{a},
+		Done{a},
+		Config{Revision: 7, Document: []byte("d")},
+	} {
+		if err := near.Send(f); err != nil {
+			t.Fatal(err)
+		}
+		got, err := far.Receive()
+		if err != nil {
+			t.Fatalf("frame %d: %v", f.Kind(), err)
+		}
+		// Times travel in microseconds, and their time zones may differ.
+		if b, ok := got.(Begin); ok && b.Deadline.Sub(when).Abs() < time.Microsecond {
+			b.Deadline = when
+			got = b
+		}
+		if b, ok := got.(Fence); ok && b.Deadline.Sub(when).Abs() < time.Microsecond {
+			b.Deadline = when
+			got = b
+		}
+		if !reflect.DeepEqual(got, f) {
+			t.Errorf("frame %d: got %+v, want %+v", f.Kind(), got, f)
+		}
+	}
+}
+
+// A faulty process must lose its own link only, and must not crash the receiver.
+func TestMalformedFrameClosesOnlyItsLink(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		kind int
+		data []byte
+	}{
+		{"unknown kind", websocket.BinaryMessage, []byte{200, 0xa0}},
+		{"empty", websocket.BinaryMessage, nil},
+		{"not CBOR", websocket.BinaryMessage, []byte{byte(KindBegin), 0xff}},
+		{"wrong type", websocket.BinaryMessage, []byte{byte(KindBegin), 0x01}},
+		{"bytes after the frame", websocket.BinaryMessage, []byte{byte(KindPing), 0xa0, 0xa0}},
+		{"nested", websocket.BinaryMessage, append([]byte{byte(KindBegin)}, bytes.Repeat([]byte{0x81}, 100)...)},
+		{"text", websocket.TextMessage, []byte("{}")},
+		{"too long", websocket.BinaryMessage, make([]byte, limit+1)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := Settings{Token: "t", Counters: new(Counters)}
+			address, links := listen(t, s)
+			bad, err := Dial(context.Background(), address, s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer bad.Close()
+			badFar := <-links
+			good, err := Dial(context.Background(), address, s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer good.Close()
+			goodFar := <-links
+			written := make(chan struct{})
+			go func() { // a long message does not fit the buffers of the connection
+				defer close(written)
+				bad.write.Lock()
+				defer bad.write.Unlock()
+				_ = bad.ws.WriteMessage(tc.kind, tc.data)
+			}()
+			if f, err := badFar.Receive(); err == nil {
+				t.Fatalf("Receive: got %+v, want an error", f)
+			}
+			select {
+			case <-badFar.Done():
+			default:
+				t.Error("the link is still open")
+			}
+			<-written
+			if got, want := s.Counters.Malformed.Load(), uint64(1); got != want {
+				t.Errorf("malformed frames: got %d, want %d", got, want)
+			}
+			if err := good.Send(Done{}); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := goodFar.Receive(); err != nil {
+				t.Errorf("other link: %v", err)
+			}
+		})
+	}
+}
+
+// A connection can go silent for ever without being closed.
+func TestSilentLinkIsGivenUp(t *testing.T) {
+	s := Settings{Token: "t", Counters: new(Counters), Silence: 200 * time.Millisecond}
+	near, _ := pair(t, s) // the default heartbeat of 1 s is longer than this silence
+	start := time.Now()
+	if _, err := near.Receive(); err == nil {
+		t.Fatal("Receive: got a frame, want an error")
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("silence noticed after %v, want about 200ms", took)
+	}
+	if got, want := s.Counters.Silent.Load(), uint64(1); got != want {
+		t.Errorf("silent links: got %d, want %d", got, want)
+	}
+}
+
+// An idle link without heartbeats would be taken for a silent one.
+func TestHeartbeatsKeepIdleLink(t *testing.T) {
+	s := Settings{Token: "t", Silence: 1500 * time.Millisecond}
+	near, far := pair(t, s)
+	time.AfterFunc(3*time.Second, func() { _ = far.Send(Done{}) })
+	if _, err := near.Receive(); err != nil {
+		t.Errorf("Receive: %v", err)
+	}
+}
+
+func TestTokenIsChecked(t *testing.T) {
+	address, _ := listen(t, Settings{Token: "right"})
+	if _, err := Dial(context.Background(), address, Settings{Token: "wrong"}); !errors.Is(err, ErrToken) {
+		t.Errorf("Dial: got %v, want %v", err, ErrToken)
+	}
+}
+
+// Unknown senders could otherwise exhaust the connections of a process.
+func TestGuestsAreBounded(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Settings{Token: "t"}
+	links := make(chan *Link, 8)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l, err := Accept(w, r, s); err == nil {
+			links <- l
+		}
+	})}
+	go func() { _ = server.Serve(Listen(inner, 2)) }()
+	defer server.Close()
+	address := inner.Addr().String()
+	for range 3 { // links with the token are not counted
+		l, err := Dial(context.Background(), address, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		defer (<-links).Close()
+	}
+	var guests []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		guests = append(guests, c)
+	}
+	third, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer third.Close()
+	_ = third.SetReadDeadline(time.Now().Add(2 * time.Second))
+	var timeout net.Error
+	if _, err := third.Read(make([]byte, 1)); err == nil || errors.As(err, &timeout) && timeout.Timeout() {
+		t.Errorf("third guest: got %v, want a closed connection", err)
+	}
+	guests[0].Close()
+	time.Sleep(100 * time.Millisecond)
+	if l, err := Dial(context.Background(), address, s); err != nil {
+		t.Errorf("link after a guest left: %v", err)
+	} else {
+		l.Close()
+	}
+}
+
+// A body whose parts were lost, crossed or altered must not pass as whole.
+func TestBodyIsChecked(t *testing.T) {
+	a := model.Attempt{Sequence: 1}
+	whole := bytes.Repeat([]byte("0123456789abcdef"), 10_000)
+	for _, tc := range []struct {
+		name  string
+		parts []Data
+		ok    bool
+	}{
+		{"whole", []Data{{a, 0, whole[:100_000]}, {a, 100_000, whole[100_000:]}}, true},
+		{"altered", []Data{{a, 0, append([]byte("X"), whole[1:]...)}}, false},
+		{"gap", []Data{{a, 0, whole[:10]}, {a, 20, whole[20:]}}, false},
+		{"repeated part", []Data{{a, 0, whole[:10]}, {a, 0, whole[:10]}}, false},
+		{"too long", []Data{{a, 0, append(whole, 'x')}}, false},
+		{"empty part", []Data{{a, 0, nil}}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b, err := NewBody(a, len(whole), Sum(whole), nil)
+			for _, p := range tc.parts {
+				if err == nil {
+					err = b.Add(p)
+				}
+			}
+			if got := err == nil && b.Whole(); got != tc.ok {
+				t.Errorf("whole: got %v (%v), want %v", got, err, tc.ok)
+			}
+		})
+	}
+	if _, err := NewBody(a, MaxBody+1, 0, nil); err == nil {
+		t.Error("NewBody: a length above the limit was taken")
+	}
+}
+
+// Decode reads bytes of processes that may be faulty.
+func FuzzDecode(f *testing.F) {
+	var buf bytes.Buffer
+	if err := Encode(&buf, Begin{Method: "GET", Body: []byte("b")}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(buf.Bytes())
+	f.Fuzz(func(t *testing.T, b []byte) {
+		frame, err := Decode(b)
+		var malformed *MalformedError
+		if err != nil && !errors.As(err, &malformed) {
+			t.Errorf("error: got %T, want *MalformedError", err)
+		}
+		if err == nil && frame.Kind() != Kind(b[0]) {
+			t.Errorf("kind: got %d, want %d", frame.Kind(), b[0])
+		}
+	})
+}
