Test the entry's attempts and its answers to callers

Cause: fencing, attaching, outcomes and headers at the entry had no tests.

Change: tests against a scripted agent and over HTTP: crossed, early, altered and late answers, refusals, broken links, restarted agents, addresses that passed to another agent, resumed entries past the deadline, keys that may be released, and the status, header and body of each outcome.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -49,7 +49,7 @@
 func (t *trial) run(ctx context.Context) ending {
 	w, err := t.pool.Get(ctx, t.record.Address)
 	if err != nil {
-		return ending{end: tries.NotRun, reason: "agent cannot be reached", failed: true}
+		return ending{end: tries.NotRun, reason: "agent cannot be reached: " + err.Error(), failed: true}
 	}
 	if w.Peer().Node != t.record.ID {
 		return ending{end: tries.NotRun, reason: "address belongs to another agent", failed: true}
--- /dev/null
+++ b/io/front/attempt_test.go
@@ -0,0 +1,247 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/ledger"
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/tries"
+	"wagtailhoist/io/link"
+)
+
+// script is an agent whose behaviour a test sets; n counts the links from 0.
+type script struct {
+	incarnation func(n int) model.Incarnation
+	handle      func(n int, l *link.Link, f link.Frame)
+
+	mu     sync.Mutex
+	frames []link.Frame
+}
+
+func (s *script) seen(k link.Kind) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, f := range s.frames {
+		if f.Kind() == k {
+			n++
+		}
+	}
+	return n
+}
+
+// run serves the script and returns the record of its agent.
+func (s *script) run(t *testing.T, id model.NodeID) model.Record {
+	t.Helper()
+	var links atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := int(links.Add(1)) - 1
+		hello := link.Hello{Node: id, Incarnation: 1}
+		if s.incarnation != nil {
+			hello.Incarnation = s.incarnation(n)
+		}
+		l, err := link.Accept(w, r, link.Settings{Self: hello, Token: "t"})
+		if err != nil {
+			return
+		}
+		defer l.Close()
+		for {
+			f, err := l.Receive()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.frames = append(s.frames, f)
+			s.mu.Unlock()
+			s.handle(n, l, f)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return model.Record{ID: id, Incarnation: 1, Service: DefaultService, Address: strings.TrimPrefix(server.URL, "http://")}
+}
+
+func answerTo(a model.Attempt, body []byte) link.Answer {
+	return link.Answer{Attempt: a, Status: 200, Length: len(body), Sum: link.Sum(body), Body: link.First(body)}
+}
+
+// call dispatches a request to the agents of the records.
+func call(t *testing.T, idempotent bool, timeout time.Duration, records ...model.Record) (Reply, *Pool) {
+	t.Helper()
+	r := new(Roster)
+	for _, rec := range records {
+		r.Hear(time.Now().Add(timeout), rec)
+	}
+	d := &Dispatcher{Self: 9, Router: r, Pool: &Pool{Settings: link.Settings{Token: "t"}}}
+	t.Cleanup(d.Pool.Close)
+	return d.Do(context.Background(), Call{
+		Service: DefaultService, Method: "POST", Path: "/", Idempotent: idempotent, Deadline: time.Now().Add(timeout),
+	}, d.Next()), d.Pool
+}
+
+// What an agent does with one attempt decides what the caller may be told.
+func TestAttemptEnds(t *testing.T) {
+	mine := []byte("mine")
+	long := bytes.Repeat([]byte("long"), link.Chunk)
+	for _, tc := range []struct {
+		name    string
+		script  *script
+		want    tries.Outcome
+		body    []byte
+		dropped uint64
+	}{
+		{name: "answered", script: &script{handle: func(_ int, l *link.Link, f link.Frame) {
+			if b, ok := f.(link.Begin); ok {
+				_ = l.Send(link.Accepted{Attempt: b.Attempt})
+				_ = l.Send(answerTo(b.Attempt, long))
+				_ = l.SendRest(b.Attempt, long)
+			}
+		}}, want: tries.OutcomeAnswered, body: long},
+		{name: "answers of other attempts come first", script: &script{handle: func(_ int, l *link.Link, f link.Frame) {
+			if b, ok := f.(link.Begin); ok {
+				other := b.Attempt
+				other.Sequence += 1000
+				_ = l.Send(answerTo(other, []byte("crossed")))
+				_ = l.Send(link.Data{Attempt: other, Bytes: []byte("crossed")})
+				_ = l.Send(link.Data{Attempt: b.Attempt, Bytes: []byte("early")})
+				_ = l.Send(answerTo(b.Attempt, mine))
+			}
+		}}, want: tries.OutcomeAnswered, body: mine, dropped: 2},
+		{name: "altered answer is fetched again", script: &script{handle: func(_ int, l *link.Link, f link.Frame) {
+			switch f := f.(type) {
+			case link.Begin:
+				a := answerTo(f.Attempt, mine)
+				a.Body = []byte("mixe")
+				_ = l.Send(a)
+			case link.Fence:
+				_ = l.Send(link.Fenced{Attempt: f.Attempt, State: uint8(ledger.Finished)})
+			case link.Attach:
+				_ = l.Send(answerTo(f.Attempt, mine))
+			}
+		}}, want: tries.OutcomeAnswered, body: mine},
+		{name: "refused", script: &script{handle: func(_ int, l *link.Link, f link.Frame) {
+			if b, ok := f.(link.Begin); ok {
+				_ = l.Send(link.Refuse{Attempt: b.Attempt, Reason: "full"})
+			}
+		}}, want: tries.OutcomeNotRun},
+		{name: "never begun", script: &script{handle: func(n int, l *link.Link, f link.Frame) {
+			if b, ok := f.(link.Fence); ok && n > 0 {
+				_ = l.Send(link.Fenced{Attempt: b.Attempt, State: uint8(ledger.NeverBegun)})
+			}
+		}}, want: tries.OutcomeNotRun},
+		{name: "link breaks while it runs", script: &script{handle: func(n int, l *link.Link, f link.Frame) {
+			switch f := f.(type) {
+			case link.Begin:
+				_ = l.Send(link.Accepted{Attempt: f.Attempt})
+				l.Close()
+			case link.Fence:
+				_ = l.Send(link.Fenced{Attempt: f.Attempt, State: uint8(ledger.Running)})
+			case link.Attach:
+				_ = l.Send(answerTo(f.Attempt, mine))
+			}
+		}}, want: tries.OutcomeAnswered, body: mine},
+		{name: "agent restarts", script: &script{
+			incarnation: func(n int) model.Incarnation { return model.Incarnation(n + 1) },
+			handle: func(_ int, l *link.Link, f link.Frame) {
+				if _, ok := f.(link.Begin); ok {
+					l.Close()
+				}
+			},
+		}, want: tries.OutcomeUnknown},
+		{name: "agent has dropped the answer", script: &script{handle: func(_ int, l *link.Link, f link.Frame) {
+			switch f := f.(type) {
+			case link.Begin:
+				l.Close()
+			case link.Fence:
+				_ = l.Send(link.Fenced{Attempt: f.Attempt, State: uint8(ledger.Unknown)})
+			}
+		}}, want: tries.OutcomeUnknown},
+		{name: "minion failed", script: &script{handle: func(_ int, l *link.Link, f link.Frame) {
+			if b, ok := f.(link.Begin); ok {
+				_ = l.Send(link.Fail{Attempt: b.Attempt, Ran: true, Reason: "broken"})
+			}
+		}}, want: tries.OutcomeUnknown},
+		{name: "minion could not be reached", script: &script{handle: func(_ int, l *link.Link, f link.Frame) {
+			if b, ok := f.(link.Begin); ok {
+				_ = l.Send(link.Fail{Attempt: b.Attempt, Reason: "refused"})
+			}
+		}}, want: tries.OutcomeNotRun},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got, pool := call(t, false, 8*time.Second, tc.script.run(t, "a"))
+			if got.Outcome != tc.want {
+				t.Errorf("outcome: got %s (%s), want %s", got.Outcome, got.Reason, tc.want)
+			}
+			if !bytes.Equal(got.Body, tc.body) {
+				t.Errorf("body: got %.20q of %d bytes, want %.20q of %d", got.Body, len(got.Body), tc.body, len(tc.body))
+			}
+			if n := pool.Dropped.Load(); n != tc.dropped {
+				t.Errorf("dropped frames: got %d, want %d", n, tc.dropped)
+			}
+			if tc.want == tries.OutcomeUnknown && tc.script.seen(link.KindBegin) != 1 {
+				t.Errorf("begins: got %d, want 1", tc.script.seen(link.KindBegin))
+			}
+		})
+	}
+}
+
+// An idempotent request whose agent is lost has to be answered by another agent.
+func TestIdempotentGoesElsewhere(t *testing.T) {
+	lost := &script{
+		incarnation: func(n int) model.Incarnation { return model.Incarnation(n + 1) },
+		handle: func(_ int, l *link.Link, f link.Frame) {
+			if _, ok := f.(link.Begin); ok {
+				l.Close()
+			}
+		},
+	}
+	good := &script{handle: func(_ int, l *link.Link, f link.Frame) {
+		if b, ok := f.(link.Begin); ok {
+			_ = l.Send(answerTo(b.Attempt, []byte("ok")))
+		}
+	}}
+	a, b := lost.run(t, "a"), good.run(t, "b")
+	for _, order := range [][]model.Record{{a, b}, {b, a}} { // either agent may come first
+		if got, _ := call(t, true, 5*time.Second, order...); got.Outcome != tries.OutcomeAnswered {
+			t.Errorf("outcome: got %s (%s), want answered", got.Outcome, got.Reason)
+		}
+	}
+	if lost.seen(link.KindBegin) == 0 {
+		t.Error("the lost agent was never tried")
+	}
+}
+
+// An address can pass to another agent, which may provide another service.
+func TestAddressOfAnotherAgent(t *testing.T) {
+	s := &script{handle: func(_ int, l *link.Link, f link.Frame) {
+		if b, ok := f.(link.Begin); ok {
+			_ = l.Send(answerTo(b.Attempt, []byte("wrong agent")))
+		}
+	}}
+	rec := s.run(t, "b")
+	rec.ID = "a"
+	if got, _ := call(t, false, time.Second, rec); got.Outcome != tries.OutcomeNotRun {
+		t.Errorf("outcome: got %s, want %s", got.Outcome, tries.OutcomeNotRun)
+	}
+	if got := s.seen(link.KindBegin); got != 0 {
+		t.Errorf("begins: got %d, want 0", got)
+	}
+}
+
+// An entry that resumes past the deadline must not send the request.
+func TestNothingIsSentPastDeadline(t *testing.T) {
+	s := &script{handle: func(int, *link.Link, link.Frame) {}}
+	if got, _ := call(t, true, -time.Second, s.run(t, "a")); got.Outcome != tries.OutcomeNotRun {
+		t.Errorf("outcome: got %s, want %s", got.Outcome, tries.OutcomeNotRun)
+	}
+	if got := s.seen(link.KindBegin); got != 0 {
+		t.Errorf("begins: got %d, want 0", got)
+	}
+}
--- /dev/null
+++ b/io/front/http_test.go
@@ -0,0 +1,219 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/tries"
+	"wagtailhoist/io/link"
+)
+
+// Each way in which the system itself ends a request has to be explicit: status, outcome header and body.
+func TestOutcomesOverHTTP(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		method string
+		header map[string]string
+		body   string
+		reply  Reply
+		status int
+		want   tries.Outcome
+	}{
+		{"not run", "GET", nil, "", Reply{Outcome: tries.OutcomeNotRun}, 503, tries.OutcomeNotRun},
+		{"queue full", "GET", nil, "", Reply{Outcome: tries.OutcomeNotRun, Code: 429}, 429, tries.OutcomeNotRun},
+		{"unknown", "GET", nil, "", Reply{Outcome: tries.OutcomeUnknown}, 504, tries.OutcomeUnknown},
+		{"duplicate", "POST", nil, "", Reply{Outcome: tries.OutcomeDuplicate}, 409, tries.OutcomeDuplicate},
+		{"timeout not a number", "GET", map[string]string{HeaderTimeout: "soon"}, "", Reply{}, 400, tries.OutcomeNotRun},
+		{"timeout too long", "GET", map[string]string{HeaderTimeout: "600001"}, "", Reply{}, 400, tries.OutcomeNotRun},
+		{"timeout 0", "GET", map[string]string{HeaderTimeout: "0"}, "", Reply{}, 400, tries.OutcomeNotRun},
+		{"empty key", "POST", map[string]string{HeaderKey: ""}, "", Reply{}, 400, tries.OutcomeNotRun},
+		{"body too large", "POST", nil, strings.Repeat("x", 101), Reply{}, 413, tries.OutcomeNotRun},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			server := httptest.NewServer(&Server{MaxBody: 100, Handle: func(context.Context, Call) Reply { return tc.reply }})
+			defer server.Close()
+			req, err := http.NewRequest(tc.method, server.URL, strings.NewReader(tc.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for k, v := range tc.header {
+				req.Header.Set(k, v)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != tc.status {
+				t.Errorf("status: got %d, want %d", resp.StatusCode, tc.status)
+			}
+			if got := resp.Header.Get(HeaderOutcome); got != string(tc.want) {
+				t.Errorf("outcome header: got %q, want %q", got, tc.want)
+			}
+			var o outcome
+			if err := json.NewDecoder(resp.Body).Decode(&o); err != nil || o.Outcome != tc.want {
+				t.Errorf("body: got %+v (%v), want outcome %s", o, err, tc.want)
+			}
+		})
+	}
+}
+
+// The minion's answer has to reach the caller unchanged, and with a length and a checksum by
+// which the caller can tell that it is whole.
+func TestAnswerOverHTTP(t *testing.T) {
+	var seen Call
+	reply := Reply{
+		Outcome: tries.OutcomeAnswered, Status: 207, Body: []byte("the answer"),
+		Header: map[string][]string{"X-Own": {"1", "2"}, "Connection": {"X-Hop"}, "X-Hop": {"h"}, "Content-Length": {"99"}, HeaderOutcome: {"forged"}},
+	}
+	server := httptest.NewServer(&Server{MaxBody: 100, Handle: func(_ context.Context, c Call) Reply { seen = c; return reply }})
+	defer server.Close()
+	req, err := http.NewRequest("PUT", server.URL+"/a%20b?c=d", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(HeaderTeam, "hotel")
+	req.Header.Set("Te", "trailers")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != 207 || string(body) != "the answer" || resp.ContentLength != int64(len(body)) {
+		t.Errorf("answer: got %d, %q, length %d", resp.StatusCode, body, resp.ContentLength)
+	}
+	if got, want := resp.Header.Get(HeaderSum), strconv.FormatUint(link.Sum(body), 16); got != want {
+		t.Errorf("sum: got %s, want %s", got, want)
+	}
+	if got := resp.Header[http.CanonicalHeaderKey(HeaderOutcome)]; len(got) != 1 || got[0] != "answered" {
+		t.Errorf("outcome header: got %v, want answered", got)
+	}
+	if got := resp.Header["X-Own"]; len(got) != 2 || resp.Header.Get("X-Hop") != "" {
+		t.Errorf("headers: got %v", resp.Header)
+	}
+	if seen.Team != "hotel" || seen.Path != "/a%20b?c=d" || string(seen.Body) != "body" || !seen.Idempotent || seen.Header["Te"] != nil {
+		t.Errorf("call: got %+v", seen)
+	}
+}
+
+// HEAD has the length of the body that GET would have, and no body.
+func TestHeadOverHTTP(t *testing.T) {
+	server := httptest.NewServer(&Server{MaxBody: 100, Handle: func(context.Context, Call) Reply {
+		return Reply{Outcome: tries.OutcomeAnswered, Status: 200, Header: map[string][]string{"Content-Length": {"99"}}}
+	}})
+	defer server.Close()
+	resp, err := http.Head(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.ContentLength != 99 {
+		t.Errorf("length: got %d, want 99", resp.ContentLength)
+	}
+}
+
+// fakeClaims records what happens to keys.
+type fakeClaims struct {
+	err      error
+	claimed  int
+	released int
+}
+
+// Claim counts the call.
+func (f *fakeClaims) Claim(context.Context, model.Team, string, model.Attempt) error {
+	f.claimed++
+	return f.err
+}
+
+// Release counts the call.
+func (f *fakeClaims) Release(context.Context, model.Team, string, model.Attempt) error {
+	f.released++
+	return nil
+}
+
+// A key may be released only if its request cannot have run, and nothing may run without a claim.
+func TestClaiming(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		key      string
+		err      error
+		outcome  tries.Outcome
+		want     tries.Outcome
+		runs     int
+		released int
+	}{
+		{"no key", "", errors.New("down"), tries.OutcomeAnswered, tries.OutcomeAnswered, 1, 0},
+		{"answered", "k", nil, tries.OutcomeAnswered, tries.OutcomeAnswered, 1, 0},
+		{"unknown", "k", nil, tries.OutcomeUnknown, tries.OutcomeUnknown, 1, 0},
+		{"not run", "k", nil, tries.OutcomeNotRun, tries.OutcomeNotRun, 1, 1},
+		{"duplicate", "k", &DuplicateError{Key: "k"}, "", tries.OutcomeDuplicate, 0, 0},
+		{"store down", "k", errors.New("down"), "", tries.OutcomeNotRun, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			claims, runs := &fakeClaims{err: tc.err}, 0
+			h := Claiming(claims, func(context.Context, Call, model.Attempt) Reply {
+				runs++
+				return Reply{Outcome: tc.outcome}
+			}, func() model.Attempt { return model.Attempt{Entry: 1} })
+			if got := h(context.Background(), Call{Key: tc.key}); got.Outcome != tc.want {
+				t.Errorf("outcome: got %s, want %s", got.Outcome, tc.want)
+			}
+			if runs != tc.runs || claims.released != tc.released {
+				t.Errorf("runs %d, releases %d; want %d, %d", runs, claims.released, tc.runs, tc.released)
+			}
+		})
+	}
+}
+
+// A draining entry has to tell callers to use another connection, and then to forward nothing new.
+func TestStoppingEntry(t *testing.T) {
+	stop := false
+	handle := Chain(func(context.Context, Call) Reply { return Reply{Outcome: tries.OutcomeAnswered, Status: 200} },
+		Stopping(func() bool { return stop }))
+	server := httptest.NewServer(&Server{MaxBody: 100, Handle: handle, Closing: func() bool { return true }})
+	defer server.Close()
+	for _, want := range []int{200, 503} {
+		resp, err := http.Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want || !resp.Close {
+			t.Errorf("status %d, close %v; want %d, true", resp.StatusCode, resp.Close, want)
+		}
+		stop = true
+	}
+}
+
+// Links to agents that get no requests must not be kept, or an entry would hold one to each agent of a fleet.
+func TestSweepClosesIdleLinks(t *testing.T) {
+	s := &script{handle: func(int, *link.Link, link.Frame) {}}
+	rec := s.run(t, "a")
+	p := &Pool{Settings: link.Settings{Token: "t"}}
+	defer p.Close()
+	w, err := p.Get(context.Background(), rec.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Sweep(time.Now())
+	if !w.alive() {
+		t.Fatal("a new link was closed")
+	}
+	p.Sweep(time.Now().Add(idleLimit + time.Second))
+	if w.alive() {
+		t.Error("an idle link is still open")
+	}
+}
