--- /dev/null
+++ b/io/peers/doc.go
@@ -0,0 +1,2 @@
+// Package peers links an entry with agents and other entries and exchanges membership with them.
+package peers
