Add placement decisions with guarantees, gangs and reservations

Cause: the controller and the query language need a State, events and Decide to build against. Change: core/plan with a serialisable State, Apply, Decide, Accept and Check. Test: TestGuaranteeIsAlwaysReclaimable drives generated sequences of losses, racks, declarations and cancellations. Its first long run found that a claim counted cancelled work as leaving in time although its grace was longer; fixed.

--- /dev/null
+++ b/core/plan/accept.go
@@ -0,0 +1,130 @@
+package plan
+
+import (
+	"slices"
+	"time"
+)
+
+// Accept records the actions of a decision and returns those that still apply; only these may be
+// carried out. An action is dropped if its job has left or changed, if a worker was lost, or if
+// the room is taken.
+func (s *State) Accept(now time.Time, actions []Action) []Action {
+	s.init()
+	s.ready(now)
+	var out []Action
+	for _, a := range actions {
+		if s.accept(now, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func (s *State) accept(now time.Time, a Action) bool {
+	if a.Verb == Anchored {
+		return s.reanchor(a)
+	}
+	j := s.Jobs[a.Job]
+	if j == nil {
+		return false
+	}
+	switch a.Verb {
+	case Start:
+		if j.Phase != Queued || a.Run != j.Run+1 || !s.startable(j, a) {
+			return false
+		}
+		s.change(now, j, func(c *Job) {
+			c.Phase, c.Started, c.Run, c.Slots = Starting, now, a.Run, a.Slots
+			c.Anchored, c.Expected, c.Ahead = a.Anchored, a.Expected, a.For
+			c.Target, c.Due = nil, time.Time{}
+		})
+	case Checkpoint, Stop, Move:
+		needed := a.For == "" || s.Jobs[a.For] != nil
+		if !j.placed() || j.Phase == Stopping || a.Run != j.Run || !(needed || j.Cancelled) {
+			return false
+		}
+		s.change(now, j, func(c *Job) {
+			c.Phase, c.Gone, c.Target, c.Due = Stopping, a.By, a.Slots, a.By
+			c.Stops++
+		})
+	case Reserve:
+		if j.Phase != Queued {
+			return false
+		}
+		s.change(now, j, func(c *Job) { c.Target, c.Due = a.Slots, a.By })
+	default:
+		return false
+	}
+	return true
+}
+
+// startable reports whether the slots of a start are still free and, unless the job starts on its
+// own anchors, may be lent to it.
+func (s *State) startable(j *Job, a Action) bool {
+	x := s.idx
+	for _, sl := range a.Slots {
+		i, ok := x.byID[sl.Worker]
+		if !ok || !x.nodes[i].ok {
+			return false
+		}
+		n := &x.nodes[i]
+		need := Each(j.Spec.Shape).Times(sl.Tasks)
+		if !need.Within(n.free()) {
+			return false
+		}
+		if !a.Anchored && !need.Within(n.lend(n.free(), j.Spec.Grace)) {
+			return false
+		}
+	}
+	return !a.Anchored || x.covers(s, j, a.Slots)
+}
+
+// covers reports whether the unused part of the anchors of a job's guarantee holds the slots.
+func (x *index) covers(s *State, j *Job, slots []Slot) bool {
+	g := s.anchor(j.Spec.Team, j.Spec.Guarantee)
+	if g == nil {
+		return false
+	}
+	each := Each(j.Spec.Shape)
+	for _, sl := range slots {
+		if !each.Times(sl.Tasks).Within(x.unused(g, x.byID[sl.Worker])) {
+			return false
+		}
+	}
+	return true
+}
+
+// unused returns the part of an anchor on a node that its own jobs don't use.
+func (x *index) unused(a *Anchor, i int) Amount {
+	var sum Amount
+	for _, sl := range a.Slots {
+		if x.nodes[i].id == sl.Worker {
+			sum = sum.Plus(Each(a.Guarantee.Shape).Times(sl.Tasks))
+		}
+	}
+	for _, u := range x.nodes[i].uses {
+		if u.job.Anchored && u.job.Spec.Team == a.Team && u.job.Spec.Guarantee == a.Guarantee.Name {
+			sum = sum.Minus(u.amount.Minus(u.excess))
+		}
+	}
+	return sum
+}
+
+// reanchor moves an unused anchor if the new place is feasible.
+func (s *State) reanchor(a Action) bool {
+	g := s.anchor(a.Team, a.Guarantee)
+	if g == nil || len(s.idx.inUse(g)) > 0 {
+		return false
+	}
+	i := slices.IndexFunc(s.Anchors, func(o Anchor) bool { return o.Team == a.Team && o.Guarantee.Name == a.Guarantee })
+	for _, sl := range a.Slots {
+		k, ok := s.idx.byID[sl.Worker]
+		if !ok || !Each(g.Guarantee.Shape).Times(sl.Tasks).Within(s.idx.nodes[k].anchorable(g.Guarantee.Grace, i)) {
+			return false
+		}
+	}
+	s.idx.untie(i, g)
+	g.Slots = a.Slots
+	s.idx.tie(i, g)
+	return true
+}
--- /dev/null
+++ b/core/plan/blame.go
@@ -0,0 +1,154 @@
+package plan
+
+import (
+	"slices"
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+const (
+	// suspectAfter is the number of different jobs that have to fail on a worker without a
+	// success in between before it is put aside.
+	suspectAfter = 3
+	// hopelessAfter is the number of different workers that a job has to fail on before it is refused.
+	hopelessAfter = 3
+	// asideFirst is the time for which a worker is put aside; it doubles with each trial that fails.
+	asideFirst = 10 * time.Minute
+	// asideMost bounds the time for which a worker is put aside.
+	asideMost = 4 * time.Hour
+	// historySize is the number of run times kept for each class.
+	historySize = 32
+)
+
+// blame records a failure of a job on a worker and puts the job back into the queue. A job that
+// has failed on several sound workers doesn't count against a worker, and a worker that is put
+// aside doesn't count against the jobs that failed there.
+func (s *State) blame(now time.Time, j *Job, workers []model.WorkerID) {
+	if j.Cancelled || len(workers) == 0 {
+		s.requeue(now, j, false)
+		return
+	}
+	id := workers[0]
+	if !slices.Contains(j.Failed, id) {
+		j = s.change(now, j, func(c *Job) { c.Failed = append(slices.Clone(c.Failed), id) })
+	}
+	h, known := s.Hosts[id]
+	if known && !slices.Contains(h.Failed, j.Spec.ID) {
+		h.Failed = append(slices.Clone(h.Failed), j.Spec.ID)
+		s.Hosts[id] = h
+	}
+	s.requeue(now, j, false)
+	j = s.Jobs[j.Spec.ID]
+	if known && s.suspect(h) {
+		s.putAside(now, h)
+		j = s.Jobs[j.Spec.ID]
+	}
+	if len(j.Failed) >= hopelessAfter {
+		s.refuse(now, j)
+	}
+}
+
+// suspect reports whether failures of enough different jobs count against the worker. On trial,
+// after it was put aside, one is enough.
+func (s *State) suspect(h Host) bool {
+	n := 0
+	for _, id := range h.Failed {
+		j := s.Jobs[id]
+		if j == nil || (j.Phase != Refused && len(j.Failed) < hopelessAfter) {
+			n++
+		}
+	}
+	return n >= suspectAfter || (n > 0 && h.Trials > 0)
+}
+
+// putAside keeps work off a worker for a time and clears the jobs that failed there.
+func (s *State) putAside(now time.Time, h Host) {
+	id := h.Worker.ID
+	wait := min(asideFirst<<min(h.Trials, 8), asideMost)
+	for _, job := range h.Failed {
+		if j := s.Jobs[job]; j != nil {
+			s.change(now, j, func(c *Job) {
+				c.Failed = slices.DeleteFunc(slices.Clone(c.Failed), func(w model.WorkerID) bool { return w == id })
+				if c.Phase == Refused && len(c.Failed) < hopelessAfter {
+					c.Phase, c.Refusal = Queued, Reason{}
+				}
+			})
+		}
+	}
+	h.Failed, h.Aside = nil, now.Add(wait)
+	h.Trials++
+	s.Hosts[id] = h
+	x := s.ready(now)
+	x.refresh(s, x.byID[id], now)
+}
+
+// refuse keeps a job that fails everywhere from starting again, and clears the workers of its failures.
+func (s *State) refuse(now time.Time, j *Job) {
+	s.change(now, j, func(c *Job) {
+		c.Phase = Refused
+		c.Refusal = Reason{Code: FailsEverywhere, Need: hopelessAfter, Have: len(c.Failed)}
+	})
+	for _, id := range j.Failed {
+		h := s.Hosts[id]
+		h.Failed = slices.DeleteFunc(slices.Clone(h.Failed), func(o model.JobID) bool { return o == j.Spec.ID })
+		s.Hosts[id] = h
+	}
+}
+
+// clear records a success on the workers of a job.
+func (s *State) clear(now time.Time, j *Job) {
+	for _, sl := range j.Slots {
+		h, known := s.Hosts[sl.Worker]
+		if known && (len(h.Failed) > 0 || h.Trials > 0) {
+			h.Failed, h.Trials = nil, 0
+			s.Hosts[sl.Worker] = h
+		}
+	}
+}
+
+// pastKey is the key of the history of a job's team and class.
+func pastKey(spec model.JobSpec) string { return string(spec.Team) + "/" + spec.Class }
+
+// learn adds the run time of a finished job to the history.
+func (s *State) learn(now time.Time, j *Job) {
+	ran := j.Saved + now.Sub(j.Started)
+	p := s.History[pastKey(j.Spec)]
+	ratio := 0.0
+	if j.Spec.Estimate > 0 {
+		ratio = float64(ran) / float64(j.Spec.Estimate)
+	}
+	p.Runs = append(slices.Clone(p.Runs), ran)
+	p.Ratios = append(slices.Clone(p.Ratios), ratio)
+	if over := len(p.Runs) - historySize; over > 0 {
+		p.Runs, p.Ratios = p.Runs[over:], p.Ratios[over:]
+	}
+	s.History[pastKey(j.Spec)] = p
+}
+
+const (
+	// unknownRun is the estimate for a job without declared time or history.
+	unknownRun = time.Hour
+	// enoughRuns is the number of runs from which the history alone counts.
+	enoughRuns = 4
+)
+
+// Estimate returns the expected run time of a new job: the median of the latest runs of its team
+// and class, or the declared time while there are too few.
+func (s *State) Estimate(spec model.JobSpec) time.Duration {
+	p := s.History[pastKey(spec)]
+	if len(p.Runs) >= enoughRuns {
+		runs := slices.Clone(p.Runs)
+		slices.Sort(runs)
+		return runs[len(runs)/2]
+	}
+	if spec.Estimate > 0 {
+		return spec.Estimate
+	}
+	return unknownRun
+}
+
+// remaining returns the expected time that a queued job still has to run.
+func (s *State) remaining(j *Job) time.Duration {
+	return max(s.Estimate(j.Spec)-j.Saved, time.Minute)
+}
--- /dev/null
+++ b/core/plan/claim.go
@@ -0,0 +1,291 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+// claim starts a job under its guarantee, on free accelerators if the anchors can move there, or
+// else by stopping borrowers.
+func (p *pass) claim(j *Job) {
+	name := j.Spec.Guarantee
+	i := slices.IndexFunc(p.st.Anchors, func(a Anchor) bool {
+		return a.Team == j.Spec.Team && a.Guarantee.Name == name
+	})
+	a := p.anchorNow(i)
+	if a.Short != nil || len(a.Slots) == 0 {
+		p.waits[j.Spec.ID] = Reason{Code: Short, Guarantee: name}
+		return
+	}
+	q := &search{v: p.view, shape: j.Spec.Shape, each: Each(j.Spec.Shape)}
+	q.room = func(k int) Amount {
+		if len(p.nodes[k].ties) == 0 {
+			return Amount{}
+		}
+		return p.unused(a, k).Minus(p.promised(a, k))
+	}
+	at := q.best()
+	if at == nil {
+		p.waits[j.Spec.ID] = Reason{Code: InUse, Guarantee: name}
+		return
+	}
+	if p.freeAt(j, at) {
+		p.start(j, at, true)
+		return
+	}
+	if p.moveAnchor(j, i) {
+		return
+	}
+	until := p.now
+	for _, s := range at {
+		need := Each(j.Spec.Shape).Times(s.tasks)
+		until = later(until, p.reclaim(s.node, need, j.Spec.ID, a.Guarantee.Grace))
+	}
+	p.holdNow(j, at)
+	p.promise(a, j, at)
+	p.waits[j.Spec.ID] = Reason{Code: Reclaiming, Guarantee: name, Until: until}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// anchorNow returns anchor i as this decision has left it.
+func (p *pass) anchorNow(i int) *Anchor {
+	if a := p.moved[i]; a != nil {
+		return a
+	}
+	a := p.st.Anchors[i]
+	return &a
+}
+
+// promise keeps the part of an anchor that a claim waits for from other claims.
+func (p *pass) promise(a *Anchor, j *Job, at []spot) {
+	for _, s := range at {
+		key := promiseKey{a.Team, a.Guarantee.Name, s.node}
+		p.promises[key] = p.promises[key].Plus(Each(j.Spec.Shape).Times(s.tasks))
+	}
+}
+
+type promiseKey struct {
+	team      model.Team
+	guarantee string
+	node      int
+}
+
+func (p *pass) promised(a *Anchor, k int) Amount {
+	return p.promises[promiseKey{a.Team, a.Guarantee.Name, k}]
+}
+
+// moveAnchor moves a wholly unused anchor to free accelerators and starts the job there.
+func (p *pass) moveAnchor(j *Job, i int) bool {
+	a := p.anchorNow(i)
+	for key := range p.promises {
+		if key.team == a.Team && key.guarantee == a.Guarantee.Name {
+			return false
+		}
+	}
+	if len(p.inUse(a)) > 0 {
+		return false
+	}
+	q := p.anchorSearch(i, nil)
+	q.room = func(k int) Amount {
+		n := &p.nodes[k]
+		if !n.ok || len(n.holds) > 0 || slices.Contains(j.Failed, n.id) {
+			return Amount{}
+		}
+		return n.anchorable(a.Guarantee.Grace, i).smaller(n.free())
+	}
+	at := q.best()
+	if at == nil {
+		return false
+	}
+	p.untie(i, a)
+	b := *a
+	b.Slots = slotsOf(p.view, a.Guarantee.Shape, at)
+	p.tie(i, &b)
+	p.moved[i] = &b
+	p.d.Actions = append(p.d.Actions, Action{Verb: Anchored, Team: a.Team, Guarantee: a.Guarantee.Name, Slots: b.Slots})
+	q = &search{v: p.view, shape: j.Spec.Shape, each: Each(j.Spec.Shape)}
+	q.room = func(k int) Amount {
+		if len(p.nodes[k].ties) == 0 {
+			return Amount{}
+		}
+		return p.unused(&b, k)
+	}
+	p.start(j, q.best(), true)
+	return true
+}
+
+// reclaim stops borrowers on a node until need is free, and returns when it will be.
+func (p *pass) reclaim(i int, need Amount, by model.JobID, within time.Duration) time.Time {
+	n := &p.nodes[i]
+	room := n.free()
+	until := p.now
+	for _, u := range n.uses {
+		if p.leavingWithin(u.job, within) {
+			room = room.Plus(u.amount)
+			until = later(until, gone(p.now, u.job))
+		}
+	}
+	for _, u := range p.victims(i, within, false) {
+		if need.Within(room) {
+			break
+		}
+		if p.leaving(u.job) {
+			continue
+		}
+		p.stop(u.job, by)
+		room = room.Plus(u.amount)
+		until = later(until, p.now.Add(u.job.Spec.Grace))
+	}
+	return until
+}
+
+// leavingWithin reports whether a job is on its way out and gone within a time. A cancelled job may
+// take longer than the grace of the guarantee that waits.
+func (p *pass) leavingWithin(j *Job, within time.Duration) bool {
+	return p.leaving(j) && gone(p.now, j).Sub(p.now) <= within
+}
+
+// gone returns when a job that is on its way out has left.
+func gone(now time.Time, j *Job) time.Time {
+	if j.Phase == Stopping {
+		return later(now, j.Gone)
+	}
+	return now.Add(j.Spec.Grace)
+}
+
+// victims returns the borrowers on a node that can leave within a time, the cheapest first.
+// Jobs that this decision started are no victims.
+func (p *pass) victims(i int, within time.Duration, spareUrgent bool) []use {
+	var out []use
+	for _, u := range p.nodes[i].uses {
+		j := u.job
+		if j.Anchored || !leaves(j, within) || p.started[j.Spec.ID] || (spareUrgent && j.Spec.Urgent) {
+			continue
+		}
+		out = append(out, u)
+	}
+	slices.SortFunc(out, func(a, b use) int {
+		return cmp.Or(cmp.Compare(p.loss(a.job), p.loss(b.job)), bySequence(a.job, b.job))
+	})
+	return out
+}
+
+// restart is the run time that a checkpoint and a later start cost a job.
+const restart = 30 * time.Second
+
+// loss returns the accelerator seconds that a stop wastes. Jobs that have outlived their estimate
+// and are backfill in front of a reservation come first.
+func (p *pass) loss(j *Job) float64 {
+	ran := p.now.Sub(j.Started)
+	size := float64(max(j.Spec.Shape.Size(), 1))
+	if j.Ahead != "" && ran > j.Expected {
+		return -1 / size
+	}
+	lost := ran
+	if j.Spec.Checkpoint {
+		lost = min(ran, restart) + restart
+	}
+	if j.Spec.Urgent {
+		lost += 24 * time.Hour
+	}
+	return lost.Seconds() * size
+}
+
+// hurry starts an urgent job, if need be by stopping work that can leave in time.
+func (p *pass) hurry(j *Job) {
+	id := j.Spec.ID
+	if r := p.overQuota(j); r.Code != 0 {
+		p.waits[id] = r
+		return
+	}
+	if at := p.targetSpots(j); at != nil && p.lendable(j, at) {
+		if p.freeAt(j, at) {
+			p.start(j, at, false)
+			return
+		}
+		if p.now.Before(j.Due) {
+			p.holdNow(j, at)
+			p.waits[id] = Reason{Code: Reclaiming, Until: j.Due}
+			p.d.wake(j.Due)
+			return
+		}
+	}
+	q := p.jobSearch(j)
+	q.room = func(i int) Amount { return p.room(i, j, 0) }
+	if at := q.best(); at != nil {
+		p.start(j, at, false)
+		return
+	}
+	within := UrgentWithin - urgentMargin
+	q.room = func(i int) Amount { return p.clearable(i, j, within) }
+	q.cost = func(_ span, at []spot) float64 {
+		sum := 0.0
+		for _, s := range at {
+			sum += p.clearCost(s.node, q.each.Times(s.tasks), within)
+		}
+		return sum
+	}
+	at := q.best()
+	if at == nil {
+		p.waits[id] = p.noRoom(j)
+		return
+	}
+	until := p.now
+	for _, s := range at {
+		until = later(until, p.reclaim(s.node, q.each.Times(s.tasks), id, within))
+	}
+	p.holdNow(j, at)
+	p.reserve(j, at, until)
+	p.waits[id] = Reason{Code: Reclaiming, Until: until}
+}
+
+// clearable returns the room on a node once work that can leave within a time has left.
+func (p *pass) clearable(i int, j *Job, within time.Duration) Amount {
+	n := &p.nodes[i]
+	if !n.ok || slices.Contains(j.Failed, n.id) {
+		return Amount{}
+	}
+	r := n.free()
+	for _, u := range n.uses {
+		if p.leavingWithin(u.job, within) {
+			r = r.Plus(u.amount)
+		}
+	}
+	for _, u := range p.victims(i, within, true) {
+		if !p.leaving(u.job) {
+			r = r.Plus(u.amount)
+		}
+	}
+	return n.lend(r, j.Spec.Grace)
+}
+
+// clearCost returns the accelerator seconds wasted by freeing need on a node.
+func (p *pass) clearCost(i int, need Amount, within time.Duration) float64 {
+	n := &p.nodes[i]
+	room := n.free()
+	for _, u := range n.uses {
+		if p.leavingWithin(u.job, within) {
+			room = room.Plus(u.amount)
+		}
+	}
+	sum := 0.0
+	for _, u := range p.victims(i, within, true) {
+		if need.Within(room) {
+			break
+		}
+		if !p.leaving(u.job) {
+			room = room.Plus(u.amount)
+			sum += p.loss(u.job)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/core/plan/decide.go
@@ -0,0 +1,309 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+const (
+	// UrgentWithin is the time within which urgent work has to start.
+	UrgentWithin = 9800 * time.Millisecond
+	// urgentMargin is the part of UrgentWithin kept for the decision, the commands and the start.
+	urgentMargin = 1800 * time.Millisecond
+	// reservations is the number of large jobs that hold a reservation at a time.
+	reservations = 2
+	// depth is the number of queued jobs that one decision tries to place.
+	depth = 2000
+)
+
+// pass works out one decision.
+type pass struct {
+	*view
+	d Decision
+	// misses remembers shapes that found no room, so that equal jobs aren't tried again.
+	misses map[missKey]bool
+	// ending holds the jobs stopped by this decision.
+	ending map[model.JobID]bool
+	// started holds the jobs started by this decision.
+	started map[model.JobID]bool
+	// waits holds the reasons of the queued jobs.
+	waits map[model.JobID]Reason
+	// moved holds the anchors that this decision has moved, by index.
+	moved map[int]*Anchor
+	// promises holds the parts of anchors that claims wait for.
+	promises map[promiseKey]Amount
+	// booked holds the jobs with a reservation.
+	booked []*Job
+	// idle counts the free accelerators; -1 until it is needed.
+	idle int
+}
+
+type missKey struct {
+	shape model.Shape
+	grace time.Duration
+	run   time.Duration
+}
+
+// Decide works out what to start, stop and move at now, and why each other job waits. It leaves
+// the State unchanged.
+func Decide(now time.Time, s *State) Decision {
+	p := &pass{
+		view: s.scratch(now), misses: map[missKey]bool{}, ending: map[model.JobID]bool{},
+		started: map[model.JobID]bool{}, waits: map[model.JobID]Reason{},
+		moved: map[int]*Anchor{}, promises: map[promiseKey]Amount{}, idle: -1,
+	}
+	p.endCancelled()
+	p.restoreGuarantees()
+	claims, urgent, promised, rest := p.sortQueue()
+	for _, j := range claims {
+		p.claim(j)
+	}
+	for _, j := range urgent {
+		p.hurry(j)
+	}
+	for _, j := range promised {
+		p.keep(j)
+	}
+	p.fill(rest)
+	p.report()
+	return p.d
+}
+
+// endCancelled stops cancelled jobs that still run.
+func (p *pass) endCancelled() {
+	for _, j := range sortedJobs(p.doomed) {
+		p.stop(j, "")
+	}
+}
+
+func sortedJobs(m map[model.JobID]*Job) []*Job {
+	out := make([]*Job, 0, len(m))
+	for _, j := range m {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, bySequence)
+	return out
+}
+
+// restoreGuarantees reports shortfalls and stops the pinned work behind them.
+func (p *pass) restoreGuarantees() {
+	for _, a := range p.st.Anchors {
+		if a.Short == nil {
+			continue
+		}
+		p.d.Shortfalls = append(p.d.Shortfalls, *a.Short)
+		for _, id := range a.Short.Jobs {
+			if j := p.st.Jobs[id]; j != nil && j.placed() {
+				p.stop(j, "")
+			}
+		}
+	}
+	for i := range p.aside {
+		p.d.wake(p.st.Hosts[p.nodes[i].id].Aside)
+	}
+}
+
+// sortQueue splits the queue into claims of guarantees, urgent jobs, jobs with promised slots and
+// all others in the order in which they are tried.
+func (p *pass) sortQueue() (claims, urgent, promised, rest []*Job) {
+	for _, j := range p.queue {
+		if r := p.never(j); r.Code != 0 {
+			p.waits[j.Spec.ID] = r
+			continue
+		}
+		switch {
+		case j.Spec.Guarantee != "":
+			claims = append(claims, j)
+		case j.Spec.Urgent:
+			urgent = append(urgent, j)
+		case len(j.Target) > 0 && j.Stops > 0:
+			promised = append(promised, j)
+		default:
+			rest = append(rest, j)
+		}
+	}
+	return claims, urgent, promised, p.order(rest)
+}
+
+// never returns a final reason if the job can't run on the known workers under the declaration.
+func (p *pass) never(j *Job) Reason {
+	shape := j.Spec.Shape
+	if !valid(shape) {
+		return Reason{Code: BadShape}
+	}
+	t := p.st.Team(j.Spec.Team)
+	if t == nil {
+		return Reason{Code: NoTeam}
+	}
+	if t.Quota > 0 && shape.Size() > t.Quota {
+		return Reason{Code: OverQuota, Need: shape.Size(), Have: t.Quota}
+	}
+	if name := j.Spec.Guarantee; name != "" {
+		a := p.st.anchor(j.Spec.Team, name)
+		if a == nil {
+			return Reason{Code: NoGuarantee, Guarantee: name}
+		}
+		if !covered(shape, a.Guarantee.Shape) {
+			return Reason{Code: NotCovered, Guarantee: name, Need: shape.Size(), Have: a.Guarantee.Shape.Size()}
+		}
+		return Reason{}
+	}
+	if most := p.most(shape); most < shape.Tasks {
+		return Reason{Code: TooLarge, Need: shape.Size(), Have: most * shape.GPUs}
+	}
+	return Reason{}
+}
+
+// covered reports whether a guaranteed shape always holds the shape of a job.
+func covered(job, g model.Shape) bool {
+	per := count(Each(g), Each(job), MaxTasks)
+	rank := map[model.Adjacency]int{model.AnyPlace: 0, model.SameRack: 1, model.SameWorker: 2}
+	return per*g.Tasks >= job.Tasks && (rank[job.Adjacent] <= rank[g.Adjacent] || per >= job.Tasks)
+}
+
+// most returns the largest number of tasks of a shape that any block of the fleet could hold.
+func (v *view) most(shape model.Shape) int {
+	if n, ok := v.limits[shape]; ok {
+		return n
+	}
+	q := search{v: v, shape: shape, each: Each(shape), room: func(i int) Amount { return v.nodes[i].cap }}
+	n := q.total()
+	v.limits[shape] = n
+	return n
+}
+
+// jobSearch returns the search for a place of a job on free accelerators.
+func (p *pass) jobSearch(j *Job) *search {
+	run := p.st.remaining(j)
+	return &search{
+		v: p.view, shape: j.Spec.Shape, each: Each(j.Spec.Shape),
+		room: func(i int) Amount { return p.room(i, j, run) },
+	}
+}
+
+// room returns what a job that runs for run may take on a node now.
+func (p *pass) room(i int, j *Job, run time.Duration) Amount {
+	n := &p.nodes[i]
+	if !n.ok || slices.Contains(j.Failed, n.id) {
+		return Amount{}
+	}
+	r := n.free()
+	if len(n.levels) > 0 {
+		r = n.lend(r, j.Spec.Grace)
+	}
+	for _, h := range n.holds {
+		if h.job != j && p.now.Add(run).After(h.from) {
+			r = r.smaller(h.spare)
+		}
+	}
+	return r
+}
+
+// start starts a job on the spots.
+func (p *pass) start(j *Job, at []spot, anchored bool) {
+	c := *j
+	c.Phase, c.Slots, c.Anchored, c.Started = Starting, slotsOf(p.view, j.Spec.Shape, at), anchored, p.now
+	c.Run++
+	c.Expected = p.st.remaining(j)
+	for _, s := range at {
+		for k := range p.nodes[s.node].holds {
+			h := &p.nodes[s.node].holds[k]
+			if h.job == j {
+				continue
+			}
+			if p.now.Add(c.Expected).After(h.from) {
+				h.spare = h.spare.Minus(Each(c.Spec.Shape).Times(s.tasks))
+			} else {
+				c.Ahead = h.job.Spec.ID
+			}
+		}
+	}
+	p.put(&c)
+	p.started[c.Spec.ID] = true
+	p.d.Actions = append(p.d.Actions, Action{
+		Verb: Start, Job: c.Spec.ID, Run: c.Run, Slots: c.Slots, Anchored: anchored, Expected: c.Expected, For: c.Ahead,
+	})
+}
+
+// stop ends a placed job, by checkpoint if it can be.
+func (p *pass) stop(j *Job, by model.JobID) {
+	if j.Phase == Stopping || p.ending[j.Spec.ID] {
+		return
+	}
+	p.ending[j.Spec.ID] = true
+	verb := Stop
+	if j.Spec.Checkpoint && !j.Cancelled {
+		verb = Checkpoint
+	}
+	p.d.Actions = append(p.d.Actions, Action{
+		Verb: verb, Job: j.Spec.ID, Run: j.Run, For: by, By: p.now.Add(j.Spec.Grace),
+	})
+}
+
+// leaving reports whether a placed job is on its way out.
+func (p *pass) leaving(j *Job) bool { return j.Phase == Stopping || p.ending[j.Spec.ID] }
+
+// holdNow keeps room on the spots from other jobs of this decision.
+func (p *pass) holdNow(j *Job, at []spot) {
+	for _, s := range at {
+		n := &p.nodes[s.node]
+		n.held = n.held.Plus(Each(j.Spec.Shape).Times(s.tasks))
+	}
+}
+
+// freeAt reports whether the spots are free of other work.
+func (p *pass) freeAt(j *Job, at []spot) bool {
+	for _, s := range at {
+		if !Each(j.Spec.Shape).Times(s.tasks).Within(p.nodes[s.node].free()) {
+			return false
+		}
+	}
+	return true
+}
+
+// report lists the reasons of the jobs that wait.
+func (p *pass) report() {
+	for _, j := range p.queue {
+		if !p.started[j.Spec.ID] {
+			p.d.Waiting = append(p.d.Waiting, Waiting{j.Spec.ID, p.waits[j.Spec.ID]})
+		}
+	}
+	for _, j := range sortedJobs(p.refused) {
+		p.d.Waiting = append(p.d.Waiting, Waiting{j.Spec.ID, j.Refusal})
+	}
+}
+
+// order sorts jobs by the response ratio that they would have if started now, weighted by team.
+func (p *pass) order(jobs []*Job) []*Job {
+	type ranked struct {
+		job   *Job
+		score float64
+	}
+	list := make([]ranked, len(jobs))
+	for i, j := range jobs {
+		list[i] = ranked{j, p.score(j)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), bySequence(a.job, b.job))
+	})
+	out := make([]*Job, len(list))
+	for i, r := range list {
+		out[i] = r.job
+	}
+	return out
+}
+
+// score returns the rank of a job among spare work; higher is served first.
+func (p *pass) score(j *Job) float64 {
+	run := p.st.remaining(j).Seconds()
+	wait := p.now.Sub(j.Submitted).Seconds()
+	ratio := (wait + run) / run
+	weight := 1.0
+	if t := p.st.Team(j.Spec.Team); t != nil && t.Weight > 0 {
+		weight = float64(t.Weight)
+	}
+	return ratio * weight / float64(8+p.used[j.Spec.Team])
+}
--- /dev/null
+++ b/core/plan/place.go
@@ -0,0 +1,160 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+
+	"wagtailhoist/core/model"
+)
+
+// MaxTasks is the largest number of tasks of a gang.
+const MaxTasks = 64
+
+// spot is a number of tasks on a node.
+type spot struct{ node, tasks int }
+
+// valid reports whether a shape is well formed.
+func valid(s model.Shape) bool {
+	known := s.Adjacent == model.AnyPlace || s.Adjacent == model.SameRack || s.Adjacent == model.SameWorker
+	return known && s.Tasks >= 1 && s.Tasks <= MaxTasks && s.GPUs >= 0 && s.Cores >= 0 && s.Memory >= 0 &&
+		s.GPUs+s.Cores+s.Memory > 0
+}
+
+// search looks for nodes for the tasks of one shape.
+type search struct {
+	v     *view
+	shape model.Shape
+	each  Amount
+	// centre limits the search to one data centre; empty means any.
+	centre model.Centre
+	// room returns the resources that the shape may take on a node.
+	room func(i int) Amount
+	// cost ranks blocks; the lowest wins. nil ranks by the accelerators left over in the block.
+	cost func(b span, at []spot) float64
+	// min holds tasks that have to stay on their nodes; nil if none.
+	min map[int]int
+}
+
+// blocks returns the ranges of nodes that may hold the whole shape.
+func (v *view) blocks(adj model.Adjacency) []span {
+	switch adj {
+	case model.SameRack:
+		return v.racks
+	case model.SameWorker:
+		one := make([]span, len(v.nodes))
+		for i := range one {
+			one[i] = span{lo: i, hi: i + 1}
+		}
+		return one
+	}
+	return v.centres
+}
+
+// inCentre reports whether a block lies in the data centre.
+func (v *view) inCentre(b span, c model.Centre) bool {
+	if c == "" {
+		return true
+	}
+	for _, s := range v.centres {
+		if s.name == string(c) {
+			return b.lo >= s.lo && b.hi <= s.hi
+		}
+	}
+	return false
+}
+
+// best returns the cheapest place for the shape, or nil.
+func (q *search) best() []spot {
+	var out []spot
+	var low float64
+	for _, b := range q.v.blocks(q.shape.Adjacent) {
+		if !q.v.inCentre(b, q.centre) {
+			continue
+		}
+		at, left := q.within(b)
+		if at == nil {
+			continue
+		}
+		c := float64(left)
+		if q.cost != nil {
+			c = q.cost(b, at)
+		}
+		if out == nil || c < low {
+			out, low = at, c
+		}
+		if c == 0 && q.cost == nil {
+			break
+		}
+	}
+	return out
+}
+
+// within places the shape inside a block on the fullest nodes that fit, and returns the
+// accelerators left over in the block.
+func (q *search) within(b span) ([]spot, int) {
+	type cand struct{ node, fit, left int }
+	var buf [8]cand
+	cands := buf[:0]
+	total, left := 0, 0
+	for i := b.lo; i < b.hi; i++ {
+		r := q.room(i)
+		fit := count(r, q.each, q.shape.Tasks)
+		if fit < q.min[i] {
+			return nil, 0
+		}
+		left += max(r.GPUs, 0)
+		if fit > 0 {
+			total += fit
+			cands = append(cands, cand{i, fit, r.GPUs})
+		}
+	}
+	if total < q.shape.Tasks {
+		return nil, 0
+	}
+	slices.SortFunc(cands, func(a, b cand) int { return cmp.Or(cmp.Compare(a.left, b.left), cmp.Compare(a.node, b.node)) })
+	need := q.shape.Tasks
+	take := make(map[int]int, len(q.min))
+	for i, n := range q.min {
+		if n > 0 && (i < b.lo || i >= b.hi) {
+			return nil, 0
+		}
+		take[i] = n
+		need -= n
+	}
+	var at []spot
+	// A single node that takes the rest exactly, or with the least left over, beats spreading.
+	for _, c := range cands {
+		if c.fit-take[c.node] >= need && need > 0 {
+			take[c.node] += need
+			need = 0
+		}
+	}
+	for k := len(cands) - 1; k >= 0 && need > 0; k-- {
+		c := cands[k]
+		n := min(c.fit-take[c.node], need)
+		take[c.node] += n
+		need -= n
+	}
+	for _, c := range cands {
+		if take[c.node] > 0 {
+			at = append(at, spot{c.node, take[c.node]})
+		}
+	}
+	if need > 0 || len(at) == 0 {
+		return nil, 0
+	}
+	return at, left - q.shape.Size()
+}
+
+// total returns the largest number of tasks of the shape that any block holds.
+func (q *search) total() int {
+	most := 0
+	for _, b := range q.v.blocks(q.shape.Adjacent) {
+		n := 0
+		for i := b.lo; i < b.hi && q.v.inCentre(b, q.centre); i++ {
+			n += count(q.room(i), q.each, q.shape.Tasks)
+		}
+		most = max(most, n)
+	}
+	return most
+}
--- /dev/null
+++ b/core/plan/prop_test.go
@@ -0,0 +1,245 @@
+package plan
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wagtailhoist/core/model"
+)
+
+var epoch = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+// fleet returns workers with 8 accelerators, three to a rack, spread over the data centres.
+func fleet(n, centres int) []model.Worker {
+	out := make([]model.Worker, n)
+	for i := range out {
+		c := i * centres / n
+		out[i] = model.Worker{
+			ID: model.WorkerID(fmt.Sprintf("w%05d", i)), Centre: model.Centre(fmt.Sprintf("c%02d", c)),
+			Rack: fmt.Sprintf("r%05d", (i-(c*n+centres-1)/centres)/3), Cores: 128, Memory: 256, GPUs: 8, Up: true,
+		}
+	}
+	return out
+}
+
+// machine drives a State with generated events and checks it after each step.
+type machine struct {
+	s         State
+	now       time.Time
+	next      int
+	workers   []model.Worker
+	cancelled map[model.JobID]bool
+}
+
+func (m *machine) apply(e ...Event) { m.s.Apply(m.now, e...) }
+
+func drawShape(t *rapid.T) model.Shape {
+	return rapid.SampledFrom([]model.Shape{
+		{Tasks: 1, GPUs: 1, Cores: 4},
+		{Tasks: 1, GPUs: 4},
+		{Tasks: 2, GPUs: 4, Adjacent: model.SameWorker},
+		{Tasks: 2, GPUs: 8, Adjacent: model.SameRack},
+		{Tasks: 3, GPUs: 8, Adjacent: model.SameRack},
+		{Tasks: 4, GPUs: 3},
+		{Tasks: 64, GPUs: 1},
+		{Tasks: 1, GPUs: 9},
+	}).Draw(t, "shape")
+}
+
+func drawDeclaration(t *rapid.T) model.Declaration {
+	d := model.Declaration{Policy: model.Policy{Compact: rapid.SampledFrom([]float64{0, 1}).Draw(t, "compact")}}
+	for i := range 3 {
+		ts := model.TeamSpec{Name: model.Team(fmt.Sprint("t", i)), Weight: 1 + i, Quota: rapid.SampledFrom([]int{0, 40}).Draw(t, "quota")}
+		for k := range rapid.IntRange(0, 2).Draw(t, "guarantees") {
+			ts.Guarantees = append(ts.Guarantees, model.Guarantee{
+				Name: fmt.Sprint("g", k), Shape: drawShape(t), Grace: rapid.SampledFrom([]time.Duration{5, 30, 60}).Draw(t, "grace") * time.Second,
+				Centre: rapid.SampledFrom([]model.Centre{"", "c00"}).Draw(t, "centre"),
+			})
+		}
+		d.Teams = append(d.Teams, ts)
+	}
+	return d
+}
+
+func (m *machine) submit(t *rapid.T) {
+	m.next++
+	spec := model.JobSpec{
+		ID: model.JobID(fmt.Sprintf("j%03d", m.next)), Team: model.Team(fmt.Sprint("t", rapid.IntRange(0, 2).Draw(t, "team"))),
+		Shape: drawShape(t), Estimate: time.Duration(rapid.IntRange(1, 100).Draw(t, "estimate")) * time.Minute,
+		Checkpoint: rapid.Bool().Draw(t, "checkpoint"), Grace: rapid.SampledFrom([]time.Duration{0, 8, 25, 300}).Draw(t, "jobgrace") * time.Second,
+		Urgent: rapid.IntRange(0, 9).Draw(t, "urgent") == 0, Guarantee: rapid.SampledFrom([]string{"", "", "g0", "g1"}).Draw(t, "guarantee"),
+	}
+	m.apply(Event{Kind: Submitted, Job: &spec})
+}
+
+// pick draws jobs that satisfy keep.
+func (m *machine) pick(t *rapid.T, most int, keep func(*Job) bool) []model.JobID {
+	var ids []model.JobID
+	for id, j := range m.s.Jobs {
+		if keep(j) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	if len(ids) == 0 {
+		return nil
+	}
+	ids = rapid.Permutation(ids).Draw(t, "jobs")
+	return ids[:min(len(ids), most)]
+}
+
+func (m *machine) decide(t *rapid.T) {
+	d := Decide(m.now, &m.s)
+	m.check(t)
+	late := m.pick(t, rapid.IntRange(0, 2).Draw(t, "overtaking"), func(j *Job) bool { return true })
+	m.cancel(late)
+	for _, a := range m.s.Accept(m.now, d.Actions) {
+		if a.Verb == Start && m.cancelled[a.Job] {
+			t.Fatalf("cancelled job %s was started", a.Job)
+		}
+	}
+}
+
+func (m *machine) cancel(ids []model.JobID) {
+	m.apply(Event{Kind: Cancelled, Jobs: ids})
+	for _, id := range ids {
+		m.cancelled[id] = true
+	}
+}
+
+// check guards the guarantees and gangs of the present state.
+func (m *machine) check(t *rapid.T) {
+	used := map[model.WorkerID]Amount{}
+	for _, j := range m.s.Jobs {
+		if !j.placed() {
+			continue
+		}
+		tasks := 0
+		racks, hosts := map[string]bool{}, map[model.WorkerID]bool{}
+		for _, sl := range j.Slots {
+			tasks += sl.Tasks
+			used[sl.Worker] = used[sl.Worker].Plus(Each(j.Spec.Shape).Times(sl.Tasks))
+			h := m.s.Hosts[sl.Worker]
+			racks[string(h.Worker.Centre)+"/"+h.Worker.Rack], hosts[sl.Worker] = true, true
+			if !h.Worker.Up {
+				t.Fatalf("job %s keeps tasks on lost worker %s", j.Spec.ID, sl.Worker)
+			}
+		}
+		adj := j.Spec.Shape.Adjacent
+		if tasks != j.Spec.Shape.Tasks || (adj == model.SameRack && len(racks) > 1) || (adj == model.SameWorker && len(hosts) > 1) {
+			t.Fatalf("job %s has slots %v for shape %+v", j.Spec.ID, j.Slots, j.Spec.Shape)
+		}
+	}
+	for id, u := range used {
+		if !u.Within(Capacity(m.s.Hosts[id].Worker)) {
+			t.Fatalf("worker %s is overcommitted: %+v", id, u)
+		}
+	}
+	for _, a := range m.s.Anchors {
+		if (len(a.Slots) == 0) != (a.Short != nil) {
+			t.Fatalf("guarantee %s/%s has slots %v and shortfall %v", a.Team, a.Guarantee.Name, a.Slots, a.Short)
+		}
+	}
+	m.claimAll(t)
+}
+
+// claimAll claims every idle guarantee at once on a copy and fails if one starts later than its
+// grace, or if a job under a guarantee is stopped for it.
+func (m *machine) claimAll(t *rapid.T) {
+	c := m.s.Clone()
+	busy := map[Ref]bool{}
+	for _, j := range c.Jobs {
+		busy[Ref{j.Spec.Team, j.Spec.Guarantee}] = true
+	}
+	due := map[model.JobID]Anchor{}
+	for i, a := range c.Anchors {
+		if a.Short == nil && !busy[Ref{a.Team, a.Guarantee.Name}] {
+			id := model.JobID(fmt.Sprint("claim", i))
+			due[id] = a
+			c.Apply(m.now, Event{Kind: Submitted, Job: &model.JobSpec{ID: id, Team: a.Team, Guarantee: a.Guarantee.Name, Shape: a.Guarantee.Shape}})
+		}
+	}
+	for at := time.Duration(0); at <= time.Minute && len(due) > 0; at += time.Second {
+		now := m.now.Add(at)
+		for _, j := range c.Jobs {
+			if j.Phase == Stopping && !now.Before(j.Gone) {
+				c.Apply(now, Event{Kind: Stopped, Jobs: []model.JobID{j.Spec.ID}})
+			}
+		}
+		for _, act := range c.Accept(now, Decide(now, c).Actions) {
+			if j := c.Jobs[act.Job]; j != nil && act.Verb != Start && act.Verb != Reserve && j.Anchored && !j.Cancelled {
+				t.Fatalf("job %s runs under a guarantee and got %s", act.Job, act.Verb)
+			}
+			delete(due, act.Job)
+		}
+		for id, a := range due {
+			if at >= a.Guarantee.Grace {
+				t.Fatalf("guarantee %s/%s on %v was not started within %s (job %s, %+v)", a.Team, a.Guarantee.Name, a.Slots, a.Guarantee.Grace, id, c.Jobs[id])
+			}
+		}
+	}
+}
+
+func (m *machine) lose(ids ...model.WorkerID) { m.apply(Event{Kind: WorkerLost, Workers: ids}) }
+
+// A guaranteed shape that can't be had within its grace by stopping borrowers alone breaks P1.
+func TestGuaranteeIsAlwaysReclaimable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{now: epoch, workers: fleet(10, 3), cancelled: map[model.JobID]bool{}}
+		for i := range m.workers {
+			m.apply(Event{Kind: WorkerSeen, Worker: &m.workers[i]})
+		}
+		d := drawDeclaration(t)
+		m.apply(Event{Kind: Declared, Declaration: &d})
+		placed := func(j *Job) bool { return j.placed() }
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": m.submit, "submit2": m.submit, "submit3": m.submit, "decide": m.decide, "decide2": m.decide,
+			"cancel": func(t *rapid.T) { m.cancel(m.pick(t, 4, func(*Job) bool { return true })) },
+			"finish": func(t *rapid.T) { m.apply(Event{Kind: Finished, Jobs: m.pick(t, 3, placed)}) },
+			"declare": func(t *rapid.T) {
+				d := drawDeclaration(t)
+				m.apply(Event{Kind: Declared, Declaration: &d})
+			},
+			"fail": func(t *rapid.T) {
+				for _, id := range m.pick(t, 1, placed) {
+					m.apply(Event{Kind: Failed, Jobs: []model.JobID{id}, Workers: []model.WorkerID{m.s.Jobs[id].Slots[0].Worker}})
+				}
+			},
+			"lose": func(t *rapid.T) { m.lose(rapid.SampledFrom(m.workers).Draw(t, "worker").ID) },
+			"rack": func(t *rapid.T) {
+				w := rapid.SampledFrom(m.workers).Draw(t, "worker")
+				for _, o := range m.workers {
+					if o.Rack == w.Rack && o.Centre == w.Centre {
+						m.lose(o.ID)
+					}
+				}
+			},
+			"return": func(t *rapid.T) {
+				w := rapid.SampledFrom(m.workers).Draw(t, "worker")
+				m.apply(Event{Kind: WorkerSeen, Worker: &w})
+			},
+			"observe": func(t *rapid.T) {
+				for _, id := range m.pick(t, 1, placed) {
+					sl := m.s.Jobs[id].Slots[0]
+					m.apply(Event{Kind: Observed, Jobs: []model.JobID{id}, Usage: []Usage{{Worker: sl.Worker, Amount: Amount{Cores: 64}}}})
+				}
+			},
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 10, 600}).Draw(t, "seconds")) * time.Second)
+				var gone []model.JobID
+				for _, id := range slices.Sorted(maps.Keys(m.s.Jobs)) {
+					if j := m.s.Jobs[id]; j.Phase == Stopping && !m.now.Before(j.Gone) {
+						gone = append(gone, id)
+					}
+				}
+				m.apply(Event{Kind: Stopped, Jobs: gone, Saved: true})
+			},
+			"": m.check,
+		})
+	})
+}
--- /dev/null
+++ b/core/plan/queue.go
@@ -0,0 +1,132 @@
+package plan
+
+import (
+	"slices"
+	"time"
+)
+
+// overQuota returns a reason if a start would exceed the quota of the team.
+func (p *pass) overQuota(j *Job) Reason {
+	t := p.st.Team(j.Spec.Team)
+	size := j.Spec.Shape.Size()
+	if t != nil && t.Quota > 0 && p.used[t.Name]+size > t.Quota {
+		return Reason{Code: Quota, Need: size, Have: max(t.Quota-p.used[t.Name], 0)}
+	}
+	return Reason{}
+}
+
+// noRoom tells too few free accelerators from scattered ones.
+func (p *pass) noRoom(j *Job) Reason {
+	if p.idle < 0 {
+		p.idle = 0
+		for i := range p.nodes {
+			if p.nodes[i].ok {
+				p.idle += max(p.nodes[i].free().GPUs, 0)
+			}
+		}
+	}
+	r := Reason{Code: NoRoom, Need: j.Spec.Shape.Size(), Have: p.idle}
+	if r.Have >= r.Need {
+		r.Code = Scattered
+	}
+	return r
+}
+
+// targetSpots returns the spots of a job's target, or nil if there is none or a worker is not usable.
+func (p *pass) targetSpots(j *Job) []spot {
+	var at []spot
+	for _, s := range j.Target {
+		i, ok := p.byID[s.Worker]
+		if !ok || !p.nodes[i].ok {
+			return nil
+		}
+		at = append(at, spot{i, s.Tasks})
+	}
+	return at
+}
+
+// lendable reports whether the spots may be lent to the job beside the anchors there.
+func (p *pass) lendable(j *Job, at []spot) bool {
+	for _, s := range at {
+		n := &p.nodes[s.node]
+		if !Each(j.Spec.Shape).Times(s.tasks).Within(n.lend(n.cap, j.Spec.Grace)) {
+			return false
+		}
+	}
+	return true
+}
+
+// reserve records the slots kept for a job, if they have changed.
+func (p *pass) reserve(j *Job, at []spot, due time.Time) {
+	slots := slotsOf(p.view, j.Spec.Shape, at)
+	if slices.Equal(slots, j.Target) && due.Equal(j.Due) {
+		return
+	}
+	p.d.Actions = append(p.d.Actions, Action{Verb: Reserve, Job: j.Spec.ID, Slots: slots, By: due})
+}
+
+// unreserve gives up the slots kept for a job.
+func (p *pass) unreserve(j *Job) {
+	if len(j.Target) > 0 {
+		p.d.Actions = append(p.d.Actions, Action{Verb: Reserve, Job: j.Spec.ID})
+	}
+}
+
+// keep starts a moved job on the slots that it was moved to, or gives them up.
+func (p *pass) keep(j *Job) {
+	at := p.targetSpots(j)
+	if at != nil && p.lendable(j, at) && p.freeAt(j, at) {
+		p.start(j, at, false)
+		return
+	}
+	p.unreserve(j)
+	p.try(j)
+}
+
+// fill starts jobs in order on free accelerators, and keeps room for the first large ones that
+// don't fit.
+func (p *pass) fill(jobs []*Job) {
+	kept := 0
+	for k, j := range jobs {
+		if k >= depth {
+			p.waits[j.Spec.ID] = Reason{Code: Behind, Job: jobs[0].Spec.ID}
+			continue
+		}
+		if p.try(j) {
+			continue
+		}
+		code := p.waits[j.Spec.ID].Code
+		if kept < reservations && (code == NoRoom || code == Scattered) && p.book(j) {
+			kept++
+			continue
+		}
+		p.unreserve(j)
+	}
+}
+
+// try starts a job on free accelerators.
+func (p *pass) try(j *Job) bool {
+	id := j.Spec.ID
+	if r := p.overQuota(j); r.Code != 0 {
+		p.waits[id] = r
+		return false
+	}
+	key := missKey{shape: j.Spec.Shape, grace: j.Spec.Grace}
+	if len(p.booked) > 0 {
+		key.run = p.st.remaining(j)
+	}
+	if len(j.Failed) == 0 && p.misses[key] {
+		p.waits[id] = p.noRoom(j)
+		return false
+	}
+	at := p.jobSearch(j).best()
+	if at == nil {
+		if len(j.Failed) == 0 {
+			p.misses[key] = true
+		}
+		p.waits[id] = p.noRoom(j)
+		return false
+	}
+	p.start(j, at, false)
+	return true
+}
