Retry shortfalls when work leaves and check that each one is real

Cause: a guarantee with a shortfall was placed again only after a change of the fleet, and a shortfall by pinned work could name no job, when the job was too slow for another anchor on the worker. Change: Apply retries shortfalls after every batch of events; the property checks with its own count that a reported shortfall has no room.

--- a/core/plan/anchor.go
+++ b/core/plan/anchor.go
@@ -90,6 +90,24 @@
 	s.rematch(now, v, bad, mins)
 }
 
+// retry places guarantees with a shortfall again, one by one, after work has left.
+func (s *State) retry(now time.Time) {
+	v := &view{index: *s.idx, st: s, now: now}
+	none := make([]map[int]int, len(s.Anchors))
+	for i := range s.Anchors {
+		if s.Anchors[i].Short == nil {
+			continue
+		}
+		if found := v.solve([]int{i}, none); found != nil {
+			s.anchorAll(found)
+			continue
+		}
+		since := s.Anchors[i].Short.Since
+		s.Anchors[i].Short = v.shortfall(i)
+		s.Anchors[i].Short.Since = since
+	}
+}
+
 // standing reports whether an anchor is feasible where it is.
 func (x *index) standing(a *Anchor) bool {
 	if len(a.Slots) == 0 {
@@ -246,8 +264,12 @@
 	if at := q.best(); at != nil {
 		out.Cause = Pinned
 		for _, p := range at {
+			within := g.Grace
+			for _, t := range v.nodes[p.node].ties {
+				within = min(within, t.grace)
+			}
 			for _, u := range v.nodes[p.node].uses {
-				if !u.job.Anchored && !leaves(u.job, g.Grace) && !slices.Contains(out.Jobs, u.job.Spec.ID) {
+				if !u.job.Anchored && !leaves(u.job, within) && !slices.Contains(out.Jobs, u.job.Spec.ID) {
 					out.Jobs = append(out.Jobs, u.job.Spec.ID)
 				}
 			}
--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -68,6 +68,8 @@
 	}
 	if x := s.ready(now); x.loose {
 		s.repair(now)
+	} else if len(events) > 0 {
+		s.retry(now)
 	}
 }
 
--- a/core/plan/prop_test.go
+++ b/core/plan/prop_test.go
@@ -144,10 +144,56 @@
 		if (len(a.Slots) == 0) != (a.Short != nil) {
 			t.Fatalf("guarantee %s/%s has slots %v and shortfall %v", a.Team, a.Guarantee.Name, a.Slots, a.Short)
 		}
+		if a.Short != nil && valid(a.Guarantee.Shape) && m.placeable(a) {
+			t.Fatalf("guarantee %s/%s has room but a shortfall %+v", a.Team, a.Guarantee.Name, a.Short)
+		}
 	}
 	m.claimAll(t)
 }
 
+// placeable reports whether a guarantee has room beside the other anchors and work too slow to stop.
+func (m *machine) placeable(a Anchor) bool {
+	room, grace := map[model.WorkerID]Amount{}, map[model.WorkerID]time.Duration{}
+	for id, h := range m.s.Hosts {
+		room[id], grace[id] = Capacity(h.Worker), a.Guarantee.Grace
+	}
+	for _, o := range m.s.Anchors {
+		for _, sl := range o.Slots {
+			room[sl.Worker] = room[sl.Worker].Minus(Each(o.Guarantee.Shape).Times(sl.Tasks))
+			grace[sl.Worker] = min(grace[sl.Worker], o.Guarantee.Grace)
+		}
+	}
+	for _, j := range m.s.Jobs {
+		for _, sl := range j.Slots {
+			if !j.Anchored && j.Spec.Grace >= grace[sl.Worker] {
+				room[sl.Worker] = room[sl.Worker].Minus(Each(j.Spec.Shape).Times(sl.Tasks))
+			}
+			for _, o := range j.Observed {
+				room[sl.Worker] = room[sl.Worker].Minus(o.Amount)
+			}
+		}
+	}
+	blocks := map[string]int{}
+	for id, h := range m.s.Hosts {
+		key := string(h.Worker.Centre)
+		if a.Guarantee.Shape.Adjacent != model.AnyPlace {
+			key += h.Worker.Rack
+		}
+		if a.Guarantee.Shape.Adjacent == model.SameWorker {
+			key = string(id)
+		}
+		if h.Usable(m.now) && (a.Guarantee.Centre == "" || a.Guarantee.Centre == h.Worker.Centre) {
+			blocks[key] += count(room[id], Each(a.Guarantee.Shape), MaxTasks)
+		}
+	}
+	for _, n := range blocks {
+		if n >= a.Guarantee.Shape.Tasks {
+			return true
+		}
+	}
+	return false
+}
+
 // claimAll claims every idle guarantee at once on a copy and fails if one starts later than its
 // grace, or if a job under a guarantee is stopped for it.
 func (m *machine) claimAll(t *rapid.T) {
