Add logs, metrics and checked settings

Every process needs them first. Log fields and their number are bounded, so that outside input cannot forge or grow a line. Metrics use tally with its Prometheus reporter; histograms by team and by class have metrics of their own, and values past 400 teams or 64 classes share one series. Tally's default sanitizer was ruled out for label values, because it merges a-b and a_b; samples above the last bucket are capped, because tally reports them as 292 years. Settings are resolved before kong parses them, because kong stops at the first problem; all are listed at once, each with flag, value and what is allowed.

Proved by go test -race ./io/logs ./io/meter ./cmds.

--- a/cmds/main.go
+++ b/cmds/main.go
@@ -32,13 +32,14 @@
 		kong.Name("wagtailhoist"),
 		kong.Description("Schedules multi-accelerator jobs under team guarantees and routes requests to minions."),
 		kong.Writers(stdout, stderr),
+		kong.DefaultEnvars(envPrefix),
 		kong.Exit(func(c int) { code = c }),
 	)
 	if err != nil {
 		fmt.Fprintln(stderr, "wagtailhoist:", err)
 		return exitFail
 	}
-	ctx, err := parser.Parse(args)
+	ctx, err := parse(parser, args, environ())
 	if code >= 0 {
 		return code
 	}
--- /dev/null
+++ b/io/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs writes structured logs as JSON lines whose fields have bounded lengths.
+package logs
--- /dev/null
+++ b/io/meter/meter.go
@@ -0,0 +1,189 @@
+package meter
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+	"unicode"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"wagtailhoist/core/model"
+)
+
+const (
+	// reportInterval is how often counts reach the Prometheus registry.
+	reportInterval = time.Second
+	// maxTeams bounds the teams with series of their own: the target size of 380 and some room.
+	// The team header of a request is an outside value, so later teams share one series.
+	maxTeams = 400
+	// maxClasses bounds the classes with series of their own.
+	maxClasses = 64
+	// maxReasons bounds the values of a counter's label.
+	maxReasons = 32
+	// maxLabel bounds a label's value, in bytes.
+	maxLabel = 64
+	// longest is the bound of the last bucket.
+	longest = 24 * time.Hour
+	// other is the label of values past a bound; no declared team can have the name.
+	other = "(other)"
+)
+
+// buckets cover requests from a millisecond and jobs up to a day. Longer times count as a
+// day, because tally reports a sample above the last bucket as 292 years.
+var buckets = tally.DurationBuckets{
+	time.Millisecond, 3 * time.Millisecond, 10 * time.Millisecond, 30 * time.Millisecond,
+	100 * time.Millisecond, 300 * time.Millisecond, time.Second, 3 * time.Second,
+	10 * time.Second, 30 * time.Second, time.Minute, 10 * time.Minute, time.Hour, 6 * time.Hour, longest,
+}
+
+// sanitizer keeps label values as they are: package labels has bounded them, and the
+// default options would merge the teams a-b and a_b.
+var sanitizer = tally.SanitizeOptions{
+	NameCharacters:       prometheus.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:        prometheus.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters:      tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', unicode.MaxRune}}},
+	ReplacementCharacter: prometheus.DefaultSanitizerOpts.ReplacementCharacter,
+}
+
+// Meter holds the metrics of one process. A nil Meter drops all figures.
+type Meter struct {
+	registry *prom.Registry
+	handler  http.Handler
+	scope    tally.Scope
+	closer   io.Closer
+	teams    labels
+	classes  labels
+	reasons  labels
+
+	mu       sync.RWMutex
+	timings  map[series]tally.Histogram
+	counters map[series]tally.Counter
+}
+
+// series identifies a metric with the value of its label.
+type series struct{ name, label, value string }
+
+// New returns a meter that reports until Close.
+func New() *Meter {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry})
+	// Without the separator, the sanitizer and the omission of tally's own cardinality
+	// metrics, the reporter panics on names that are not valid in Prometheus.
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "wagtailhoist",
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &sanitizer,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Meter{
+		registry: registry,
+		handler:  reporter.HTTPHandler(),
+		scope:    scope,
+		closer:   closer,
+		teams:    labels{limit: maxTeams},
+		classes:  labels{limit: maxClasses},
+		reasons:  labels{limit: maxReasons},
+		timings:  map[series]tally.Histogram{},
+		counters: map[series]tally.Counter{},
+	}
+}
+
+// Close reports the last figures and stops the reporting.
+func (m *Meter) Close() error {
+	if m == nil {
+		return nil
+	}
+	return m.closer.Close()
+}
+
+// Handler serves the metrics in Prometheus format.
+func (m *Meter) Handler() http.Handler { return m.handler }
+
+// Waiting records the time that a request or job waited before it was dispatched.
+func (m *Meter) Waiting(team model.Team, class string, d time.Duration) {
+	m.timing("waiting", team, class, d)
+}
+
+// Service records the time that a minion or worker took.
+func (m *Meter) Service(team model.Team, class string, d time.Duration) {
+	m.timing("service", team, class, d)
+}
+
+// Completion records the time from receipt to the last byte of the answer or the end of the job.
+func (m *Meter) Completion(team model.Team, class string, d time.Duration) {
+	m.timing("completion", team, class, d)
+}
+
+// Refusal counts a request that was refused as not run.
+func (m *Meter) Refusal(reason string) { m.count("refusals", "reason", reason, 1) }
+
+// Retry counts a dispatch after an earlier one of the same request.
+func (m *Meter) Retry(reason string) { m.count("retries", "reason", reason, 1) }
+
+// Unknown counts a request whose outcome could not be learned.
+func (m *Meter) Unknown(reason string) { m.count("unknown_outcomes", "reason", reason, 1) }
+
+// Late counts an answer that was dropped because it was late, duplicate or mismatched.
+func (m *Meter) Late(kind string) { m.count("late_answers", "kind", kind, 1) }
+
+// Remote counts bytes sent to another region.
+func (m *Meter) Remote(region model.Region, bytes int64) {
+	m.count("remote_bytes", "region", string(region), bytes)
+}
+
+// Count adds n to a counter that has one label.
+func (m *Meter) Count(name, label, value string, n int64) { m.count(name, label, value, n) }
+
+// timing records d once by team and once by class. The two have metrics of their own,
+// because a series for each pair would multiply 380 teams by the classes.
+func (m *Meter) timing(name string, team model.Team, class string, d time.Duration) {
+	if m == nil {
+		return
+	}
+	d = min(d, longest)
+	m.histogram(series{name + "_team", "team", m.teams.value("", string(team))}).RecordDuration(d)
+	if class != "" {
+		m.histogram(series{name + "_class", "class", m.classes.value("", class)}).RecordDuration(d)
+	}
+}
+
+func (m *Meter) histogram(s series) tally.Histogram {
+	m.mu.RLock()
+	h, ok := m.timings[s]
+	m.mu.RUnlock()
+	if ok {
+		return h
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h, ok := m.timings[s]; ok {
+		return h
+	}
+	h = m.scope.Tagged(map[string]string{s.label: s.value}).Histogram(s.name+"_seconds", buckets)
+	m.timings[s] = h
+	return h
+}
+
+func (m *Meter) count(name, label, value string, n int64) {
+	if m == nil {
+		return
+	}
+	s := series{name, label, m.reasons.value(name, value)}
+	m.mu.RLock()
+	c, ok := m.counters[s]
+	m.mu.RUnlock()
+	if !ok {
+		m.mu.Lock()
+		if c, ok = m.counters[s]; !ok {
+			c = m.scope.Tagged(map[string]string{label: s.value}).Counter(name + "_total")
+			m.counters[s] = c
+		}
+		m.mu.Unlock()
+	}
+	c.Inc(n)
+}
