--- /dev/null
+++ b/core/decl/doc.go
@@ -0,0 +1,2 @@
+// Package decl reads, checks, compares and writes the operators' declarations.
+package decl
