Add the decisions about configuration revisions

A process holds the highest revision it has seen and puts it in force once it is known to be in the store, or two reachable peers hold it. A new process trusts only what was said after its start: peers echo its time stamps, so that the age of their contact with the store is compared without common clocks.

--- /dev/null
+++ b/core/config/record.go
@@ -0,0 +1,108 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"wagtailhoist/core/model"
+)
+
+// Key is the store's key of the configuration.
+const Key = "config"
+
+// maxPast bounds the earlier changes that a record lists. A writer whose answer was lost
+// finds its change there even if others have written since.
+const maxPast = 64
+
+// Copy is a revision with its document.
+type Copy struct {
+	Revision model.Revision `cbor:"1,keyasint" json:"revision"`
+	// Change identifies the change across retries of its writer.
+	Change string `cbor:"2,keyasint,omitempty" json:"change"`
+	Author string `cbor:"3,keyasint,omitempty" json:"author"`
+	// Document is the declaration in YAML.
+	Document string `cbor:"4,keyasint,omitempty" json:"document"`
+}
+
+// Past is an earlier change.
+type Past struct {
+	Revision model.Revision `json:"revision"`
+	Change   string         `json:"change"`
+	Author   string         `json:"author"`
+}
+
+// Record is the value of Key in the store. The zero value stands for a store without the key.
+type Record struct {
+	Copy
+	// Past lists the changes before this one, the latest first.
+	Past []Past `json:"past,omitempty"`
+}
+
+// Decode reads a record.
+func Decode(value []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Record{}, fmt.Errorf("decoding the configuration record: %w", err)
+	}
+	return r, nil
+}
+
+// Encode writes the record.
+func (r Record) Encode() ([]byte, error) { return json.Marshal(r) }
+
+// Find returns the revision that the change made, if the record knows the change.
+func (r Record) Find(change string) (model.Revision, bool) {
+	if r.Revision > 0 && r.Change == change {
+		return r.Revision, true
+	}
+	for _, p := range r.Past {
+		if p.Change == change {
+			return p.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// ConflictError reports that a change was made for a revision that is no longer the latest.
+type ConflictError struct {
+	// Base is the revision that the change was made for, Have the latest one.
+	Base, Have model.Revision
+	// Author wrote the latest revision, with the change identifier Change.
+	Author, Change string
+}
+
+// Error names both revisions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("conflict: the change was made for revision %d, but the latest is revision %d by %s (change %s)",
+		e.Base, e.Have, e.Author, e.Change)
+}
+
+// Write is one change that an operator asked for.
+type Write struct {
+	// Base is the revision that the change was made for.
+	Base           model.Revision
+	Change, Author string
+	Document       string
+}
+
+// Next returns the record that the change makes of the latest one, or a ConflictError.
+func (w Write) Next(latest Record) (Record, error) {
+	if latest.Revision != w.Base {
+		return Record{}, w.Conflict(latest)
+	}
+	next := Record{Copy: Copy{
+		Revision: latest.Revision + 1, Change: w.Change, Author: w.Author, Document: strings.ToValidUTF8(w.Document, "?"),
+	}}
+	if latest.Revision > 0 {
+		next.Past = append(next.Past, Past{latest.Revision, latest.Change, latest.Author})
+	}
+	next.Past = append(next.Past, latest.Past...)
+	next.Past = next.Past[:min(len(next.Past), maxPast)]
+	return next, nil
+}
+
+// Conflict returns the error for a change that lost against the latest record.
+func (w Write) Conflict(latest Record) error {
+	return &ConflictError{Base: w.Base, Have: latest.Revision, Author: latest.Author, Change: latest.Change}
+}
--- /dev/null
+++ b/core/config/state_test.go
@@ -0,0 +1,192 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func copyOf(r model.Revision) Copy {
+	return Copy{Revision: r, Change: fmt.Sprint("c", r), Document: fmt.Sprint("d", r)}
+}
+
+// peerMessage is the message of a ready peer that holds and confirmed r long before.
+func peerMessage(r model.Revision) Message {
+	return Message{Held: r, Force: r, Known: r, Age: time.Hour, Ready: true, Confirmed: true}
+}
+
+func deliver(r model.Revision) Message {
+	m, c := peerMessage(r), copyOf(r)
+	m.Copy = &c
+	return m
+}
+
+func TestActivation(t *testing.T) {
+	const life = 7
+	for _, tc := range []struct {
+		name      string
+		steps     func(s *State)
+		force     model.Revision
+		ready     bool
+		confirmed bool
+	}{
+		{"the store without a configuration gives revision 0", func(s *State) {
+			s.Store(at(0), at(1), Copy{})
+		}, 0, true, true},
+		{"the store confirms at once", func(s *State) {
+			s.Store(at(0), at(1), copyOf(5))
+		}, 5, true, true},
+		{"nothing is known", func(s *State) {
+			s.Tick(at(time.Hour))
+		}, 0, false, false},
+		{"one peer is not trusted before the others were tried", func(s *State) {
+			s.Up(at(0), "a")
+			s.Meet("b")
+			s.Hear(at(1), "a", deliver(5))
+			s.Tick(at(SettleTime + 1))
+		}, 0, false, false},
+		{"the store is down and the other peer can't be reached", func(s *State) {
+			s.Up(at(0), "a")
+			s.Meet("b")
+			s.Hear(at(1), "a", deliver(5))
+			s.Down(at(SettleTime), "b")
+			s.Tick(at(SettleTime + 1))
+		}, 5, true, false},
+		{"a failed dial that is long past proves nothing", func(s *State) {
+			s.Up(at(0), "a")
+			s.Down(at(0), "b")
+			s.Hear(at(1), "a", deliver(5))
+			s.Tick(at(ProbeTime + SettleTime))
+		}, 0, false, false},
+		{"a peer without its answer yet", func(s *State) {
+			s.Up(at(0), "a")
+			s.Up(at(0), "b")
+			s.Hear(at(1), "a", deliver(5))
+			s.Tick(at(SettleTime + 1))
+		}, 0, false, false},
+		{"the higher of two peers, whose document has not arrived", func(s *State) {
+			s.Hear(at(1), "a", deliver(5))
+			s.Hear(at(1), "b", peerMessage(6))
+			s.Tick(at(SettleTime + 1))
+		}, 0, false, false},
+		{"only new peers, after the whole system restarted", func(s *State) {
+			s.Hear(at(1), "a", Message{Age: -1})
+			s.Tick(at(SettleTime + 1))
+		}, 0, false, false},
+		{"a peer's contact from before the start does not count", func(s *State) {
+			m := deliver(5)
+			m.Echo, m.Age = Stamp{Life: life, At: time.Second}, 2*time.Second
+			s.Hear(at(2*time.Second), "a", m)
+		}, 0, false, false},
+		{"a peer's contact from after the start confirms", func(s *State) {
+			m := deliver(5)
+			m.Echo, m.Age = Stamp{Life: life, At: time.Second}, time.Second/2
+			s.Hear(at(2*time.Second), "a", m)
+		}, 5, true, true},
+		{"an echo of an earlier life does not count", func(s *State) {
+			m := deliver(5)
+			m.Echo, m.Age = Stamp{Life: life - 1, At: time.Second}, 0
+			s.Hear(at(2*time.Second), "a", m)
+		}, 0, false, false},
+		{"a lower revision is refused", func(s *State) {
+			s.Store(at(0), at(1), copyOf(5))
+			s.Hear(at(2), "a", deliver(4))
+			s.Store(at(3), at(4), copyOf(3))
+		}, 5, true, true},
+		{"a higher revision that the store confirmed to a peer", func(s *State) {
+			s.Store(at(0), at(1), copyOf(5))
+			s.Hear(at(2), "a", deliver(6))
+		}, 6, true, true},
+		{"a higher revision of one peer that nothing confirms", func(s *State) {
+			s.Store(at(0), at(1), copyOf(5))
+			m := deliver(6)
+			m.Known = 5
+			s.Hear(at(2), "a", m)
+		}, 5, true, true},
+		{"a higher revision that two peers hold", func(s *State) {
+			s.Store(at(0), at(1), copyOf(5))
+			m := deliver(6)
+			m.Known = 5
+			s.Hear(at(2), "a", m)
+			s.Hear(at(2), "b", m)
+		}, 6, true, false},
+		{"a peer that holds it and is gone does not count", func(s *State) {
+			s.Store(at(0), at(1), copyOf(5))
+			m := deliver(6)
+			m.Known, m.Copy = 5, nil
+			s.Hear(at(2), "b", m)
+			s.Down(at(3), "b")
+			m = deliver(6)
+			m.Known = 5
+			s.Hear(at(4), "a", m)
+		}, 5, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := New(start, life)
+			tc.steps(s)
+			force, ready := s.Force()
+			if force.Revision != tc.force || ready != tc.ready || s.Confirmed() != tc.confirmed {
+				t.Errorf("got revision %d, ready %v, confirmed %v; want %d, %v, %v",
+					force.Revision, ready, s.Confirmed(), tc.force, tc.ready, tc.confirmed)
+			}
+		})
+	}
+}
+
+// Three entries that announce a revision would otherwise each send the whole document.
+func TestDocumentIsAskedOfOnePeerAtATime(t *testing.T) {
+	s := New(start, 1)
+	asks := func(effects []Effect) int {
+		n := 0
+		for _, e := range effects {
+			if send, ok := e.(Send); ok && send.Message.Want {
+				n++
+			}
+		}
+		return n
+	}
+	if got, want := asks(s.Hear(at(1), "a", peerMessage(5))), 1; got != want {
+		t.Errorf("first peer: got %d asks, want %d", got, want)
+	}
+	if got, want := asks(s.Hear(at(2), "b", peerMessage(5))), 0; got != want {
+		t.Errorf("second peer: got %d asks, want %d", got, want)
+	}
+	if got, want := asks(s.Hear(at(2*time.Second), "b", peerMessage(5))), 1; got != want {
+		t.Errorf("after the first peer stayed silent: got %d asks, want %d", got, want)
+	}
+}
+
+func TestWriteBuildsOnItsBaseOnly(t *testing.T) {
+	first, err := Write{Base: 0, Change: "c1", Author: "ann", Document: "d1"}.Next(Record{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := Write{Base: 1, Change: "c2", Author: "bob", Document: "d2"}.Next(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = Write{Base: 1, Change: "c3", Author: "ann"}.Next(second)
+	want := "conflict: the change was made for revision 1, but the latest is revision 2 by bob (change c2)"
+	if err == nil || err.Error() != want {
+		t.Errorf("conflict: got %v, want %s", err, want)
+	}
+	for change, want := range map[string]model.Revision{"c1": 1, "c2": 2, "c3": 0} {
+		if got, _ := second.Find(change); got != want {
+			t.Errorf("revision of change %s: got %d, want %d", change, got, want)
+		}
+	}
+	for i := range 3 * maxPast {
+		if second, err = (Write{Base: second.Revision, Change: fmt.Sprint("x", i)}).Next(second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := len(second.Past), maxPast; got != want {
+		t.Errorf("past changes: got %d, want %d", got, want)
+	}
+}
