Add the harness for tests with separate processes

Cause: the invariants have to be shown with real processes, and every such test needs to start, signal and find them. Ruled out: fixed ports and sleeping until a process is up; both make the verdict depend on the machine.

--- a/cmds/main.go
+++ b/cmds/main.go
@@ -33,7 +33,6 @@
 	parser, err := kong.New(&cli,
 		kong.Name("wagtailhoist"),
 		kong.Description("Schedules multi-accelerator jobs under team guarantees and routes requests to minions."),
-		kong.DefaultEnvars("WAGTAILHOIST"),
 		kong.Writers(stdout, stderr),
 		kong.DefaultEnvars(envPrefix),
 		kong.Exit(func(c int) { code = c }),
--- /dev/null
+++ b/proof/harness_test.go
@@ -0,0 +1,247 @@
+package proof
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// startTimeout is generous: it only bounds a process that never starts.
+	startTimeout = 20 * time.Second
+	// stopTimeout bounds a graceful shutdown, the work in progress of a test included.
+	stopTimeout = 20 * time.Second
+	// logTail is how many lines of a process's log a failed test prints.
+	logTail = 40
+)
+
+var binDir string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "proof")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "wagtailhoist", "wagtailhoist/stand").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "building the binaries: %v\n%s", err, out)
+		return 1
+	}
+	binDir = dir
+	return m.Run()
+}
+
+// process is a running binary; its addresses are those of its first log line.
+type process struct {
+	t     *testing.T
+	name  string
+	cmd   *exec.Cmd
+	addrs map[string]string
+	done  chan struct{} // closed after the process has ended
+	err   error         // result of Wait, valid after done
+
+	mu  sync.Mutex
+	log []string
+}
+
+// start runs a binary and waits until it has logged its addresses. The test kills it at its end.
+func start(t *testing.T, bin string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: bin + " " + args[0], done: make(chan struct{}), addrs: map[string]string{}}
+	p.cmd = exec.Command(filepath.Join(binDir, bin), args...)
+	p.cmd.Stdout = io.Discard
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatalf("starting %s: %v", p.name, err)
+	}
+	listening := make(chan map[string]string, 1)
+	go p.read(stderr, listening)
+	t.Cleanup(p.cleanup)
+	select {
+	case p.addrs = <-listening:
+	case <-p.done:
+		t.Fatalf("%s %v ended before it listened: %v\n%s", p.name, args, p.err, p.tail())
+	case <-time.After(startTimeout):
+		t.Fatalf("%s %v did not listen within %v\n%s", p.name, args, startTimeout, p.tail())
+	}
+	return p
+}
+
+func (p *process) read(stderr io.Reader, listening chan<- map[string]string) {
+	scanner := bufio.NewScanner(stderr)
+	scanner.Buffer(nil, 1<<20)
+	found := false
+	for scanner.Scan() {
+		line := scanner.Text()
+		p.mu.Lock()
+		p.log = append(p.log, line)
+		p.mu.Unlock()
+		if found {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal([]byte(line), &fields) == nil && fields["msg"] == "listening" {
+			found = true
+			addrs := map[string]string{}
+			for k, v := range fields {
+				if s, ok := v.(string); ok {
+					addrs[k] = s
+				}
+			}
+			listening <- addrs
+		}
+	}
+	p.err = p.cmd.Wait()
+	close(p.done)
+}
+
+func (p *process) cleanup() {
+	if p.ended() {
+		return
+	}
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.done
+	if p.t.Failed() {
+		p.t.Logf("log of %s %v:\n%s", p.name, p.cmd.Args[1:], p.tail())
+	}
+}
+
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// addr returns the address that the process logged under name.
+func (p *process) addr(name string) string {
+	p.t.Helper()
+	a, ok := p.addrs[name]
+	if !ok {
+		p.t.Fatalf("%s logged no address %q: %v", p.name, name, p.addrs)
+	}
+	return a
+}
+
+// url returns the root URL of the address that the process logged under name.
+func (p *process) url(name string) string {
+	p.t.Helper()
+	return "http://" + p.addr(name)
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once, as the loss of its VM would.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// pause stops the process from running until resume.
+func (p *process) pause() { p.signal(syscall.SIGSTOP) }
+
+func (p *process) resume() { p.signal(syscall.SIGCONT) }
+
+// stop asks for a graceful shutdown and fails the test unless the process exits with 0.
+func (p *process) stop() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		if p.err != nil {
+			p.t.Errorf("%s: graceful shutdown: got %v, want exit status 0\n%s", p.name, p.err, p.tail())
+		}
+	case <-time.After(stopTimeout):
+		p.t.Errorf("%s did not stop within %v\n%s", p.name, stopTimeout, p.tail())
+	}
+}
+
+// lines returns the log lines so far that contain text.
+func (p *process) lines(text string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, line := range p.log {
+		if strings.Contains(line, text) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+func (p *process) tail() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.log[max(0, len(p.log)-logTail):], "\n")
+}
+
+// ready waits until GET /ready at the address that the process logged under name answers 200.
+func (p *process) ready(name string) *process {
+	p.t.Helper()
+	eventually(p.t, startTimeout, p.name+" is ready", func() bool {
+		resp, err := http.Get(p.url(name) + "/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return p
+}
+
+// eventually polls until ok holds and fails the test when it does not within the limit.
+func eventually(t *testing.T, limit time.Duration, what string, ok func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("not within %v: %s", limit, what)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// post sends a JSON body and returns the status and body of the answer.
+func post(t *testing.T, url string, body any) (int, []byte) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		t.Fatalf("POST %s: %v", url, err)
+	}
+	defer resp.Body.Close()
+	out, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("POST %s: %v", url, err)
+	}
+	return resp.StatusCode, out
+}
