Prove P3, P4, P6 and P7 with separate processes under faults

Cause: the invariants of the request path were tested inside one process only.

Change: proof/ runs two entries and two agents with a minion each under load and kills, pauses and cuts them, singly and in pairs. The callers check each body against its request; executions are read from the log of a minion that the test binary runs, since stand minion loses its counts when it is killed.

The entry used the link to the ended process, whose end was still on its way, although the new process had announced itself.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -48,13 +48,17 @@
 // run sends the attempt and returns its end, at the deadline of ctx at the latest.
 func (t *trial) run(ctx context.Context) ending {
 	w, err := t.pool.Get(ctx, t.record.Address)
+	if err == nil && w.Peer().Incarnation < t.record.Incarnation {
+		// The link is to a process that has ended; its end has not arrived yet.
+		w, err = t.pool.Fresh(ctx, t.record.Address, w)
+	}
 	if err != nil {
 		return ending{end: tries.NotRun, reason: "agent cannot be reached: " + err.Error(), failed: true}
 	}
 	if w.Peer().Node != t.record.ID {
 		return ending{end: tries.NotRun, reason: "address belongs to another agent", failed: true}
 	}
-	// The record may be of an earlier process; the attempt belongs to the one that is linked.
+	// The record may still be of an earlier process; the attempt belongs to the one that is linked.
 	t.begin.Incarnation = w.Peer().Incarnation
 	t.hold(w)
 	defer t.drop()
--- a/io/front/attempt_test.go
+++ b/io/front/attempt_test.go
@@ -218,6 +218,24 @@
 	}
 }
 
+// A new process has announced itself while the link to its predecessor looks alive: a
+// request sent over that link would be lost, and its outcome unknown.
+func TestRestartedAgentGetsFreshLink(t *testing.T) {
+	s := &script{
+		incarnation: func(n int) model.Incarnation { return model.Incarnation(n + 1) },
+		handle: func(n int, l *link.Link, f link.Frame) {
+			if b, ok := f.(link.Begin); ok && n == 1 {
+				_ = l.Send(answerTo(b.Attempt, []byte("new process")))
+			}
+		},
+	}
+	rec := s.run(t, "a")
+	rec.Incarnation = 2
+	if got, _ := call(t, false, 2*time.Second, rec); got.Outcome != tries.OutcomeAnswered {
+		t.Errorf("outcome: got %s (%s), want %s", got.Outcome, got.Reason, tries.OutcomeAnswered)
+	}
+}
+
 // An address can pass to another agent, which may provide another service.
 func TestAddressOfAnotherAgent(t *testing.T) {
 	s := &script{handle: func(_ int, l *link.Link, f link.Frame) {
--- /dev/null
+++ b/proof/load_test.go
@@ -0,0 +1,198 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wagtailhoist/stand/echo"
+)
+
+// request is what a caller sends.
+type request struct {
+	id, method string
+	body, size int
+	service    time.Duration
+	timeout    time.Duration
+}
+
+// result is what a caller got.
+type result struct {
+	request
+	status  int
+	outcome string
+	reason  string
+	// wrong says how the answer is neither the request's own and whole nor an explicit outcome.
+	wrong string
+	// err is a broken connection.
+	err   error
+	sent  time.Time
+	ended time.Time
+}
+
+// callers is shared by all callers of the tests; it replays nothing, since bodies cannot be rewound.
+var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// callerSlack is how much longer than its deadline a caller waits.
+const callerSlack = 2 * time.Second
+
+// send makes one request and judges its answer.
+func send(target string, q request) (r result) {
+	r = result{request: q, sent: time.Now()}
+	defer func() { r.ended = time.Now() }()
+	ctx, cancel := context.WithTimeout(context.Background(), q.timeout+callerSlack)
+	defer cancel()
+	want := echo.Request{Method: q.method, Path: "/echo/" + q.id, ID: q.id, Body: bytes.Repeat([]byte(q.id+" "), q.body/(len(q.id)+1))}
+	req, err := http.NewRequestWithContext(ctx, q.method, target+want.Path, struct{ io.Reader }{bytes.NewReader(want.Body)})
+	if err != nil {
+		r.err = err
+		return r
+	}
+	req.ContentLength = int64(len(want.Body))
+	req.Header.Set(echo.ID, q.id)
+	req.Header.Set(echo.Size, strconv.Itoa(q.size))
+	if q.service > 0 {
+		req.Header.Set(echo.Time, q.service.String())
+	}
+	req.Header.Set("Wagtailhoist-Timeout", strconv.FormatInt(q.timeout.Milliseconds(), 10))
+	resp, err := callers.Do(req)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	r.status, r.outcome = resp.StatusCode, resp.Header.Get("Wagtailhoist-Outcome")
+	r.judge(got, echo.Answer(want, q.size), resp.Header)
+	return r
+}
+
+// judge compares an answer with the one that belongs to the request.
+func (r *result) judge(got, want []byte, header http.Header) {
+	if sum := strconv.FormatUint(xxhash.Sum64(got), 16); header.Get("Wagtailhoist-Sum") != sum {
+		r.wrong = fmt.Sprintf("sum %s of %d bytes, header says %s", sum, len(got), header.Get("Wagtailhoist-Sum"))
+		return
+	}
+	status := map[string]int{"answered": 200, "not-run": 503, "unknown": 504}[r.outcome]
+	if status != r.status {
+		r.wrong = fmt.Sprintf("outcome %q with status %d", r.outcome, r.status)
+		return
+	}
+	if r.outcome == "answered" {
+		if !bytes.Equal(got, want) {
+			r.wrong = fmt.Sprintf("%d bytes beginning %.60q, want %d beginning %.60q", len(got), got, len(want), want)
+		}
+		return
+	}
+	var o struct{ Outcome, Reason string }
+	if err := json.Unmarshal(got, &o); err != nil || o.Outcome != r.outcome || o.Reason == "" {
+		r.wrong = fmt.Sprintf("outcome body %.100q: %v", got, err)
+	}
+	r.reason = o.Reason
+}
+
+// load is a number of callers that send one request after the other.
+type load struct {
+	stop    atomic.Bool
+	wait    sync.WaitGroup
+	mu      sync.Mutex
+	results []result
+}
+
+// startLoad runs callers against the entries in turn until finish. Methods and sizes vary;
+// identifiers begin with prefix.
+func startLoad(prefix string, workers int, timeout time.Duration, entries ...*process) *load {
+	l := &load{}
+	for w := range workers {
+		l.wait.Go(func() {
+			for n := 0; !l.stop.Load(); n++ {
+				q := request{id: fmt.Sprintf("%s%d-%d", prefix, w, n), method: []string{"POST", "GET", "PUT"}[n%3], body: 64, timeout: timeout}
+				if n%7 == 0 && q.method != "GET" {
+					q.body = 150_000
+				}
+				if n%5 == 0 {
+					q.size = 200_000
+				}
+				target := entries[(w+n)%len(entries)]
+				for i := 0; target.ended() && i < len(entries); i++ {
+					target = entries[(w+n+i)%len(entries)]
+				}
+				r := send(target.url("listen"), q)
+				l.mu.Lock()
+				l.results = append(l.results, r)
+				l.mu.Unlock()
+				if r.outcome != "answered" {
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		})
+	}
+	return l
+}
+
+// finish stops the callers and returns all results.
+func (l *load) finish() []result {
+	l.stop.Store(true)
+	l.wait.Wait()
+	return l.results
+}
+
+// count sums up results by outcome; broken connections count as broken.
+func count(results []result) map[string]int {
+	out := map[string]int{}
+	for _, r := range results {
+		switch {
+		case r.err != nil:
+			out["broken"]++
+		default:
+			out[r.outcome]++
+		}
+	}
+	return out
+}
+
+// checkWhole fails the test for each answer that is not the request's own and whole, or an
+// explicit outcome (P3). Connections may break only where an entry was lost.
+func checkWhole(t *testing.T, results []result, mayBreak bool) {
+	t.Helper()
+	for _, r := range results {
+		if r.wrong != "" {
+			t.Errorf("%s %s: %s", r.method, r.id, r.wrong)
+		}
+		if r.err != nil && !mayBreak {
+			t.Errorf("%s %s: %v after %v", r.method, r.id, r.err, r.ended.Sub(r.sent))
+		}
+	}
+}
+
+// checkRuns fails the test for each request that ran although its outcome is not-run (P4),
+// and for each POST that ran twice.
+func checkRuns(t *testing.T, results []result, ran map[string]int) {
+	t.Helper()
+	for _, r := range results {
+		n := ran[r.id]
+		if r.outcome == "not-run" && n > 0 {
+			t.Errorf("%s %s ran %d times, outcome not-run (%s)", r.method, r.id, n, r.reason)
+		}
+		if r.method == "POST" && n > 1 {
+			t.Errorf("POST %s ran %d times, outcome %s", r.id, n, r.outcome)
+		}
+		if r.outcome == "answered" && n == 0 {
+			t.Errorf("%s %s was answered without a run", r.method, r.id)
+		}
+	}
+}
--- /dev/null
+++ b/proof/p4_test.go
@@ -0,0 +1,96 @@
+package proof
+
+import (
+	"syscall"
+	"testing"
+	"time"
+)
+
+// refusalCases make the only agent of a fleet refuse or lose requests under load.
+var refusalCases = []struct {
+	name string
+	run  func(f *fleet)
+}{
+	{"more requests than slots", func(*fleet) { time.Sleep(2 * time.Second) }},
+	{"minion killed", func(f *fleet) {
+		f.minions[0].kill()
+		time.Sleep(time.Second)
+		f.restartMinion(0)
+	}},
+	{"minion killed twice", func(f *fleet) {
+		for range 2 {
+			f.minions[0].kill()
+			time.Sleep(300 * time.Millisecond)
+			f.restartMinion(0)
+			time.Sleep(300 * time.Millisecond)
+		}
+	}},
+	{"agent killed", func(f *fleet) {
+		f.agents[0].kill()
+		time.Sleep(time.Second)
+		f.restartAgent(0)
+	}},
+	{"agent paused past the deadline of requests", func(f *fleet) {
+		f.agents[0].pause()
+		time.Sleep(pauseTime)
+		f.agents[0].resume()
+		time.Sleep(time.Second)
+	}},
+	{"agent drains", func(f *fleet) {
+		f.agents[0].signal(syscall.SIGTERM)
+		time.Sleep(2 * time.Second)
+		<-f.agents[0].done
+		f.restartAgent(0)
+	}},
+	{"all links held", func(f *fleet) {
+		f.fault(0, map[string]any{"mode": "hold"})
+		time.Sleep(2500 * time.Millisecond)
+		f.fault(0, map[string]any{"mode": "clear"})
+		time.Sleep(time.Second)
+	}},
+}
+
+// A caller that is told not-run sends its request elsewhere; if it ran, or runs later, the
+// kitchen gets its kindling twice.
+func TestNotRunDidNotRun(t *testing.T) {
+	for _, tc := range refusalCases {
+		t.Run(tc.name, func(t *testing.T) {
+			inLane(t)
+			f := newFleet(t, 1, 1)
+			f.relay(0)
+			l := startLoad("load", 24, 3*time.Second, f.entries...)
+			time.Sleep(300 * time.Millisecond)
+			tc.run(f)
+			time.Sleep(300 * time.Millisecond)
+			results := l.finish()
+			// A request that was reported too early would run within its deadline.
+			time.Sleep(3 * time.Second)
+			f.settle()
+			got := count(results)
+			t.Logf("%d requests: %v", len(results), got)
+			checkWhole(t, results, false)
+			checkRuns(t, results, f.ran())
+			if got["not-run"] == 0 {
+				t.Error("no request was refused, so the case shows nothing")
+			}
+		})
+	}
+}
+
+// A Begin that is slow on its way must not run after a fence has overtaken it: the entry
+// has told the caller, or has sent the request again.
+func TestOvertakenBeginDoesNotRun(t *testing.T) {
+	inLane(t)
+	f := newFleet(t, 1, 1)
+	f.relay(0)
+	f.fault(0, map[string]any{"mode": "slow", "delay": 2500})
+	time.AfterFunc(300*time.Millisecond, func() { f.fault(0, map[string]any{"mode": "clear"}) })
+	r := send(f.entries[0].url("listen"), request{id: "late", method: "POST", body: 64, timeout: 6 * time.Second})
+	checkWhole(t, []result{r}, false)
+	time.Sleep(2 * time.Second) // the delayed Begin has arrived
+	t.Logf("outcome %s after %v, runs %d", r.outcome, r.ended.Sub(r.sent), f.ran()["late"])
+	checkRuns(t, []result{r}, f.ran())
+	if took := r.ended.Sub(r.sent); took < time.Second || took > 2400*time.Millisecond {
+		t.Errorf("request took %v, want the time of a fence that overtakes its Begin (1 s to 2.4 s)", took)
+	}
+}
