--- a/core/claim/log.go
+++ b/core/claim/log.go
@@ -50,6 +50,9 @@
 	contended bool
 	// current says that the end of the log was read since the last write.
 	current bool
+	// sweep asks for a look at the oldest segment after a write, so that a shard that is never
+	// idle is cleared too.
+	sweep bool
 	// previous is the version of the segment before the head, to be verified; 0 when it was.
 	previous uint64
 	// absent says that the segment after the sealed head did not exist when it was read.
@@ -91,6 +94,12 @@
 	if !l.Busy() {
 		return l.pruning(now)
 	}
+	if l.sweep {
+		l.sweep = false
+		if step, ok := l.pruning(now); ok {
+			return step, true
+		}
+	}
 	switch {
 	case !l.loaded:
 		return Step{Call: List}, true
@@ -135,33 +144,44 @@
 			entries = append(entries, line(now, o.hash, o.attempt, true))
 		}
 	}
-	rest := l.open[:0]
+	write := func(op *Op) {
+		planned[op.Hash] = true
+		entries = append(entries, line(now, op.Hash, op.Attempt, op.Release))
+		ops = append(ops, op)
+	}
+	// Releases go first: a claim that waits for one of them must not be told of a duplicate.
+	for _, op := range l.open {
+		switch held, ok := l.holder(now, op.Hash); {
+		case !op.Release || planned[op.Hash]:
+		case ok && held.Attempt() == op.Attempt:
+			write(op)
+		default:
+			op.Verdict = Released
+		}
+	}
 	for _, op := range l.open {
 		held, ok := l.holder(now, op.Hash)
-		own := ok && held.Attempt() == op.Attempt
 		switch {
-		case planned[op.Hash]: // waits for the write of the earlier operation
-		case op.Release && !own:
-			op.Verdict = Released
-		case !op.Release && own:
+		case op.Release || planned[op.Hash]: // the latter waits for the write of the earlier operation
+		case ok && held.Attempt() == op.Attempt:
 			op.Verdict = Granted
-		case !op.Release && ok && op.seen:
+		case ok && op.seen:
 			op.Verdict, op.Holder = Duplicate, held
-		case !op.Release && ok:
+		case ok:
 			stale = true
 		default:
-			planned[op.Hash] = true
-			entries = append(entries, line(now, op.Hash, op.Attempt, op.Release))
-			ops = append(ops, op)
-		}
-		if op.Verdict == Open {
-			rest = append(rest, op)
+			write(op)
 		}
 	}
-	l.open = rest
+	l.drop()
 	return entries, ops, stale
 }
 
+// drop removes decided operations from the open ones.
+func (l *Log) drop() {
+	l.open = slices.DeleteFunc(l.open, func(op *Op) bool { return op.Verdict != Open })
+}
+
 // settle drops the orphans that neither hold their key nor can come to hold it, and reports
 // whether one of the others needs a write that changes the version of the head.
 func (l *Log) settle() (force bool) {
--- a/core/claim/reply.go
+++ b/core/claim/reply.go
@@ -202,7 +202,7 @@
 		l.head.entries = append(l.head.entries, step.entries...)
 		l.head.version, l.head.sealed = reply.Version, step.sealed
 		l.replay(step.entries)
-		l.inDoubt = nil
+		l.inDoubt, l.sweep = nil, true
 		l.fresh()
 		for _, op := range step.ops {
 			op.Verdict = Granted
@@ -210,7 +210,7 @@
 				op.Verdict = Released
 			}
 		}
-		l.open = slices.DeleteFunc(l.open, func(op *Op) bool { return op.Verdict != Open })
+		l.drop()
 	case Conflict, Missing:
 		l.doubt, l.contended = true, true
 	case Unknown:
