--- a/cmds/main.go
+++ b/cmds/main.go
@@ -15,6 +15,8 @@
 )
 
 type commands struct {
+	Entry   entryCmd   `cmd:"" help:"Run an entry."`
+	Agent   agentCmd   `cmd:"" help:"Run an agent."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -32,13 +34,14 @@
 		kong.Name("wagtailhoist"),
 		kong.Description("Schedules multi-accelerator jobs under team guarantees and routes requests to minions."),
 		kong.Writers(stdout, stderr),
+		kong.DefaultEnvars(envPrefix),
 		kong.Exit(func(c int) { code = c }),
 	)
 	if err != nil {
 		fmt.Fprintln(stderr, "wagtailhoist:", err)
 		return exitFail
 	}
-	ctx, err := parser.Parse(args)
+	ctx, err := parse(parser, args, environ())
 	if code >= 0 {
 		return code
 	}
--- /dev/null
+++ b/io/agent/join.go
@@ -0,0 +1,173 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/link"
+)
+
+const (
+	// announceEvery is the interval between announcements.
+	announceEvery = time.Second
+	// joinEvery is the interval at which the choice of entries is looked at.
+	joinEvery = 200 * time.Millisecond
+	// avoid is how long an entry that failed is left out of the choice.
+	avoid = 2 * time.Second
+	// homes is the number of entries that an agent announces itself to.
+	homes = 3
+)
+
+// homing keeps links to the entries of an agent's choice.
+type homing struct {
+	agent    *Agent
+	seeds    []string
+	settings link.Settings
+
+	mu     sync.Mutex
+	known  []link.Entry
+	open   map[string]context.CancelFunc
+	failed map[string]time.Time
+}
+
+// Join announces the agent at three entries until ctx ends. The seeds are addresses of
+// entries, or of a balancer before them; entries tell the agent which others exist.
+func (a *Agent) Join(ctx context.Context, seeds []string, s link.Settings) {
+	h := &homing{
+		agent: a, seeds: seeds, settings: s,
+		open: map[string]context.CancelFunc{}, failed: map[string]time.Time{},
+	}
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	tick := time.NewTicker(joinEvery)
+	defer tick.Stop()
+	for {
+		h.adjust(ctx, &wait)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// adjust opens and closes links so that they match the choice.
+func (h *homing) adjust(ctx context.Context, wait *sync.WaitGroup) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for address, at := range h.failed {
+		if time.Since(at) > avoid {
+			delete(h.failed, address)
+		}
+	}
+	want := choose(h.agent.record.ID, h.agent.record.Region, h.known, h.seeds, func(address string) bool {
+		_, failed := h.failed[address]
+		return !failed
+	})
+	for address, cancel := range h.open {
+		if !slices.Contains(want, address) {
+			cancel()
+		}
+	}
+	for _, address := range want {
+		if _, ok := h.open[address]; ok {
+			continue
+		}
+		one, cancel := context.WithCancel(ctx)
+		h.open[address] = cancel
+		wait.Go(func() {
+			defer cancel()
+			h.announce(one, address)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			delete(h.open, address)
+			h.failed[address] = time.Now()
+		})
+	}
+}
+
+// choose returns the entries to announce to: the first three of the known ones of the
+// region by rendezvous hashing, or the seeds as long as fewer are known and usable.
+func choose(id model.NodeID, region model.Region, known []link.Entry, seeds []string, usable func(string) bool) []string {
+	var out []string
+	for _, e := range known {
+		if e.Region == region && usable(e.Address) {
+			out = append(out, e.Address)
+		}
+	}
+	rank := func(address string) uint64 { return xxhash.Sum64String(string(id) + "\x00" + address) }
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
+	out = out[:min(homes, len(out))]
+	for _, s := range seeds {
+		if len(out) < homes && usable(s) && !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// announce sends the record over one link until the link breaks or ctx ends.
+func (h *homing) announce(ctx context.Context, address string) {
+	l, err := link.Dial(ctx, address, h.settings)
+	if err != nil {
+		h.agent.log.Debug("entry cannot be linked", "entry", address, "error", err)
+		return
+	}
+	defer l.Close()
+	go h.listen(l)
+	tick := time.NewTicker(announceEvery)
+	defer tick.Stop()
+	for {
+		rec, changed := h.agent.next()
+		if l.Send(link.Announce{Records: []model.Record{rec}}) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.Done():
+			return
+		case <-tick.C:
+		case <-changed:
+		}
+	}
+}
+
+// listen takes the list of entries from an entry.
+func (h *homing) listen(l *link.Link) {
+	for {
+		f, err := l.Receive()
+		if err != nil {
+			return
+		}
+		if k, ok := f.(link.Known); ok && len(k.Entries) > 0 {
+			h.mu.Lock()
+			h.known = k.Entries
+			h.mu.Unlock()
+		}
+	}
+}
+
+// next returns the record with a sequence of its own, and a channel that is closed when its state changes.
+func (a *Agent) next() (model.Record, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.record.Sequence++
+	a.record.Load = a.book.Load()
+	return a.record, a.changed
+}
+
+// publish changes the announced state at once.
+func (a *Agent) publish(s model.State) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.record.State = s
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
