Test the choice of agents, budgets and ejection

Each test names the failure it guards against; the property of few candidates among many draining agents covers the search after the random draws.

Conclusion: go test -race ./core/route passes.

--- /dev/null
+++ b/core/route/router_test.go
@@ -0,0 +1,232 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/member"
+	"wagtailhoist/core/model"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func rec(id, region, centre string, running int) model.Record {
+	return model.Record{
+		ID: model.NodeID(id), Incarnation: 1, Sequence: 1, Region: model.Region(region), Centre: model.Centre(centre),
+		Service: "plan", Load: model.Load{Running: running, Slots: 8},
+	}
+}
+
+// newRouter returns the router of an entry in region w, centre a.
+func newRouter(records ...model.Record) *Router {
+	r := &Router{Table: &member.Table{Region: "w", Centre: "a"}, Random: rand.New(rand.NewPCG(1, 2))}
+	for _, rec := range records {
+		r.Table.Merge(start, rec)
+	}
+	r.Table.Heard(start, "e")
+	return r
+}
+
+func pick(t *testing.T, r *Router, now time.Time, req Request) model.NodeID {
+	t.Helper()
+	req.Service = "plan"
+	rec, err := r.Pick(now, req)
+	if err != nil {
+		t.Fatalf("pick: %v", err)
+	}
+	return rec.ID
+}
+
+// The way between regions is narrow and billed, so near agents come first, and the far ones
+// only within the byte budget.
+func TestNearFirst(t *testing.T) {
+	r := newRouter(rec("far", "e", "z", 0), rec("region", "w", "b", 7), rec("near", "w", "a", 7))
+	for i, want := range []model.NodeID{"near", "region", "far"} {
+		tried := []model.NodeID{"near", "region", "far"}[:i]
+		if got := pick(t, r, start, Request{Tried: tried}); got != want {
+			t.Errorf("after %v: got %s, want %s", tried, got, want)
+		}
+	}
+	r = newRouter(rec("far", "e", "z", 0))
+	r.Bytes, r.Entries = 2000, 2
+	pick(t, r, start, Request{Bytes: 1500})
+	var spent *BytesError
+	if _, err := r.Pick(start, Request{Service: "plan", Bytes: 1500}); !errors.As(err, &spent) {
+		t.Fatalf("second request: got %v, want BytesError", err)
+	}
+	if spent.Wait != time.Second {
+		t.Errorf("wait: got %v, want 1s", spent.Wait)
+	}
+	pick(t, r, start.Add(time.Second), Request{Bytes: 1500})
+	// The answer's size is known only afterwards; it has to count as well.
+	r.Report(start.Add(time.Second), "far", Result{Bytes: 10_000})
+	if _, err := r.Pick(start.Add(2*time.Second), Request{Service: "plan", Bytes: 1}); !errors.As(err, &spent) {
+		t.Errorf("after a large answer: got %v, want BytesError", err)
+	}
+}
+
+// A burst that arrives between two announcements must not fill the agent that was idle before.
+func TestBurstSpreads(t *testing.T) {
+	var records []model.Record
+	for i := range 10 {
+		records = append(records, rec(fmt.Sprint(i), "w", "a", 0))
+	}
+	r := newRouter(records...)
+	got := map[model.NodeID]int{}
+	for range 80 {
+		got[pick(t, r, start, Request{})]++
+	}
+	for id, n := range got {
+		if n > 12 {
+			t.Errorf("agent %s got %d of 80 requests, want at most 12", id, n)
+		}
+	}
+	if len(got) != 10 {
+		t.Errorf("agents used: got %d, want 10", len(got))
+	}
+}
+
+// Load that came with an answer is newer than the announced one.
+func TestLoadOfAnswerCounts(t *testing.T) {
+	r := newRouter(rec("one", "w", "a", 2), rec("two", "w", "a", 4))
+	r.Table.Row("two").Heard = start.Add(-time.Second)
+	first := pick(t, r, start, Request{})
+	if first != "one" {
+		t.Fatalf("first: got %s, want the less loaded", first)
+	}
+	r.Report(start.Add(time.Millisecond), "one", Result{Load: model.Load{Running: 8, Slots: 8}})
+	if got := pick(t, r, start.Add(time.Millisecond), Request{}); got != "two" {
+		t.Errorf("after a full load was reported: got %s, want two", got)
+	}
+}
+
+// Retries multiply the load of an outage; they stay within a tenth of the requests.
+func TestRetryBudget(t *testing.T) {
+	r := newRouter(rec("one", "w", "a", 0), rec("two", "w", "a", 0))
+	retries := 0
+	for range 1000 {
+		id := pick(t, r, start, Request{})
+		r.Report(start, id, Result{Outcome: Refused})
+		again, err := r.Pick(start, Request{Service: "plan", Tried: []model.NodeID{id}})
+		var spent *RetryError
+		switch {
+		case err == nil:
+			retries++
+			r.Report(start, again.ID, Result{Outcome: Refused})
+		case !errors.As(err, &spent):
+			t.Fatalf("retry: got %v, want RetryError", err)
+		}
+	}
+	if retries > 110 || retries < 100 {
+		t.Errorf("retries of 1000 requests: got %d, want 100 to 110", retries)
+	}
+}
+
+// Retries at one moment would meet again; the delay grows, is spread and stays bounded.
+func TestDelay(t *testing.T) {
+	for retry := range 40 {
+		low, high := Delay(retry, 0), Delay(retry, 0.999)
+		if low < firstDelay/2 || high > lastDelay || high <= low {
+			t.Errorf("retry %d: got %v to %v", retry, low, high)
+		}
+	}
+	if Delay(3, 0) <= Delay(1, 0) {
+		t.Error("delay does not grow")
+	}
+}
+
+// A worker that fails everything it starts must stop getting work, and come back by one probe
+// at a time at growing intervals, not by a flood.
+func TestEjectionAndProbing(t *testing.T) {
+	r := newRouter(rec("bad", "w", "a", 0))
+	now := start
+	try := func(o Outcome) bool {
+		r.Table.Row("bad").Heard = now
+		rec, err := r.Pick(now, Request{Service: "plan"})
+		if err != nil {
+			return false
+		}
+		r.Report(now, rec.ID, Result{Outcome: o})
+		return true
+	}
+	for i := range ejectAfter {
+		if !try(Failed) {
+			t.Fatalf("ejected after %d failures", i)
+		}
+	}
+	for _, backoff := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		if try(Failed) {
+			t.Fatal("picked while ejected")
+		}
+		now = now.Add(backoff - 1)
+		if try(Failed) {
+			t.Fatalf("probed before %v", backoff)
+		}
+		now = now.Add(1)
+		if !try(Failed) {
+			t.Fatalf("not probed after %v", backoff)
+		}
+	}
+	now = now.Add(8 * time.Second)
+	r.Table.Row("bad").Heard = now
+	if got := pick(t, r, now, Request{}); got != "bad" {
+		t.Fatalf("probe: got %s", got)
+	}
+	if try(Answered) {
+		t.Fatal("second probe while the first one flies")
+	}
+	r.Report(now, "bad", Result{Outcome: Answered})
+	for range ejectAfter - 1 {
+		if !try(Failed) {
+			t.Fatal("not restored by the probe")
+		}
+	}
+	if !try(Stalled) || try(Answered) {
+		t.Error("a stall did not eject at once")
+	}
+	again := rec("bad", "w", "a", 0)
+	again.Incarnation = 2
+	r.Table.Merge(now, again)
+	if !try(Answered) {
+		t.Error("a new incarnation inherits the ejection of the old one")
+	}
+}
+
+// A probe whose caller never reports must not keep the agent out for ever.
+func TestUnreportedProbeEnds(t *testing.T) {
+	r := newRouter(rec("a", "w", "a", 0))
+	pick(t, r, start, Request{})
+	r.Report(start, "a", Result{Outcome: Stalled})
+	now := start.Add(firstBackoff)
+	pick(t, r, now, Request{})
+	now = now.Add(probeLimit + 1)
+	r.Table.Row("a").Heard = now
+	pick(t, r, now, Request{})
+}
+
+// Only live, untried agents of the service may be picked, also when they are few among many.
+func TestPicksOnlyCandidates(t *testing.T) {
+	var records []model.Record
+	for i := range 300 {
+		r := rec(fmt.Sprint(i), "w", "a", 0)
+		r.State = model.Draining
+		records = append(records, r)
+	}
+	records = append(records, rec("good", "w", "a", 0))
+	r := newRouter(records...)
+	for range 50 {
+		if got := pick(t, r, start, Request{}); got != "good" {
+			t.Fatalf("got %s, want the only ready agent", got)
+		}
+	}
+	var none *NoCandidateError
+	if _, err := r.Pick(start, Request{Service: "plan", Tried: []model.NodeID{"good"}}); !errors.As(err, &none) || none.Known != 301 {
+		t.Errorf("all tried: got %v, want NoCandidateError", err)
+	}
+	if _, err := r.Pick(start, Request{Service: "stock"}); !errors.As(err, &none) || none.Known != 0 {
+		t.Errorf("other service: got %v, want NoCandidateError", err)
+	}
+}
