Link entries and forward records between them

Records go once a second to the region and on material change to others; losses go to other regions in a new field of Announce.

An entry that reported a loss tells the return itself, because nothing material changed (TestReturnIsToldAgain).

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -182,15 +182,17 @@
 // Row returns the row of a node, or nil.
 func (t *Table) Row(id model.NodeID) *Row { return t.rows[id] }
 
-// Records returns all known records of the own region that are not lost, for a peer that has just linked.
-func (t *Table) Records() []model.Record {
-	var out []model.Record
-	for _, row := range t.rows {
-		if row.Record.Region == t.Region && !row.Lost {
-			out = append(out, row.Record)
+// Slots returns the number of slots of the live agents of the own region.
+func (t *Table) Slots(now time.Time) int {
+	n := 0
+	for key, pool := range t.pools {
+		for _, row := range pool {
+			if key.near != OtherRegion && t.Live(now, row) {
+				n += row.Record.Load.Slots
+			}
 		}
 	}
-	return out
+	return n
 }
 
 // Losses returns the losses of the own region that are still known, for a peer that has just linked.
--- a/io/link/frames.go
+++ b/io/link/frames.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wagtailhoist/core/member"
 	"wagtailhoist/core/model"
 )
 
@@ -76,7 +77,9 @@
 
 // Announce carries records of agents.
 type Announce struct {
-	Records []model.Record `cbor:"1,keyasint"`
+	Records []model.Record `cbor:"1,keyasint,omitempty"`
+	// Lost reports records of the sender's region that it hears no longer; entries send it to other regions.
+	Lost []member.Loss `cbor:"2,keyasint,omitempty"`
 }
 
 // Entry is the address of an entry's link listener.
--- a/io/peers/members.go
+++ b/io/peers/members.go
@@ -9,11 +9,12 @@
 	"wagtailhoist/core/route"
 )
 
-// Members joins the membership table and the router of an entry under one lock; it is safe
-// for concurrent use. The fields are set before the first call.
+// Members joins the membership table, the router and the forwarding of records of an entry
+// under one lock; it is safe for concurrent use. The fields are set before the first call.
 type Members struct {
 	Table  member.Table
 	Router route.Router
+	Relay  member.Relay
 
 	mu sync.Mutex
 }
@@ -34,9 +35,65 @@
 	m.Router.Report(now, id, result)
 }
 
-// Merge takes a record as member.Table.Merge does.
-func (m *Members) Merge(now time.Time, rec model.Record) member.Change {
+// Candidates returns the records of a service that may get new work.
+func (m *Members) Candidates(now time.Time, service string) []model.Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.Table.Merge(now, rec)
+	return m.Table.Candidates(now, service)
+}
+
+// Slots returns the number of slots of the live agents of the own region.
+func (m *Members) Slots(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Table.Slots(now)
+}
+
+// fromAgent takes records that an agent sent.
+func (m *Members) fromAgent(now time.Time, records []model.Record) (material bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, rec := range records {
+		material = m.Table.Merge(now, rec) == member.Material || material
+		m.Relay.Direct(now, rec.ID)
+	}
+	return material
+}
+
+// fromEntry takes records and losses that an entry of the region sent.
+func (m *Members) fromEntry(now time.Time, region model.Region, records []model.Record, lost []member.Loss) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Table.Heard(now, region)
+	for _, rec := range records {
+		if rec.Region != region {
+			continue // entries vouch for the records of their own region only
+		}
+		m.Table.Merge(now, rec)
+		if region == m.Table.Region {
+			m.Relay.Relayed(now, rec.ID)
+		}
+	}
+	for _, loss := range lost {
+		m.Table.Report(region, loss)
+	}
+}
+
+// tick expires records and returns what to send. others holds the addresses of the linked entries of the region.
+func (m *Members) tick(now time.Time, others []string) (near, far []model.Record, lost []member.Loss) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lost = m.Table.Expire(now)
+	m.Relay.Lost(lost)
+	m.Router.Table, m.Router.Entries = &m.Table, len(others)+1
+	m.Router.Forget()
+	near, far = m.Relay.Forward(now, &m.Table, others)
+	return near, far, lost
+}
+
+// told returns what an entry of another region has to be told when its link is opened.
+func (m *Members) told() ([]model.Record, []member.Loss) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Relay.Told(&m.Table), m.Table.Losses()
 }
