Run membership, claims and admission in the entry process

The entry took agents in turn and refused all keys. It now routes by core/route over the merged table, claims keys in the store, queues by team and links to other entries.

front.Request and front.Result are replaced by those of core/route, and its DuplicateError by that of core/claim: two sets of types needed an adapter without any use.

Conclusion: go test -race ./cmds ./io/front ./proof passes.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -11,8 +11,11 @@
 	"go.uber.org/fx"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/io/claims"
 	"wagtailhoist/io/front"
 	"wagtailhoist/io/link"
+	"wagtailhoist/io/peers"
+	"wagtailhoist/io/queue"
 )
 
 type entryCmd struct {
@@ -22,6 +25,8 @@
 	Listen string        `default:"127.0.0.1:0" help:"Address of the callers' listener."`
 	Link   string        `default:"127.0.0.1:0" help:"Address of the link listener."`
 	Token  string        `help:"Link token."`
+	Store  string        `help:"URL of the platform's store. Without it, requests with a key are refused."`
+	Join   []string      `help:"Addresses of links of other entries, for a start while the store is down."`
 	Drain  time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
 }
 
@@ -29,7 +34,7 @@
 func (c *entryCmd) Run(s streams) error {
 	return serve(s,
 		fx.Supply(c),
-		fx.Provide(newEntrySelf, newEntryPool, newEntryDispatcher, func() *front.Roster { return new(front.Roster) }),
+		fx.Provide(newEntrySelf, newEntryPool, newEntryDispatcher, newStore, newMembers, newPeers, newClaims, newGate),
 		fx.Invoke(startEntry),
 	)
 }
@@ -58,28 +63,49 @@
 
 func newEntryPool(self entrySelf) *front.Pool { return &front.Pool{Settings: self.settings} }
 
-func newEntryDispatcher(self entrySelf, r *front.Roster, p *front.Pool) *front.Dispatcher {
-	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: r, Pool: p}
+func newEntryDispatcher(self entrySelf, m *peers.Members, p *front.Pool) *front.Dispatcher {
+	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: m, Pool: p}
 }
 
 // sweepEvery is the interval at which an entry closes unused links.
 const sweepEvery = 10 * time.Second
 
-func startEntry(life fx.Lifecycle, c *entryCmd, self entrySelf, r *front.Roster, d *front.Dispatcher, log *slog.Logger) {
+// entryParts are the parts of an entry that startEntry runs.
+type entryParts struct {
+	fx.In
+
+	Self     entrySelf
+	Dispatch *front.Dispatcher
+	Members  *peers.Members
+	Peers    *peers.Peers
+	Claims   *claims.Writer
+	Gate     *queue.Gate
+}
+
+func startEntry(life fx.Lifecycle, c *entryCmd, e entryParts, log *slog.Logger) {
 	var draining, stopping atomic.Bool
 	ctx, cancel := context.WithCancel(context.Background())
-	handle := front.Chain(front.Claiming(front.NoClaims{}, d.Do, d.Next), front.Stopping(stopping.Load))
+	self, d := e.Self, e.Dispatch
+	handle := front.Chain(
+		front.Claiming(claimer(e.Claims), d.Do, d.Next), front.Stopping(stopping.Load), front.Admitting(e.Gate),
+	)
 	callers := &http.Server{
 		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody, Closing: draining.Load},
 		ReadHeaderTimeout: 5 * time.Second,
 	}
-	links := linkServer(self.settings, func(l *link.Link) { hear(l, r) }, func() bool { return !draining.Load() })
+	links := linkServer(self.settings, e.Peers.Serve, func() bool { return !draining.Load() })
+	linked := make(chan struct{})
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			log.Info("listening", "listen", self.callers.Addr().String(), "link", self.links.Addr().String())
 			go serveHTTP(callers, self.callers, log)
 			go serveHTTP(links, link.Listen(self.links, link.Guests), log)
 			go every(ctx, sweepEvery, d.Pool.Sweep)
+			go every(ctx, resizeEvery, func(now time.Time) { e.Gate.Resize(places(now, e.Members, e.Peers)) })
+			go func() {
+				defer close(linked)
+				e.Peers.Run(ctx)
+			}()
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
@@ -88,7 +114,9 @@
 			time.Sleep(c.Drain)
 			stopping.Store(true)
 			err := callers.Shutdown(stop)
+			closeClaims(stop, e.Claims)
 			cancel()
+			<-linked
 			d.Pool.Close()
 			_ = links.Close()
 			log.Info("stopped")
@@ -96,19 +124,3 @@
 		},
 	})
 }
-
-// hear takes the announcements of an agent until its link is closed.
-func hear(l *link.Link, r *front.Roster) {
-	defer l.Close()
-	for {
-		f, err := l.Receive()
-		if err != nil {
-			return
-		}
-		if a, ok := f.(link.Announce); ok {
-			for _, rec := range a.Records {
-				r.Hear(time.Now(), rec)
-			}
-		}
-	}
-}
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"wagtailhoist/core/ledger"
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/route"
 	"wagtailhoist/core/tries"
 	"wagtailhoist/io/link"
 )
@@ -45,6 +47,21 @@
 	failed bool
 }
 
+// result returns what the ending tells about the agent. A caller that leaves or asks for an
+// answer within less than a link's time to accept tells nothing.
+func (e ending) result(ctx context.Context, took time.Duration) route.Result {
+	r := route.Result{Outcome: route.Refused, Load: e.load}
+	switch {
+	case e.answer != nil:
+		r.Outcome, r.Bytes = route.Answered, len(e.answer.body)
+	case e.failed && ctx.Err() != nil && (errors.Is(ctx.Err(), context.Canceled) || took < acceptLimit):
+		r.Outcome = route.Cancelled
+	case e.failed:
+		r.Outcome = route.Failed
+	}
+	return r
+}
+
 // run sends the attempt and returns its end, at the deadline of ctx at the latest.
 func (t *trial) run(ctx context.Context) ending {
 	w, err := t.pool.Get(ctx, t.record.Address)
--- a/io/front/dispatch.go
+++ b/io/front/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/route"
 	"wagtailhoist/core/tries"
 	"wagtailhoist/io/link"
 )
@@ -61,7 +62,7 @@
 	defer cancel()
 	state := tries.Tries{Idempotent: c.Idempotent, Deadline: c.Deadline}
 	reply := Reply{Reason: "deadline passed before the request was sent", Attempt: first}
-	ask := Request{Service: c.Service, Team: c.Team, Bytes: len(c.Body)}
+	ask := route.Request{Service: c.Service, Team: c.Team, Bytes: len(c.Body)}
 	sum := link.Sum(c.Body)
 	for at := first; state.May(time.Now()); at = d.Next() {
 		if state.Count() > 0 {
@@ -82,7 +83,7 @@
 		start := time.Now()
 		end := t.run(ctx)
 		state.Record(end.end)
-		d.Router.Report(time.Now(), rec.ID, Result{Failed: end.failed, Load: end.load, Took: time.Since(start)})
+		d.Router.Report(time.Now(), rec.ID, end.result(ctx, time.Since(start)))
 		reply.Attempt, reply.Reason = at, end.reason
 		if end.answer != nil {
 			reply.Status, reply.Header, reply.Body = end.answer.frame.Status, end.answer.frame.Header, end.answer.body
--- a/io/front/filter.go
+++ b/io/front/filter.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"wagtailhoist/core/claim"
 	"wagtailhoist/core/model"
 	"wagtailhoist/core/tries"
 )
@@ -57,17 +58,6 @@
 	}
 }
 
-// DuplicateError reports a key that another attempt holds.
-type DuplicateError struct {
-	Key    string
-	Holder model.Attempt
-}
-
-// Error names the holder.
-func (e *DuplicateError) Error() string {
-	return "key " + e.Key + " is held by attempt " + e.Holder.String()
-}
-
 // releaseLimit bounds the release of a key after its call.
 const releaseLimit = 5 * time.Second
 
@@ -79,7 +69,7 @@
 			return next(ctx, c, at)
 		}
 		if err := claims.Claim(ctx, c.Team, c.Key, at); err != nil {
-			var duplicate *DuplicateError
+			var duplicate *claim.DuplicateError
 			if errors.As(err, &duplicate) {
 				return Reply{Outcome: tries.OutcomeDuplicate, Reason: err.Error(), Attempt: at}
 			}
--- a/io/front/http_test.go
+++ b/io/front/http_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"wagtailhoist/core/claim"
 	"wagtailhoist/core/model"
 	"wagtailhoist/core/tries"
 	"wagtailhoist/io/link"
@@ -159,7 +160,7 @@
 		{"answered", "k", nil, tries.OutcomeAnswered, tries.OutcomeAnswered, 1, 0},
 		{"unknown", "k", nil, tries.OutcomeUnknown, tries.OutcomeUnknown, 1, 0},
 		{"not run", "k", nil, tries.OutcomeNotRun, tries.OutcomeNotRun, 1, 1},
-		{"duplicate", "k", &DuplicateError{Key: "k"}, "", tries.OutcomeDuplicate, 0, 0},
+		{"duplicate", "k", &claim.DuplicateError{Key: "k"}, "", tries.OutcomeDuplicate, 0, 0},
 		{"store down", "k", errors.New("down"), "", tries.OutcomeNotRun, 0, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/io/front/ports.go
+++ b/io/front/ports.go
@@ -7,39 +7,20 @@
 	"time"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/route"
 )
 
-// Request is what a Router knows of a request.
-type Request struct {
-	Service string
-	Team    model.Team
-	// Bytes is the size of the request's body.
-	Bytes int
-	// Tried lists the agents that earlier attempts of the request went to.
-	Tried []model.NodeID
-}
-
-// Result is what a Router learns from an attempt.
-type Result struct {
-	// Failed says that the agent or its minion did not answer.
-	Failed bool
-	// Load is the agent's load as it came with the answer; Slots is 0 if none came.
-	Load model.Load
-	// Took is the time from Begin to the answer.
-	Took time.Duration
-}
-
 // Router chooses the agent of an attempt.
 type Router interface {
 	// Pick returns an agent, or an error if none can take the request.
-	Pick(now time.Time, r Request) (model.Record, error)
+	Pick(now time.Time, r route.Request) (model.Record, error)
 	// Report tells the end of an attempt at the agent id.
-	Report(now time.Time, id model.NodeID, result Result)
+	Report(now time.Time, id model.NodeID, result route.Result)
 }
 
 // Claimer keeps request keys from being run twice.
 type Claimer interface {
-	// Claim returns a DuplicateError if the key is taken; any other error means that the request must not run.
+	// Claim returns a claim.DuplicateError if the key is taken; any other error means that the request must not run.
 	Claim(ctx context.Context, team model.Team, key string, attempt model.Attempt) error
 	// Release gives a key back; it may be called only if no attempt ran and none can.
 	Release(ctx context.Context, team model.Team, key string, attempt model.Attempt) error
@@ -88,7 +69,7 @@
 }
 
 // Pick returns the next ready agent that was not tried, or else one that was.
-func (r *Roster) Pick(now time.Time, req Request) (model.Record, error) {
+func (r *Roster) Pick(now time.Time, req route.Request) (model.Record, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var second *model.Record
@@ -113,7 +94,7 @@
 }
 
 // Report does nothing; agents are taken in turn whatever their results.
-func (r *Roster) Report(time.Time, model.NodeID, Result) {}
+func (r *Roster) Report(time.Time, model.NodeID, route.Result) {}
 
 func contains(ids []model.NodeID, id model.NodeID) bool {
 	for _, i := range ids {
