Add the decisions of a cell: ownership, plan log and gang control

Change: core/cell takes events and returns effects. The compare-and-swap of the Owned change is the moment of ownership, so epochs are unique whatever the lease does. A gang has its own grant, renewed only on a list of tasks at most 3/4 of a control interval old that shows it whole; a stop ends the grant, which ends all tasks at once. Any process may append submissions and cancellations; the owner meets a conflict and reads them. Ruled out: one create-only key per change, since a deleted number can be created again by a paused owner after a fold; one grant per cell, since a broken gang could then only be stopped task by task. Found by the property test and mended: a job cancelled after its last task ended stayed in the plan; a first read of the plan that failed was not repeated.

--- /dev/null
+++ b/core/cell/cell_test.go
@@ -0,0 +1,193 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+// scene is a world with two processes of which the first owns the cell and runs the gang "j-2".
+func scene(t *testing.T) (w *world, first, second *proc) {
+	t.Helper()
+	n := 0
+	w = newWorld(func(max int) int { n = (n*7 + 3) % 101; return n % max })
+	first = w.start()
+	w.run(2 * time.Second)
+	second = w.start()
+	w.submit(first, "j-2")
+	w.run(2 * time.Second)
+	if got := w.running("j-2"); got != 2 || !first.cell.Owns(w.now) {
+		t.Fatalf("before the fault: got %d tasks running, owner %v", got, first.cell.Owns(w.now))
+	}
+	return w, first, second
+}
+
+func (w *world) running(job model.JobID) int {
+	n := 0
+	for _, t := range w.tasks {
+		if t.Job == job && t.State == TaskRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against the failures of the design page one at a time; each row names what has to be true afterwards.
+func TestFaultTable(t *testing.T) {
+	type after struct {
+		// epoch is that of the plan, placement that of the gang, fenced whether a late command was refused.
+		epoch     model.Epoch
+		placement int
+		fenced    bool
+	}
+	storeDown := func(w *world) func(Effect) fate {
+		return func(e Effect) fate {
+			if toStore(e) {
+				return before
+			}
+			return fine
+		}
+	}
+	for _, tc := range []struct {
+		name  string
+		fault func(w *world, first, second *proc)
+		want  after
+	}{
+		{"owner paused past its lease and resumed", func(w *world, first, _ *proc) {
+			first.paused = true
+			w.run(3 * time.Second)
+			w.resume(first)
+		}, after{epoch: 2, placement: 1, fenced: true}},
+		{"owner killed", func(_ *world, first, _ *proc) { first.dead = true }, after{epoch: 2, placement: 1}},
+		{"two owners overlap: the first can't reach the store", func(w *world, first, _ *proc) {
+			first.alter = func(e Effect) Effect {
+				if r, ok := e.(RenewLease); ok {
+					r.Lease = 0
+					return r
+				}
+				return e
+			}
+		}, after{epoch: 2, placement: 1, fenced: true}},
+		{"worker lost", func(w *world, _, _ *proc) { w.lose([]string{"w1"}) }, after{epoch: 1, placement: 2}},
+		{"owner and worker both lost", func(w *world, first, _ *proc) {
+			first.dead = true
+			w.lose([]string{"w1"})
+		}, after{epoch: 2, placement: 2}},
+		{"every answer to a write lost for a second", func(w *world, _, _ *proc) {
+			w.fault = func(e Effect) fate {
+				if _, ok := e.(WriteLog); ok {
+					return lost
+				}
+				return fine
+			}
+			w.lose([]string{"w1"})
+			w.run(time.Second)
+			w.fault = func(Effect) fate { return fine }
+		}, after{epoch: 1, placement: 2}},
+		{"store down for a minute", func(w *world, _, _ *proc) {
+			w.fault = storeDown(w)
+			w.run(time.Minute)
+			if got := w.running("j-2"); got != 2 {
+				w.broken = append(w.broken, "running work stopped during the outage")
+			}
+			w.fault = func(Effect) fate { return fine }
+		}, after{epoch: 2, placement: 1, fenced: true}}, // its own commands of the earlier epoch
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w, first, second := scene(t)
+			fenced := w.fenced
+			tc.fault(w, first, second)
+			w.run(8 * time.Second)
+			for _, b := range w.broken {
+				t.Error(b)
+			}
+			owners := 0
+			var plan *Plan
+			for _, p := range w.procs {
+				if !p.dead && p.cell.Owns(w.now) {
+					owners++
+					plan = p.cell.Plan()
+				}
+			}
+			if owners != 1 {
+				t.Fatalf("owners: got %d, want 1", owners)
+			}
+			got := after{plan.Epoch, plan.Jobs["j-2"].Placement, w.fenced > fenced}
+			if got != tc.want {
+				t.Errorf("got %+v, want %+v", got, tc.want)
+			}
+			if got := w.running("j-2"); got != 2 {
+				t.Errorf("running tasks: got %d, want 2", got)
+			}
+		})
+	}
+}
+
+// Guards against a job that is acknowledged before it is durable: with the store down no reply comes, and the
+// request is written once the store answers, also by a process that doesn't own the cell.
+func TestSubmitIsDurableBeforeTheReply(t *testing.T) {
+	w, first, second := scene(t)
+	for i, p := range []*proc{first, second} {
+		w.fault = func(e Effect) fate {
+			if toStore(e) {
+				return before
+			}
+			return fine
+		}
+		id := []model.JobID{"a-1", "b-1"}[i]
+		number := w.submit(p, id)
+		w.run(700 * time.Millisecond)
+		if w.replies[number] {
+			t.Errorf("%s was acknowledged while the store was down", id)
+		}
+		w.fault = func(Effect) fate { return fine }
+		w.run(3 * time.Second)
+		base, log := w.keys["base"], w.keys["log"]
+		plan, _, err := Load(Stored{base.data, base.version, log.data, log.version})
+		if err != nil || !w.replies[number] || !plan.Has(id) {
+			t.Errorf("%s: reply %v, stored %v, %v", id, w.replies[number], plan.Has(id), err)
+		}
+	}
+}
+
+// Guards against a planned stop that costs work: the next owner takes over without a stop of the gang.
+func TestDrainHandsOver(t *testing.T) {
+	w, first, second := scene(t)
+	w.step(first, Drain{})
+	w.run(time.Second)
+	if first.cell.Draining() || !second.cell.Owns(w.now) {
+		t.Errorf("got first draining %v, second owner %v", first.cell.Draining(), second.cell.Owns(w.now))
+	}
+	first.dead = true
+	w.run(5 * time.Second)
+	if got := second.cell.Plan().Jobs["j-2"].Placement; got != 1 || w.running("j-2") != 2 {
+		t.Errorf("placement: got %d with %d tasks, want the first with 2", got, w.running("j-2"))
+	}
+}
+
+// Guards against a fold that loses changes: the plan read back has to equal the plan before, for an
+// interruption after the base was written too.
+func TestFoldKeepsThePlan(t *testing.T) {
+	plan := &Plan{}
+	var batches []Batch
+	for i := range 5 {
+		spec := model.JobSpec{ID: model.JobID(rune('a' + i))}
+		b := Batch{Revision: plan.Revision + 1, Writer: "w", Number: uint64(i + 1), Changes: []Change{{Kind: Submitted, Spec: &spec}}}
+		batches = append(batches, b)
+		plan.Apply(b)
+	}
+	for name, s := range map[string]Stored{
+		"log only":    {Changes: EncodeLog(0, batches), ChangesVersion: 1},
+		"interrupted": {Base: EncodeBase(plan), BaseVersion: 2, Changes: EncodeLog(0, batches), ChangesVersion: 1},
+		"folded":      {Base: EncodeBase(plan), BaseVersion: 2, Changes: EncodeLog(5, nil), ChangesVersion: 3},
+	} {
+		got, _, err := Load(s)
+		if err != nil || got.Revision != 5 || len(got.Jobs) != 5 || got.Jobs["e"].Sequence != 5 {
+			t.Errorf("%s: got %+v, %v", name, got, err)
+		}
+	}
+	if _, _, err := Load(Stored{Changes: EncodeLog(3, batches[3:]), ChangesVersion: 1}); err == nil {
+		t.Error("a log that does not continue its base was accepted")
+	}
+}
