Let near processes take a cell first, and keep failed leases from retrying at once

Change: a delay before a process takes a cell without owner; the wait after a failed lease is one ttl.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -17,6 +17,8 @@
 	GrantTTL time.Duration
 	// Interval is the control interval.
 	Interval time.Duration
+	// Delay is how long the process leaves a cell without owner to processes that are nearer.
+	Delay time.Duration
 }
 
 // Defaults returns the settings that the design page gives.
@@ -66,7 +68,9 @@
 
 // New returns the control of a cell by a process that starts at now.
 func New(s Settings, now time.Time) *Cell {
-	return &Cell{Settings: s, journal: newJournal(s.Self, now), gangs: map[model.JobID]*gang{}}
+	return &Cell{
+		Settings: s, journal: newJournal(s.Self, now), gangs: map[model.JobID]*gang{}, retry: now.Add(s.Delay),
+	}
 }
 
 // Plan returns the plan as last known; the caller must not change it.
@@ -80,6 +84,9 @@
 // Draining reports whether a drained process still owns the cell.
 func (c *Cell) Draining() bool { return c.draining && c.role != idle }
 
+// Cares reports whether the process watches gangs.
+func (c *Cell) Cares() bool { return len(c.gangs) > 0 }
+
 // Epoch returns the epoch of the commands of this process; 0 if it never owned the cell.
 func (c *Cell) Epoch() model.Epoch { return c.epoch }
 
@@ -161,13 +168,14 @@
 const heldFor = 10
 
 func (c *Cell) ownerSeen(now time.Time, held bool) {
+	was := c.held
 	c.held = held
 	switch {
 	case c.role != idle:
 	case held:
 		c.retry = now.Add(heldFor * c.OwnerTTL)
-	default:
-		c.retry = time.Time{}
+	case was:
+		c.retry = now.Add(c.Delay)
 		c.acquire(now)
 	}
 }
@@ -177,7 +185,7 @@
 	if c.draining || now.Before(c.retry) {
 		return
 	}
-	c.role, c.retry = leasing, now.Add(c.OwnerTTL)
+	c.role = leasing
 	c.leaseEnd = now.Add(c.OwnerTTL)
 	c.emit(GrantLease{TTL: c.OwnerTTL})
 }
@@ -260,7 +268,7 @@
 		return
 	}
 	if a.Code != OK {
-		c.role = idle
+		c.role, c.retry = idle, now.Add(c.OwnerTTL)
 		return
 	}
 	c.role, c.lease, c.leaseEnd = reading, a.ID, a.Sent.Add(c.OwnerTTL)
