Add the controller of cells

Cause: core/cell needs hands, and core/plan a durable home. The driver keeps a plan.State in line with the durable plan before each decision. A job's cell follows from its identifier, so that a repeated Submit at another entry meets itself. Ruled out: a store key for each job as its claim, since ended jobs would have to be cleared away; watching the whole cell from every process, since each write of the plan would cross to all of them.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -81,11 +81,8 @@
 	return c.role == owner && now.Before(c.leaseEnd) && !c.draining
 }
 
-// Draining reports whether a drained process still owns the cell.
-func (c *Cell) Draining() bool { return c.draining && c.role != idle }
-
-// Cares reports whether the process watches gangs.
-func (c *Cell) Cares() bool { return len(c.gangs) > 0 }
+// Drained reports whether a process that drains has given up the cell and no longer watches gangs.
+func (c *Cell) Drained() bool { return c.draining && c.role == idle && len(c.gangs) == 0 }
 
 // Epoch returns the epoch of the commands of this process; 0 if it never owned the cell.
 func (c *Cell) Epoch() model.Epoch { return c.epoch }
@@ -101,6 +98,8 @@
 		c.journal.seen(e.Version)
 	case Request:
 		c.journal.ask(e)
+	case Refresh:
+		c.journal.renew(e)
 	case Decided:
 		c.decided(now, e)
 	case Drain:
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -156,8 +156,8 @@
 	w, first, second := scene(t)
 	w.step(first, Drain{})
 	w.run(time.Second)
-	if first.cell.Draining() || !second.cell.Owns(w.now) {
-		t.Errorf("got first draining %v, second owner %v", first.cell.Draining(), second.cell.Owns(w.now))
+	if !first.cell.Drained() || !second.cell.Owns(w.now) {
+		t.Errorf("got first drained %v, second owner %v", first.cell.Drained(), second.cell.Owns(w.now))
 	}
 	first.dead = true
 	w.run(5 * time.Second)
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -21,8 +21,14 @@
 		Number  uint64
 		Changes []Change
 	}
+	// Refresh asks to read the plan again; a Reply with the same number follows.
+	Refresh struct{ Number uint64 }
 	// Decided is the answer to a Decide effect.
-	Decided struct{ Actions []Action }
+	Decided struct {
+		Actions []Action
+		// Note replaces the note of the plan, unless it is nil.
+		Note []byte
+	}
 	// Drain asks the owner to hand the cell over.
 	Drain struct{}
 	// Answer is the result of an effect.
@@ -44,6 +50,7 @@
 func (OwnerSeen) event() {}
 func (PlanSeen) event()  {}
 func (Request) event()   {}
+func (Refresh) event()   {}
 func (Decided) event()   {}
 func (Drain) event()     {}
 func (Answer) event()    {}
--- a/core/cell/gang.go
+++ b/core/cell/gang.go
@@ -202,6 +202,9 @@
 	if !c.Owns(now) {
 		return
 	}
+	if d.Note != nil {
+		c.journal.add(Change{Kind: Noting, Epoch: c.epoch, Note: d.Note, At: now.UnixMilli()})
+	}
 	for _, a := range d.Actions {
 		j := c.journal.plan.Jobs[a.Job]
 		if j == nil {
--- a/core/cell/log.go
+++ b/core/cell/log.go
@@ -41,6 +41,9 @@
 	own      []Change
 	requests []Request
 	replies  []Effect
+	// readers wait for a read of the plan that has not begun yet.
+	readers []uint64
+	reading []uint64
 }
 
 func newJournal(writer model.NodeID, now time.Time) journal {
@@ -61,6 +64,12 @@
 	l.requests = append(l.requests, r)
 }
 
+// renew asks for a read of the plan.
+func (l *journal) renew(r Refresh) {
+	l.readers = append(l.readers, r.Number)
+	l.stale, l.refresh = true, true
+}
+
 // idle reports whether nothing is being written or waits to be.
 func (l *journal) idle() bool {
 	return !l.busy && l.flight == nil && len(l.own) == 0 && len(l.requests) == 0
@@ -113,6 +122,7 @@
 
 func (l *journal) load() Effect {
 	l.busy, l.refresh = true, false
+	l.reading, l.readers = append(l.reading, l.readers...), nil
 	return LoadPlan{}
 }
 
@@ -156,7 +166,11 @@
 		l.after = batches[0].Revision - uint64(len(batches[0].Changes))
 	}
 	l.base, l.version, l.size = a.Stored.BaseVersion, a.Stored.ChangesVersion, len(a.Stored.Base)
-	l.loaded, l.stale = true, false
+	l.loaded, l.stale = true, len(l.readers) > 0
+	for _, number := range l.reading {
+		l.replies = append(l.replies, Reply{Number: number})
+	}
+	l.reading = nil
 	if l.flight == nil {
 		return true
 	}
--- /dev/null
+++ b/io/sched/errors.go
@@ -0,0 +1,48 @@
+package sched
+
+import (
+	"fmt"
+
+	"wagtailhoist/core/model"
+)
+
+// PendingError reports a change that may or may not have become durable.
+type PendingError struct {
+	Cell  model.CellID
+	Cause error
+}
+
+// Error names the cell.
+func (e *PendingError) Error() string {
+	return fmt.Sprintf("cell %s: change not confirmed: %v", e.Cell, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *PendingError) Unwrap() error { return e.Cause }
+
+// FullError reports a cell whose plan has no room for more jobs.
+type FullError struct{ Cell model.CellID }
+
+// Error names the cell.
+func (e *FullError) Error() string { return fmt.Sprintf("cell %s takes no more jobs", e.Cell) }
+
+// NoCellError reports a job that no known cell can take.
+type NoCellError struct{ Job model.JobID }
+
+// Error names the job.
+func (e *NoCellError) Error() string { return fmt.Sprintf("no cell known for job %q", e.Job) }
+
+// InvalidError reports a job that is not well formed.
+type InvalidError struct {
+	Job    model.JobID
+	Reason string
+}
+
+// Error names the job and what is wrong.
+func (e *InvalidError) Error() string { return fmt.Sprintf("job %q: %s", e.Job, e.Reason) }
+
+// UnknownJobsError reports jobs that no cell knows.
+type UnknownJobsError struct{ Jobs []model.JobID }
+
+// Error names the jobs.
+func (e *UnknownJobsError) Error() string { return fmt.Sprintf("unknown jobs %q", e.Jobs) }
--- /dev/null
+++ b/io/sched/home.go
@@ -0,0 +1,83 @@
+package sched
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wagtailhoist/core/model"
+)
+
+// home returns the cell of a job. It depends on the job and on the list of the workers alone, so that a job
+// submitted twice, to whichever entry, meets itself and is not run twice.
+func (s *Sched) home(spec model.JobSpec) (model.CellID, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if spec.Guarantee != "" && s.Declaration != nil {
+		for _, t := range s.Declaration().Teams {
+			for _, g := range t.Guarantees {
+				if t.Name == spec.Team && g.Name == spec.Guarantee {
+					return s.keeper(t.Name, g)
+				}
+			}
+		}
+	}
+	return s.pick("job/"+string(spec.ID), spec.Shape)
+}
+
+// keeper returns the cell that holds a guarantee.
+func (s *Sched) keeper(team model.Team, g model.Guarantee) (model.CellID, bool) {
+	if g.Centre != "" {
+		id := model.CellID(g.Centre)
+		return id, s.workers[id] != nil
+	}
+	return s.pick("guarantee/"+string(team)+"/"+g.Name, g.Shape)
+}
+
+// pick chooses a cell by weighted rendezvous hashing, in proportion to the accelerators, among the cells that
+// could hold the shape if they were empty; if none could, among all.
+func (s *Sched) pick(name string, shape model.Shape) (model.CellID, bool) {
+	best, score, fits := model.CellID(""), math.Inf(-1), false
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		room, weight := 0, 1
+		for _, w := range s.workers[id] {
+			weight += w.GPUs
+			room += tasksOn(w, shape)
+		}
+		fit := room >= shape.Tasks
+		// The hash is spread over (0, 1]; -weight/ln(u) is the score of weighted rendezvous hashing.
+		u := (float64(xxhash.Sum64String(name+"\x00"+string(id))>>11) + 1) / (1 << 53)
+		this := -float64(weight) / math.Log(u)
+		if fit && !fits || fit == fits && this > score {
+			best, score, fits = id, this, fit
+		}
+	}
+	return best, best != ""
+}
+
+// tasksOn returns how many tasks of a shape an empty worker holds, counting lost workers, which may come back.
+func tasksOn(w model.Worker, shape model.Shape) int {
+	n := shape.Tasks
+	for _, part := range [][2]int{{w.GPUs, shape.GPUs}, {w.Cores, shape.Cores}, {w.Memory, shape.Memory}} {
+		if part[1] > 0 {
+			n = min(n, part[0]/part[1])
+		}
+	}
+	return n
+}
+
+// part returns a declaration with the guarantees that a cell holds.
+func (s *Sched) part(d model.Declaration, id model.CellID) model.Declaration {
+	out := model.Declaration{Policy: d.Policy, Teams: slices.Clone(d.Teams)}
+	for i, t := range out.Teams {
+		out.Teams[i].Guarantees = nil
+		for _, g := range t.Guarantees {
+			if at, ok := s.keeper(t.Name, g); ok && at == id {
+				out.Teams[i].Guarantees = append(out.Teams[i].Guarantees, g)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/sched/sched.go
@@ -0,0 +1,207 @@
+package sched
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"maps"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"wagtailhoist/core/cell"
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/store"
+	"wagtailhoist/io/works"
+)
+
+const (
+	// farDelay is how long a process leaves a cell without owner to processes of the cell's own region. With the
+	// owner's lease of 1 s it still leaves time to renew the grants of 2 s.
+	farDelay = 300 * time.Millisecond
+	// workersEvery is how often the workers are listed.
+	workersEvery = time.Second
+	// maxTasks is the largest gang.
+	maxTasks = 64
+	// handOver bounds the wait for the next owner at a planned stop.
+	handOver = 2 * time.Second
+)
+
+type storeItem = store.Item
+
+// Sched controls cells. Its exported fields are set before Run.
+type Sched struct {
+	Self   model.NodeID
+	Region model.Region
+	Store  KeyValue
+	Works  works.Works
+	// Declaration returns the declaration in force; nil means an empty one.
+	Declaration func() model.Declaration
+	// NewDecider returns a Decider for a cell; nil means that of core/plan.
+	NewDecider func() Decider
+	// Log takes the log; nil means none.
+	Log *slog.Logger
+	// Now tells the time; nil means time.Now.
+	Now func() time.Time
+
+	mu       sync.Mutex
+	controls map[model.CellID]*control
+	workers  map[model.CellID][]model.Worker
+	wait     sync.WaitGroup
+}
+
+func (s *Sched) clock() time.Time {
+	if s.Now != nil {
+		return s.Now()
+	}
+	return time.Now()
+}
+
+func (s *Sched) logger() *slog.Logger {
+	if s.Log != nil {
+		return s.Log
+	}
+	return slog.New(slog.NewJSONHandler(io.Discard, nil))
+}
+
+func (s *Sched) newDecider() Decider {
+	if s.NewDecider != nil {
+		return s.NewDecider()
+	}
+	return &driver{}
+}
+
+// Run controls the cells of the workers that the worker service lists, until ctx ends.
+func (s *Sched) Run(ctx context.Context) {
+	ticker := time.NewTicker(workersEvery)
+	defer ticker.Stop()
+	for {
+		if workers, err := s.Works.Workers(ctx); err != nil {
+			s.logger().Warn("listing workers", "error", err.Error())
+		} else {
+			s.meet(ctx, workers)
+		}
+		select {
+		case <-ctx.Done():
+			s.wait.Wait()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// meet takes a list of the workers and starts the control of new cells. A worker that is no longer listed
+// counts as lost.
+func (s *Sched) meet(ctx context.Context, workers []model.Worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := map[model.CellID][]model.Worker{}
+	for _, w := range workers {
+		id := model.CellID(w.Centre)
+		next[id] = append(next[id], w)
+	}
+	for id, old := range s.workers {
+		for _, w := range old {
+			if !slices.ContainsFunc(next[id], func(n model.Worker) bool { return n.ID == w.ID }) {
+				w.Up = false
+				next[id] = append(next[id], w)
+			}
+		}
+	}
+	s.workers = next
+	if s.controls == nil {
+		s.controls = map[model.CellID]*control{}
+	}
+	for id, list := range next {
+		if s.controls[id] != nil || ctx.Err() != nil {
+			continue
+		}
+		c := s.newControl(id, list[0].Region == s.Region)
+		s.controls[id] = c
+		s.wait.Go(func() { c.run(ctx) })
+	}
+}
+
+// inputs returns the workers of a cell and the part of the declaration that concerns it.
+func (s *Sched) inputs(id model.CellID) ([]model.Worker, model.Declaration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var d model.Declaration
+	if s.Declaration != nil {
+		d = s.Declaration()
+	}
+	return s.workers[id], s.part(d, id)
+}
+
+func (s *Sched) all() []*control {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*control, 0, len(s.controls))
+	for _, id := range slices.Sorted(maps.Keys(s.controls)) {
+		out = append(out, s.controls[id])
+	}
+	return out
+}
+
+// Submit writes a job to the plan of a cell and returns when it is durable. A job that the cell knows already
+// is not added again, so a Submit with a PendingError may be repeated.
+func (s *Sched) Submit(ctx context.Context, spec model.JobSpec) error {
+	if err := valid(spec); err != nil {
+		return err
+	}
+	id, ok := s.home(spec)
+	if !ok {
+		return &NoCellError{Job: spec.ID}
+	}
+	s.mu.Lock()
+	c := s.controls[id]
+	s.mu.Unlock()
+	return c.request(ctx, cell.Change{Kind: cell.Submitted, Spec: &spec, At: s.clock().UnixMilli()})
+}
+
+func valid(spec model.JobSpec) error {
+	switch {
+	case spec.ID == "":
+		return &InvalidError{Job: spec.ID, Reason: "no identifier"}
+	case spec.Team == "":
+		return &InvalidError{Job: spec.ID, Reason: "no team"}
+	case spec.Shape.Tasks < 1 || spec.Shape.Tasks > maxTasks:
+		return &InvalidError{Job: spec.ID, Reason: "number of tasks not between 1 and 64"}
+	case spec.Shape.GPUs < 0 || spec.Shape.Cores < 0 || spec.Shape.Memory < 0 || reflect.ValueOf(spec.Shape).IsZero():
+		return &InvalidError{Job: spec.ID, Reason: "bad shape"}
+	}
+	return nil
+}
+
+// Cancel cancels jobs and returns when that is durable. All cells are told, each with one change, since the
+// plans of other owners may be known here with a delay.
+func (s *Sched) Cancel(ctx context.Context, jobs []model.JobID) error {
+	missing := slices.Clone(jobs)
+	for _, c := range s.all() {
+		if err := c.request(ctx, cell.Change{Kind: cell.Cancelling, Jobs: jobs, At: s.clock().UnixMilli()}); err != nil {
+			return err
+		}
+		p := c.view.Load().plan
+		missing = slices.DeleteFunc(missing, p.Has)
+	}
+	if len(missing) > 0 {
+		return &UnknownJobsError{Jobs: missing}
+	}
+	return nil
+}
+
+// Drain hands the cells over to other processes. It returns when the leases are revoked and, where gangs run,
+// another owner has taken them or the wait for one is over; until ctx of Run ends, grants go on being renewed.
+func (s *Sched) Drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOver)
+	defer cancel()
+	for _, c := range s.all() {
+		c.send(ctx, cell.Drain{})
+	}
+	for _, c := range s.all() {
+		for ctx.Err() == nil && !c.drained.Load() {
+			pause(ctx, 10*time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/io/sched/snapshot.go
@@ -0,0 +1,130 @@
+package sched
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"wagtailhoist/core/cell"
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/plan"
+)
+
+// refreshWait bounds the wait for the plans of other owners.
+const refreshWait = 500 * time.Millisecond
+
+// Hold is a part of a worker that is kept for a guarantee or for a job with a reservation.
+type Hold struct {
+	Worker model.WorkerID `json:"worker"`
+	GPUs   int            `json:"gpus"`
+	Team   model.Team     `json:"team"`
+	// Guarantee is the guarantee that is anchored here.
+	Guarantee string `json:"guarantee,omitempty"`
+	// Job is the job with the reservation, expected to start at Due.
+	Job model.JobID `json:"job,omitempty"`
+	Due time.Time   `json:"due,omitzero"`
+}
+
+// Run is a job that holds workers.
+type Run struct {
+	Job       model.JobID `json:"job"`
+	Team      model.Team  `json:"team"`
+	Placement int         `json:"placement"`
+	Phase     cell.Phase  `json:"phase"`
+	// Workers has the worker of each task; each task uses GPUs of it.
+	Workers []model.WorkerID `json:"workers"`
+	GPUs    int              `json:"gpus"`
+	Since   time.Time        `json:"since"`
+	// Cause says why a job that is stopping is stopped.
+	Cause cell.Cause `json:"cause,omitempty"`
+}
+
+// Wait is a job that waits, with the reason.
+type Wait struct {
+	Job    model.JobID `json:"job"`
+	Team   model.Team  `json:"team"`
+	Since  time.Time   `json:"since"`
+	Reason plan.Reason `json:"reason"`
+	// Last says why the last placement of the job ended, if it had one.
+	Last cell.Cause `json:"last,omitempty"`
+}
+
+// CellView is what a process knows of a cell.
+type CellView struct {
+	Cell  model.CellID `json:"cell"`
+	Owner model.NodeID `json:"owner"`
+	Epoch model.Epoch  `json:"epoch"`
+	// Owned says that this process is the owner; the views of others lag behind.
+	Owned      bool             `json:"owned"`
+	Revision   uint64           `json:"revision"`
+	Workers    []model.Worker   `json:"workers"`
+	Running    []Run            `json:"running"`
+	Held       []Hold           `json:"held"`
+	Waiting    []Wait           `json:"waiting"`
+	Shortfalls []plan.Shortfall `json:"shortfalls"`
+	Ended      []cell.Ended     `json:"ended"`
+}
+
+// Snapshot is what a process knows of all cells, in the order of their names.
+type Snapshot struct {
+	At    time.Time  `json:"at"`
+	Cells []CellView `json:"cells"`
+}
+
+func compare[T ~string](a, b T) int { return cmp.Compare(a, b) }
+
+// Snapshot returns what runs where, what is held for whom, and why jobs wait.
+func (s *Sched) Snapshot() Snapshot {
+	all := s.all()
+	ctx, cancel := context.WithTimeout(context.Background(), refreshWait)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, c := range all {
+		if !c.owned.Load() {
+			// Without an answer in time the plan is shown as last known.
+			wait.Go(func() { _ = c.refresh(ctx) })
+		}
+	}
+	wait.Wait()
+	out := Snapshot{At: s.clock()}
+	for _, c := range all {
+		out.Cells = append(out.Cells, c.show(out.At))
+	}
+	return out
+}
+
+func (c *control) show(now time.Time) CellView {
+	v := c.view.Load()
+	workers, declaration := c.sched.inputs(c.id)
+	decision := v.decision
+	if !v.owned && workers != nil {
+		// Another process decides; the same decision on the plan as known here gives the reasons.
+		decision = c.sched.newDecider().Decide(now, Input{
+			Cell: c.id, Plan: v.plan, Workers: workers, Declaration: declaration,
+		})
+	}
+	out := CellView{
+		Cell: c.id, Owner: v.plan.Owner, Epoch: v.plan.Epoch, Owned: v.owned, Revision: v.plan.Revision,
+		Workers: workers, Held: decision.Held, Shortfalls: decision.Shortfalls, Ended: v.plan.Ended,
+	}
+	reasons := make(map[model.JobID]plan.Reason, len(decision.Waiting))
+	for _, w := range decision.Waiting {
+		reasons[w.Job] = w.Reason
+	}
+	for _, j := range sorted(v.plan) {
+		if j.Phase == cell.Waiting {
+			out.Waiting = append(out.Waiting, Wait{
+				Job: j.Spec.ID, Team: j.Spec.Team, Since: time.UnixMilli(j.Submitted),
+				Reason: reasons[j.Spec.ID], Last: j.Cause,
+			})
+			continue
+		}
+		out.Running = append(out.Running, Run{
+			Job: j.Spec.ID, Team: j.Spec.Team, Placement: j.Placement, Phase: j.Phase,
+			Workers: slices.Clone(j.Workers), GPUs: j.Spec.Shape.GPUs, Since: time.UnixMilli(j.Since), Cause: j.Cause,
+		})
+	}
+	return out
+}
