--- a/core/config/message.go
+++ b/core/config/message.go
@@ -27,8 +27,8 @@
 	Ready bool `cbor:"5,keyasint,omitempty"`
 	// Confirmed says that the sender reports its revision in force as confirmed.
 	Confirmed bool `cbor:"6,keyasint,omitempty"`
-	// Watch says that the sender holds its region's watch of the store.
-	Watch bool `cbor:"7,keyasint,omitempty"`
+	// Watch is the region whose watch of the store the sender holds, empty for none.
+	Watch model.Region `cbor:"7,keyasint,omitempty"`
 	// Want asks for the document of Held of the receiver.
 	Want bool `cbor:"8,keyasint,omitempty"`
 	// Sent is the sender's time, Echo the last Sent that it had of the receiver.
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -39,7 +39,7 @@
 	asked time.Time
 	// refreshed is when the store was last read for a new peer.
 	refreshed time.Time
-	watch     bool
+	watch     model.Region
 }
 
 // peer is what a process knows of another one.
@@ -80,8 +80,25 @@
 	return s.decide(now, nil)
 }
 
-// Watch says whether the process holds its region's watch.
-func (s *State) Watch(holds bool) { s.watch = holds }
+// Watch names the region whose watch the process holds, empty for none.
+func (s *State) Watch(region model.Region) { s.watch = region }
+
+// Holds returns the region whose watch the process holds, empty for none.
+func (s *State) Holds() model.Region { return s.watch }
+
+// Watched reports whether a linked peer holds the watch of the region.
+func (s *State) Watched(region model.Region) bool {
+	for _, p := range s.peers {
+		if p.up && p.heard && p.last.Watch == region {
+			return true
+		}
+	}
+	return false
+}
+
+// Contact returns a time at or before which the store's latest revision was the highest
+// known one, and false if the store has not answered in this life.
+func (s *State) Contact() (time.Time, bool) { return s.contact, !s.contact.IsZero() }
 
 // Tick repeats what the process holds to all its peers, about once a second.
 func (s *State) Tick(now time.Time) []Effect {
@@ -108,7 +125,12 @@
 func (s *State) Hear(now time.Time, id model.NodeID, m Message) []Effect {
 	s.Meet(id)
 	p := s.peers[id]
-	p.up, p.heard, p.held, p.ready, p.echo, p.last = true, true, m.Held, m.Ready, m.Sent, m
+	p.up, p.heard, p.last = true, true, m
+	// Messages may overtake each other; what a peer holds only grows while its link stands.
+	p.held, p.ready = max(p.held, m.Held), p.ready || m.Ready
+	if m.Sent.Life > p.echo.Life || m.Sent.Life == p.echo.Life && m.Sent.At > p.echo.At {
+		p.echo = m.Sent
+	}
 	s.known = max(s.known, m.Known)
 	if m.Age >= 0 && m.Echo.Life == s.life {
 		// The peer wrote the message after the echoed time, so its contact is not older than this.
--- /dev/null
+++ b/io/conf/manager.go
@@ -0,0 +1,258 @@
+package conf
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"wagtailhoist/core/config"
+	"wagtailhoist/core/decl"
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/store"
+)
+
+const (
+	// tickInterval is how often a process repeats to its peers what it holds.
+	tickInterval = time.Second
+	// outbox bounds the messages that wait for a slow peer; ticks repeat what is dropped.
+	outbox = 8
+)
+
+// Store is the part of the platform's store that the configuration needs.
+type Store interface {
+	Get(ctx context.Context, key string) (store.Item, error)
+	Put(ctx context.Context, key string, value []byte, version, lease uint64) (uint64, error)
+	List(ctx context.Context, prefix string) ([]store.Item, uint64, error)
+	Watch(ctx context.Context, prefix string, after uint64) ([]store.Item, uint64, error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Renew(ctx context.Context, lease uint64) error
+	Revoke(ctx context.Context, lease uint64) error
+}
+
+// Peer sends messages to a linked process.
+type Peer interface{ Send(m config.Message) error }
+
+// Options describe the process.
+type Options struct {
+	ID     model.NodeID
+	Region model.Region
+	Life   model.Incarnation
+	// Store is nil in processes that don't reach the store.
+	Store Store
+	Log   *slog.Logger
+}
+
+// Manager keeps the configuration state of a process and carries out its effects.
+type Manager struct {
+	opts Options
+
+	mu       sync.Mutex
+	state    *config.State
+	boxes    map[model.NodeID]*box
+	force    model.Declaration
+	onForce  []func(model.Revision, model.Declaration)
+	lastRead time.Time
+	refresh  chan struct{}
+}
+
+// box sends messages to one peer in order, without holding up the others.
+type box struct {
+	messages chan config.Message
+	done     chan struct{}
+}
+
+// New returns a manager that does nothing before Run.
+func New(o Options) *Manager {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Manager{
+		opts: o, state: config.New(time.Now(), o.Life), boxes: map[model.NodeID]*box{}, refresh: make(chan struct{}, 1),
+	}
+}
+
+// Run repeats the state to the peers and, with a store, follows it until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	if m.opts.Store != nil {
+		wg.Go(func() { m.readLoop(ctx) })
+		wg.Go(func() { m.watchLoop(ctx) })
+	}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			m.step(func(now time.Time) []config.Effect { return m.state.Tick(now) })
+		case <-ctx.Done():
+			wg.Wait()
+			m.closeBoxes()
+			return
+		}
+	}
+}
+
+func (m *Manager) closeBoxes() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, b := range m.boxes {
+		close(b.done)
+		delete(m.boxes, id)
+	}
+}
+
+// OnForce adds a function that is called with each revision that gets in force, in order,
+// and at once if one is in force. It must not call the manager.
+func (m *Manager) OnForce(f func(model.Revision, model.Declaration)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onForce = append(m.onForce, f)
+	if c, ready := m.state.Force(); ready {
+		f(c.Revision, m.force)
+	}
+}
+
+// Meet names processes that this one has to hear of, or fail to reach, before it trusts its peers.
+func (m *Manager) Meet(ids ...model.NodeID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range ids {
+		if id != m.opts.ID {
+			m.state.Meet(id)
+		}
+	}
+}
+
+// Forget removes a process that has left the system.
+func (m *Manager) Forget(id model.NodeID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state.Forget(id)
+}
+
+// Up reports a link to a process; a later link replaces an earlier one.
+func (m *Manager) Up(id model.NodeID, p Peer) {
+	b := &box{messages: make(chan config.Message, outbox), done: make(chan struct{})}
+	go b.run(p)
+	m.step(func(now time.Time) []config.Effect {
+		if old := m.boxes[id]; old != nil {
+			close(old.done)
+		}
+		m.boxes[id] = b
+		return m.state.Up(now, id)
+	})
+}
+
+func (b *box) run(p Peer) {
+	for {
+		select {
+		case <-b.done:
+			return
+		case message := <-b.messages:
+			// A failed send breaks the link, which its owner reports by Down.
+			if p.Send(message) != nil {
+				return
+			}
+		}
+	}
+}
+
+// Down reports that the link to a process broke or could not be made.
+func (m *Manager) Down(id model.NodeID) {
+	m.step(func(now time.Time) []config.Effect {
+		if old := m.boxes[id]; old != nil {
+			close(old.done)
+			delete(m.boxes, id)
+		}
+		return m.state.Down(now, id)
+	})
+}
+
+// Hear takes a message from a linked process.
+func (m *Manager) Hear(id model.NodeID, message config.Message) {
+	m.step(func(now time.Time) []config.Effect { return m.state.Hear(now, id, message) })
+}
+
+// step runs one decision and carries out its effects.
+func (m *Manager) step(decide func(now time.Time) []config.Effect) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range decide(time.Now()) {
+		switch e := e.(type) {
+		case config.Send:
+			if b := m.boxes[e.To]; b != nil {
+				select {
+				case b.messages <- e.Message:
+				default:
+				}
+			}
+		case config.Activate:
+			m.activate(e.Copy)
+		case config.Refresh:
+			m.wantRead()
+		}
+	}
+}
+
+func (m *Manager) activate(c config.Copy) {
+	if c.Revision > 0 {
+		d, err := decl.Parse([]byte(c.Document))
+		if err != nil {
+			// Every writer checks documents first; one that this version can't read was
+			// written by a newer version, so the declaration before it stays in use.
+			m.opts.Log.Error("configuration can't be read", "revision", c.Revision, "error", err)
+		} else {
+			m.force = d
+		}
+	}
+	m.opts.Log.Info("configuration in force", "revision", c.Revision, "change", c.Change, "confirmed", m.state.Confirmed())
+	for _, f := range m.onForce {
+		f(c.Revision, m.force)
+	}
+}
+
+// Ready reports whether a revision is in force.
+func (m *Manager) Ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ready := m.state.Force()
+	return ready
+}
+
+// Force returns the revision in force with its declaration; the last result is false while there is none.
+func (m *Manager) Force() (config.Copy, model.Declaration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, ready := m.state.Force()
+	return c, m.force, ready
+}
+
+// Status is what a process says of its configuration.
+type Status struct {
+	ID model.NodeID `json:"id"`
+	// Held is the highest revision that the process has, Force the one in force.
+	Held  model.Revision `json:"held"`
+	Force model.Revision `json:"revision"`
+	Ready bool           `json:"ready"`
+	// Confirmed is false while the store has not confirmed the revision in the process's life.
+	Confirmed bool `json:"confirmed"`
+	// Watch is the region whose watch the process holds.
+	Watch model.Region `json:"watch,omitempty"`
+}
+
+// Status returns the state of this process and, by identifier, that of the linked ones.
+func (m *Manager) Status() (Status, map[model.NodeID]Status) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, ready := m.state.Force()
+	self := Status{
+		ID: m.opts.ID, Held: m.state.Held().Revision, Force: c.Revision, Ready: ready,
+		Confirmed: m.state.Confirmed(), Watch: m.state.Holds(),
+	}
+	peers := map[model.NodeID]Status{}
+	for id, p := range m.state.Peers() {
+		peers[id] = Status{ID: id, Held: p.Held, Force: p.Force, Ready: p.Ready, Confirmed: p.Confirmed, Watch: p.Watch}
+	}
+	return self, peers
+}
