--- /dev/null
+++ b/io/conf/conf_test.go
@@ -0,0 +1,293 @@
+package conf
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wagtailhoist/core/config"
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/store"
+	"wagtailhoist/stand/fault"
+	"wagtailhoist/stand/plat"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bench is a store with its faults and the managers of a test.
+type bench struct {
+	t      *testing.T
+	ctx    context.Context
+	url    string
+	faults *fault.Set
+}
+
+func newBench(t *testing.T) *bench {
+	p := plat.New(nil, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	expired := make(chan struct{})
+	go func() {
+		defer close(expired)
+		for pause(ctx, 10*time.Millisecond) {
+			p.Keys.Expire(time.Now())
+		}
+	}()
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(func() {
+		cancel()
+		<-expired
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return &bench{t: t, ctx: t.Context(), url: server.URL, faults: p.Faults}
+}
+
+func (b *bench) client() *store.Client {
+	return &store.Client{URL: b.url, Timeout: 300 * time.Millisecond, HTTP: b.http()}
+}
+
+// start runs a manager until the returned function is called.
+func (b *bench) start(id model.NodeID, region model.Region, s Store) (*Manager, func()) {
+	m := New(Options{ID: id, Region: region, Life: model.NewIncarnation(time.Now()), Store: s})
+	ctx, cancel := context.WithCancel(b.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.Run(ctx)
+	}()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	b.t.Cleanup(stop)
+	return m, stop
+}
+
+// wire is a link between two managers.
+type wire struct {
+	from model.NodeID
+	to   *Manager
+}
+
+func (w wire) Send(m config.Message) error {
+	w.to.Hear(w.from, m)
+	return nil
+}
+
+func connect(a, b *Manager) {
+	a.Up(b.opts.ID, wire{a.opts.ID, b})
+	b.Up(a.opts.ID, wire{b.opts.ID, a})
+}
+
+// eventually waits until ok holds.
+func eventually(t *testing.T, limit time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+func (m *Manager) has(r model.Revision, confirmed bool) func() bool {
+	return func() bool {
+		s, _ := m.Status()
+		return s.Ready && s.Force == r && s.Confirmed == confirmed
+	}
+}
+
+const (
+	puts = "/kv/config"
+	doc1 = "teams: [{name: a, weight: 1}]\n"
+	doc2 = "teams: [{name: b, weight: 1}]\n"
+)
+
+// A writer that takes a lost answer for a failure, or a late refusal for a conflict, would tell the
+// operator the opposite of what happened.
+func TestApplyUnderFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fault  fault.Fault
+		effect bool
+		err    any
+	}{
+		{"no fault", fault.Fault{Mode: fault.Slow, Count: 1}, true, nil},
+		{"down before the effect, once", fault.Fault{Mode: fault.Down, Method: "PUT", Count: 1}, true, nil},
+		{"down for all reads", fault.Fault{Mode: fault.Down, Method: "GET"}, false, new(*store.UnavailableError)},
+		{"down for all writes", fault.Fault{Mode: fault.Down, Method: "PUT"}, false, new(*UnknownError)},
+		{"answer lost after the effect", fault.Fault{Mode: fault.Lost, Method: "PUT", Count: 1}, true, nil},
+		{"answer lost after the effect each time", fault.Fault{Mode: fault.Lost, Method: "PUT"}, true, nil},
+		{"no answer after the effect", fault.Fault{Mode: fault.Mute, Method: "PUT", Count: 1}, true, nil},
+		{"no answer and no effect", fault.Fault{Mode: fault.Silent, Method: "PUT", Count: 1}, true, nil},
+		{"slower than the timeout", fault.Fault{Mode: fault.Slow, Method: "PUT", Delay: 500, Count: 1}, true, nil},
+		{"slow", fault.Fault{Mode: fault.Slow, Delay: 100}, true, nil},
+		{"written twice", fault.Fault{Mode: fault.Twice, Method: "PUT", Count: 1}, true, nil},
+		{"connection refused", fault.Fault{Mode: fault.Refuse, Method: "PUT", Count: 1}, true, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t)
+			m := New(Options{ID: "e1", Store: b.client()})
+			tc.fault.Of, tc.fault.Path = "store", puts
+			b.faults.Add(tc.fault)
+			ctx, cancel := context.WithTimeout(b.ctx, 2*time.Second)
+			defer cancel()
+			got, err := m.Apply(ctx, config.Write{Change: "c1", Author: "ann", Document: doc1})
+			b.faults.Add(fault.Fault{Mode: fault.Clear})
+			if tc.err == nil && (err != nil || got != 1) {
+				t.Fatalf("apply: got %d, %v, want revision 1", got, err)
+			}
+			if tc.err != nil && !errors.As(err, tc.err) {
+				t.Fatalf("apply: got %v, want %T", err, tc.err)
+			}
+			record, _, err := latest(b.ctx, b.client())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if has := record.Revision == 1 && record.Change == "c1"; has != tc.effect {
+				t.Errorf("effect: got %v (revision %d), want %v", has, record.Revision, tc.effect)
+			}
+			s, _ := m.Status()
+			if has := s.Force == 1 && s.Confirmed; has != tc.effect {
+				t.Errorf("revision 1 in force and confirmed: got %v in %+v, want %v", has, s, tc.effect)
+			}
+		})
+	}
+}
+
+// The change is found among the earlier ones when another operator wrote before the writer looked.
+func TestLostAnswerIsFoundBehindLaterChanges(t *testing.T) {
+	b := newBench(t)
+	m := New(Options{ID: "e1", Store: b.client()})
+	for i := range 3 {
+		if _, err := m.Apply(b.ctx, config.Write{Base: model.Revision(i), Change: fmt.Sprint("c", i), Document: doc1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := m.Apply(b.ctx, config.Write{Base: 0, Change: "c0", Document: doc1})
+	if err != nil || got != 1 {
+		t.Errorf("second try of the first change: got %d, %v, want revision 1", got, err)
+	}
+}
+
+// Two operators who start from the same revision must not both win.
+func TestOneOfRacingOperatorsWins(t *testing.T) {
+	b := newBench(t)
+	const operators = 8
+	errs := make([]error, operators)
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Go(func() {
+			m := New(Options{ID: "e", Store: &store.Client{URL: b.url, HTTP: b.http()}})
+			author := fmt.Sprint("operator", i)
+			_, errs[i] = m.Apply(b.ctx, config.Write{Change: author, Author: author, Document: doc1})
+		})
+	}
+	wg.Wait()
+	record, _, err := latest(b.ctx, b.client())
+	if err != nil {
+		t.Fatal(err)
+	}
+	wins := 0
+	for i, err := range errs {
+		var conflict *config.ConflictError
+		switch {
+		case err == nil:
+			wins++
+			if got, want := record.Author, fmt.Sprint("operator", i); got != want {
+				t.Errorf("author in the store: got %s, want the winner %s", got, want)
+			}
+		case !errors.As(err, &conflict) || conflict.Base != 0 || conflict.Have != 1 || conflict.Author != record.Author:
+			t.Errorf("loser %d: got %v, want a conflict of 0 with 1 by %s", i, err, record.Author)
+		}
+	}
+	if wins != 1 || record.Revision != 1 {
+		t.Errorf("got %d winners and revision %d, want one of each", wins, record.Revision)
+	}
+}
+
+// Only one process of a region holds the watch; the others learn revisions over links, agents too.
+func TestRevisionReachesLinkedProcesses(t *testing.T) {
+	b := newBench(t)
+	e1, _ := b.start("e1", "west", b.client())
+	e2, _ := b.start("e2", "west", b.client())
+	agent, _ := b.start("a1", "west", nil)
+	connect(e1, e2)
+	connect(e2, agent)
+	eventually(t, 3*time.Second, "agent ready", agent.Ready)
+	eventually(t, 5*time.Second, "one watch", func() bool {
+		s1, _ := e1.Status()
+		s2, _ := e2.Status()
+		return (s1.Watch == "west") != (s2.Watch == "west")
+	})
+	outside := New(Options{ID: "x", Store: b.client()})
+	if _, err := outside.Apply(b.ctx, config.Write{Change: "c", Document: doc1}); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range []*Manager{e1, e2, agent} {
+		eventually(t, 8*time.Second, string(m.opts.ID)+" has revision 1", m.has(1, true))
+	}
+	if _, d, _ := agent.Force(); len(d.Teams) != 1 || d.Teams[0].Name != "a" {
+		t.Errorf("declaration of the agent: got %v, want the team a", d)
+	}
+}
+
+// A connection can go silent for good; the poll beside the watch keeps the bound of 8 s.
+func TestSilentWatchDoesNotDelayChanges(t *testing.T) {
+	b := newBench(t)
+	b.faults.Add(fault.Fault{Mode: fault.Silent, Of: "store", Path: "/watch"})
+	e1, _ := b.start("e1", "west", b.client())
+	eventually(t, 3*time.Second, "ready", e1.Ready)
+	eventually(t, 5*time.Second, "watching", func() bool {
+		s, _ := e1.Status()
+		return s.Watch == "west"
+	})
+	if _, err := New(Options{Store: b.client()}).Apply(b.ctx, config.Write{Change: "c", Document: doc1}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 8*time.Second, "revision 1", e1.has(1, true))
+}
+
+// A restarted process must not take the lower revision of the peer that answers first.
+func TestRestartWithStoreDownTakesHighestOfPeers(t *testing.T) {
+	b := newBench(t)
+	high, _ := b.start("high", "west", b.client())
+	eventually(t, 3*time.Second, "ready", high.Ready)
+	low, _ := b.start("low", "east", nil)
+	// Without a link, low knows revision 1 only.
+	for i, doc := range []string{doc1, doc2} {
+		if _, err := high.Apply(b.ctx, config.Write{Base: model.Revision(i), Change: doc, Document: doc}); err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			c, _, _ := high.Force()
+			now := time.Now()
+			low.step(func(time.Time) []config.Effect { return low.state.Store(now, now, c) })
+		}
+	}
+	b.faults.Add(fault.Fault{Mode: fault.Down, Of: "store"})
+	fresh, _ := b.start("fresh", "west", b.client())
+	fresh.Meet("high", "low")
+	connect(fresh, low)
+	time.Sleep(config.SettleTime + 500*time.Millisecond)
+	if fresh.Ready() {
+		t.Fatal("ready before the second peer was heard")
+	}
+	connect(fresh, high)
+	eventually(t, 3*time.Second, "revision 2 unconfirmed", fresh.has(2, false))
+	b.faults.Add(fault.Fault{Mode: fault.Clear})
+	eventually(t, 8*time.Second, "revision 2 confirmed", fresh.has(2, true))
+}
+
+// http returns a client whose connections end with the test.
+func (b *bench) http() *http.Client {
+	transport := &http.Transport{}
+	b.t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
--- a/io/conf/manager.go
+++ b/io/conf/manager.go
@@ -47,13 +47,12 @@
 type Manager struct {
 	opts Options
 
-	mu       sync.Mutex
-	state    *config.State
-	boxes    map[model.NodeID]*box
-	force    model.Declaration
-	onForce  []func(model.Revision, model.Declaration)
-	lastRead time.Time
-	refresh  chan struct{}
+	mu      sync.Mutex
+	state   *config.State
+	boxes   map[model.NodeID]*box
+	force   model.Declaration
+	onForce []func(model.Revision, model.Declaration)
+	refresh chan struct{}
 }
 
 // box sends messages to one peer in order, without holding up the others.
