Add the operators' language: queries and changes

Errors give the position and the form of the statement; the grammar library's own texts name grammar types, so they are replaced.

--- /dev/null
+++ b/core/query/parse.go
@@ -0,0 +1,124 @@
+package query
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+)
+
+// MaxText is the longest statement, in bytes; a cancellation can name hundreds of jobs.
+const MaxText = 64 << 10
+
+// maxShown bounds the part of a statement that an error repeats, in bytes.
+const maxShown = 64
+
+// SyntaxError reports a statement that is not part of the language.
+type SyntaxError struct {
+	// Line and Column count from 1.
+	Line   int `json:"line"`
+	Column int `json:"column"`
+	// Text says what was found and what was expected.
+	Text string `json:"text"`
+}
+
+// Error gives the position and the text.
+func (e *SyntaxError) Error() string { return fmt.Sprintf("%d:%d: %s", e.Line, e.Column, e.Text) }
+
+var parser = participle.MustBuild[Statement](
+	participle.Lexer(tokens),
+	participle.Elide("space"),
+	participle.Unquote("Name"),
+)
+
+// usages give the form of the statements that begin with a word.
+var usages = map[string]string{
+	"show":    "show jobs|waiting|anchors|shortfalls|workers|teams|minions [of TEAM] [in CENTRE] [on WORKER]",
+	"why":     "why JOB",
+	"reclaim": "reclaim TEAM GUARANTEE",
+	"team":    "team TEAM weight N [quota N] [at REVISION], or team TEAM remove",
+	"shape": "shape TEAM NAME 3x8 grace TIME [cores N] [memory N] [adjacent rack|worker] [centre CENTRE]" +
+		" [at REVISION], or shape TEAM NAME remove",
+	"job": "job JOB of TEAM 2x8 [cores N] [memory N] [adjacent rack|worker] [class NAME] [guarantee NAME]" +
+		" [estimate TIME] [grace TIME] [checkpoint] [urgent] [at REVISION]",
+	"cancel": "cancel JOB... [at REVISION]",
+	"drain":  "drain NODE [at REVISION]",
+	"aside":  "aside WORKER [at REVISION]",
+	"back":   "back WORKER [at REVISION]",
+}
+
+// verbs are the first words of statements.
+const verbs = "show, why, reclaim, team, shape, job, cancel, drain, aside or back"
+
+// Parse reads one statement. The error is a SyntaxError.
+func Parse(text string) (*Statement, error) {
+	if len(text) > MaxText {
+		return nil, &SyntaxError{1, 1, fmt.Sprintf("the statement has %d bytes; the limit is %d", len(text), MaxText)}
+	}
+	s, err := parser.ParseString("", text)
+	if err != nil {
+		return nil, syntaxError(text, err)
+	}
+	if s.At != nil && !s.Changes() {
+		return nil, &SyntaxError{s.At.Pos.Line, s.At.Pos.Column, "a query has no revision; expected the end"}
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Changes reports whether the statement is a change.
+func (s *Statement) Changes() bool { return s.Show == nil && s.Why == nil && s.Reclaim == nil }
+
+func syntaxError(text string, err error) error {
+	var perr participle.Error
+	if !errors.As(err, &perr) {
+		return &SyntaxError{1, 1, err.Error()}
+	}
+	out := &SyntaxError{Line: max(perr.Position().Line, 1), Column: max(perr.Position().Column, 1)}
+	offset := min(perr.Position().Offset, len(text))
+	found, want := "the end", ""
+	if rest := text[offset:]; strings.TrimSpace(rest) != "" {
+		found = fmt.Sprintf("%q", firstWord(rest))
+	}
+	verb := firstWord(text)
+	usage, known := usages[verb]
+	if !known {
+		out.Text = fmt.Sprintf("found %s; expected %s", found, verbs)
+		return out
+	}
+	var unexpected *participle.UnexpectedTokenError
+	if errors.As(err, &unexpected) {
+		_, fragment, _ := strings.Cut(perr.Message(), " (expected ")
+		want = element(fragment)
+	}
+	if want != "" {
+		want += " as in "
+	}
+	out.Text = fmt.Sprintf("found %s; expected %s%s", found, want, usage)
+	return out
+}
+
+// firstWord returns the first word of text, or a part of it if it is long.
+func firstWord(text string) string {
+	word := strings.Fields(text + " .")[0]
+	if len(word) > maxShown {
+		word = strings.ToValidUTF8(word[:maxShown], "") + "..."
+	}
+	return word
+}
+
+// element describes the first element of a grammar fragment, if it is a single token.
+func element(fragment string) string {
+	for prefix, text := range map[string]string{
+		"(<word>": "a name", "<word>": "a name", "<number>": "a number", "<time>": "a time such as 5s",
+		"<shape>": "a shape such as 3x8", `"of"`: `"of"`,
+	} {
+		if strings.HasPrefix(fragment, prefix) {
+			return text
+		}
+	}
+	return ""
+}
