Initialise the peers before their links are counted

Cause: the race detector stops TestRecordsReachAllEntries: links() read the map that Run creates in another goroutine. Ruled out: ordering the test alone; any caller that asks before Run has started would meet the same race. Change: links() goes through the same sync.Once as the other calls. Conclusion: the fault was in the package, not in the test.

--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -247,6 +247,7 @@
 
 // links returns the links to entries of the own region and of others.
 func (p *Peers) links() (near, far []*wire) {
+	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.entries {
