Test a store outage with separate processes and bound hurried ticks

Guards against keyed requests that run unclaimed, unkeyed ones refused with them, and keys that stay taken after a refusal, for a store that is down, silent, refuses, or loses its answers. A fleet that starts at once made one tick for each record; they are 50 ms apart now.

--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -15,6 +15,9 @@
 const (
 	// tickEvery is the interval at which records are forwarded and a sign of life is sent to each entry.
 	tickEvery = time.Second
+	// hurryEvery is the least time between ticks for changed records; a fleet that starts at a
+	// time would cause one for each record.
+	hurryEvery = 50 * time.Millisecond
 	// knownEvery is the interval at which an agent gets the list of entries when it has not
 	// changed; sent every second it would take a part of the agent's 3 KB/s.
 	knownEvery = 10 * time.Second
@@ -128,6 +131,10 @@
 			p.tick(now)
 		case <-p.soon:
 			p.tick(time.Now())
+			select {
+			case <-time.After(hurryEvery):
+			case <-ctx.Done():
+			}
 		}
 	}
 }
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -320,3 +320,41 @@
 		f.t.Errorf("outcomes %v: too few answers or duplicates for the check to mean anything", told)
 	}
 }
+
+// Guards against keyed requests that run unclaimed while the store is down, against unkeyed
+// ones that are refused with them, and against keys that stay taken after a refusal.
+func TestStoreOutageRefusesKeysOnly(t *testing.T) {
+	t.Parallel()
+	onceLanes <- struct{}{}
+	defer func() { <-onceLanes }()
+	f := startOnce(t)
+	for _, mode := range []string{"down", "silent", "lost", "refuse"} {
+		f.fault(f.platform, "listen", mode, "", 0)
+		var keys []string
+		for n := range 4 {
+			key := fmt.Sprintf("%s-%d", mode, n)
+			keys = append(keys, key)
+			begin := time.Now()
+			if got := onceSend(f.url(n%2), key, "0s", onceTimeout); got != "not-run" {
+				t.Errorf("keyed request with store %s: got %q, want not-run", mode, got)
+			}
+			if took := time.Since(begin); took > 3*time.Second {
+				t.Errorf("refusal with store %s took %v", mode, took)
+			}
+			if code, body := post(t, f.url(n%2)+"/price", "unkeyed"); code != http.StatusOK {
+				t.Errorf("unkeyed request with store %s: status %d: %s", mode, code, body)
+			}
+		}
+		f.fault(f.platform, "listen", "clear", "", 0)
+		for n, key := range keys {
+			eventually(t, 5*time.Second, "key "+key+" runs after the outage", func() bool {
+				return onceSend(f.url(n%2), key, "0s", onceTimeout) == "answered"
+			})
+		}
+		for _, key := range keys {
+			if got := f.executions()[key]; got != 1 {
+				t.Errorf("%s ran %d times, want once", key, got)
+			}
+		}
+	}
+}
