--- a/io/peers/peers_test.go
+++ b/io/peers/peers_test.go
@@ -108,7 +108,7 @@
 	}
 }
 
-func newEntry(t *testing.T, id, region string, s Store, join ...string) *entry {
+func newEntry(t testing.TB, id, region string, s Store, join ...string) *entry {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
