--- a/core/cell/log.go
+++ b/core/cell/log.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// foldAt is the size of the change log, in bytes, from which on it is folded into the base.
-	foldAt = 32 << 10
+	// minFold is the number of batches below which the change log is not folded into the base, so that folds
+	// add at most 3% to the writes.
+	minFold = 32
 	// maxBase is the size of the base, in bytes, above which no more jobs are taken. The store takes values
 	// up to 1 MB, and jobs grow when they are placed.
 	maxBase = 512 << 10
@@ -25,8 +26,8 @@
 	after   uint64
 	base    uint64
 	version uint64
-	// size is that of the last base.
-	size int
+	// size is that of the last base, length that of the last change log, in bytes.
+	size, length int
 
 	// loaded says that there is a plan, stale that the store may have a newer one.
 	loaded, stale bool
@@ -96,12 +97,10 @@
 	if !owner && len(l.requests) == 0 || len(l.own) == 0 && len(l.requests) == 0 {
 		return out
 	}
-	if owner {
-		if value := EncodeLog(l.after, l.batches); len(value) > foldAt {
-			base := EncodeBase(l.plan)
-			l.busy, l.size = true, len(base)
-			return append(out, WriteBase{Value: base, Version: l.base})
-		}
+	if owner && l.full() {
+		base := EncodeBase(l.plan)
+		l.busy, l.size = true, len(base)
+		return append(out, WriteBase{Value: base, Version: l.base})
 	}
 	var changes []Change
 	if owner {
@@ -117,9 +116,17 @@
 	}
 	l.busy = true
 	value := EncodeLog(l.after, append(l.batches[:len(l.batches):len(l.batches)], *l.flight))
+	l.length = len(value)
 	return append(out, WriteLog{Value: value, Version: l.version})
 }
 
+// full reports whether the change log is due to be folded. With n batches in L bytes, a write costs L/2 on
+// average and its part of a base of B bytes B/n; the sum is least where L*n = 2*B.
+func (l *journal) full() bool {
+	n := len(l.batches)
+	return n >= minFold && l.length*n >= 2*l.size
+}
+
 func (l *journal) load() Effect {
 	l.busy, l.refresh = true, false
 	l.reading, l.readers = append(l.reading, l.readers...), nil
@@ -165,7 +172,8 @@
 	if len(batches) > 0 {
 		l.after = batches[0].Revision - uint64(len(batches[0].Changes))
 	}
-	l.base, l.version, l.size = a.Stored.BaseVersion, a.Stored.ChangesVersion, len(a.Stored.Base)
+	l.base, l.version = a.Stored.BaseVersion, a.Stored.ChangesVersion
+	l.size, l.length = len(a.Stored.Base), len(a.Stored.Changes)
 	l.loaded, l.stale = true, len(l.readers) > 0
 	for _, number := range l.reading {
 		l.replies = append(l.replies, Reply{Number: number})
