--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -26,6 +26,7 @@
 	Link   string        `default:"127.0.0.1:0" help:"Address of the link listener."`
 	Token  string        `help:"Link token."`
 	Store  string        `help:"URL of the platform's store. Without it, requests with a key are refused."`
+	Works  string        `help:"URL of the platform's worker service. Without it, the entry schedules nothing."`
 	Join   []string      `help:"Addresses of links of other entries, for a start while the store is down."`
 	Drain  time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
 }
@@ -35,7 +36,8 @@
 	return serve(s,
 		fx.Supply(c),
 		fx.Provide(newEntrySelf, newEntryPool, newEntryDispatcher, newStore, newMembers, newPeers, newClaims, newGate),
-		fx.Invoke(startEntry),
+		fx.Provide(newConf, newSched),
+		fx.Invoke(startSched, startEntry),
 	)
 }
 
--- a/io/sched/control.go
+++ b/io/sched/control.go
@@ -132,8 +132,8 @@
 }
 
 func (c *control) decide(ctx context.Context) {
-	workers, declaration := c.sched.inputs(c.id)
-	if workers == nil {
+	workers, declaration, ok := c.sched.inputs(c.id)
+	if !ok {
 		return
 	}
 	out := c.decider.Decide(c.sched.clock(), Input{
--- a/io/sched/home.go
+++ b/io/sched/home.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -12,19 +13,35 @@
 
 // home returns the cell of a job. It depends on the job and on the list of the workers alone, so that a job
 // submitted twice, to whichever entry, meets itself and is not run twice.
-func (s *Sched) home(spec model.JobSpec) (model.CellID, bool) {
+func (s *Sched) home(spec model.JobSpec) (model.CellID, error) {
+	d, known := s.Declaration()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if spec.Guarantee != "" && s.Declaration != nil {
-		for _, t := range s.Declaration().Teams {
-			for _, g := range t.Guarantees {
-				if t.Name == spec.Team && g.Name == spec.Guarantee {
-					return s.keeper(t.Name, g)
-				}
+	var id model.CellID
+	var ok bool
+	if spec.Guarantee == "" {
+		id, ok = s.pick("job/"+string(spec.ID), spec.Shape)
+	} else if g, declared := find(d, spec); declared {
+		id, ok = s.keeper(spec.Team, g)
+	} else if known {
+		return "", &InvalidError{Job: spec.ID, Reason: fmt.Sprintf("team %q has no guarantee %q", spec.Team, spec.Guarantee)}
+	}
+	if !ok {
+		return "", &NoCellError{Job: spec.ID}
+	}
+	return id, nil
+}
+
+// find returns the guarantee that a job names.
+func find(d model.Declaration, spec model.JobSpec) (model.Guarantee, bool) {
+	for _, t := range d.Teams {
+		for _, g := range t.Guarantees {
+			if t.Name == spec.Team && g.Name == spec.Guarantee {
+				return g, true
 			}
 		}
 	}
-	return s.pick("job/"+string(spec.ID), spec.Shape)
+	return model.Guarantee{}, false
 }
 
 // keeper returns the cell that holds a guarantee.
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -36,8 +36,8 @@
 	Region model.Region
 	Store  KeyValue
 	Works  works.Works
-	// Declaration returns the declaration in force; nil means an empty one.
-	Declaration func() model.Declaration
+	// Declaration returns the declaration in force. While there is none, nothing is decided.
+	Declaration func() (model.Declaration, bool)
 	// NewDecider returns a Decider for a cell; nil means that of core/plan.
 	NewDecider func() Decider
 	// Log takes the log; nil means none.
@@ -123,15 +123,12 @@
 	}
 }
 
-// inputs returns the workers of a cell and the part of the declaration that concerns it.
-func (s *Sched) inputs(id model.CellID) ([]model.Worker, model.Declaration) {
+// inputs returns the workers of a cell and the part of the declaration that concerns it, if both are known.
+func (s *Sched) inputs(id model.CellID) ([]model.Worker, model.Declaration, bool) {
+	d, ok := s.Declaration()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var d model.Declaration
-	if s.Declaration != nil {
-		d = s.Declaration()
-	}
-	return s.workers[id], s.part(d, id)
+	return s.workers[id], s.part(d, id), ok && s.workers[id] != nil
 }
 
 func (s *Sched) all() []*control {
@@ -150,9 +147,9 @@
 	if err := valid(spec); err != nil {
 		return err
 	}
-	id, ok := s.home(spec)
-	if !ok {
-		return &NoCellError{Job: spec.ID}
+	id, err := s.home(spec)
+	if err != nil {
+		return err
 	}
 	s.mu.Lock()
 	c := s.controls[id]
--- a/io/sched/sched_test.go
+++ b/io/sched/sched_test.go
@@ -70,7 +70,7 @@
 		Self: name, Region: "ch-west",
 		Store:       &store.Client{URL: r.url, HTTP: client},
 		Works:       &works.Client{URL: r.url, HTTP: client},
-		Declaration: func() model.Declaration { return declared },
+		Declaration: func() (model.Declaration, bool) { return declared, true },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/io/sched/snapshot.go
+++ b/io/sched/snapshot.go
@@ -97,9 +97,9 @@
 
 func (c *control) show(now time.Time) CellView {
 	v := c.view.Load()
-	workers, declaration := c.sched.inputs(c.id)
+	workers, declaration, ok := c.sched.inputs(c.id)
 	decision := v.decision
-	if !v.owned && workers != nil {
+	if !v.owned && ok {
 		// Another process decides; the same decision on the plan as known here gives the reasons.
 		decision = c.sched.newDecider().Decide(now, Input{
 			Cell: c.id, Plan: v.plan, Workers: workers, Declaration: declaration,
