--- a/stand/tasks/serve.go
+++ b/stand/tasks/serve.go
@@ -35,7 +35,9 @@
 func (t *Tasks) Control(r *mux.Router) {
 	r.HandleFunc("/log", func(w http.ResponseWriter, r *http.Request) {
 		from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-		serve.JSON(w, http.StatusOK, map[string]any{"events": t.Log(from), "stats": t.Stats()})
+		serve.JSON(w, http.StatusOK, map[string]any{
+			"events": t.Log(from), "stats": t.Stats(), "now": t.Since(time.Now()).Microseconds(),
+		})
 	}).Methods(http.MethodGet)
 	r.HandleFunc("/finish", func(w http.ResponseWriter, r *http.Request) {
 		var body struct {
--- a/stand/tasks/tasks.go
+++ b/stand/tasks/tasks.go
@@ -302,6 +302,9 @@
 	return out
 }
 
+// Since returns the time on the clock of the log.
+func (t *Tasks) Since(now time.Time) time.Duration { return now.Sub(t.begin) }
+
 // Log returns the events from index on.
 func (t *Tasks) Log(from int) []Event {
 	t.mu.Lock()
