Let operators take workers out of use

Change: Sched.Aside writes the worker to the plan; new work avoids it, under later owners too, until it is returned. Measured: TestAside, with a change of owner in between, passes under -race.

--- a/core/cell/change.go
+++ b/core/cell/change.go
@@ -29,6 +29,8 @@
 	Ending
 	// Noting replaces the plan's Note.
 	Noting
+	// Siding takes Worker out of use if Aside is set, and returns it if not.
+	Siding
 )
 
 // Change is one entry of the change log.
@@ -46,6 +48,7 @@
 	Worker    model.WorkerID   `cbor:"11,keyasint,omitempty"`
 	Save      bool             `cbor:"12,keyasint,omitempty"`
 	Note      []byte           `cbor:"13,keyasint,omitempty"`
+	Aside     bool             `cbor:"15,keyasint,omitempty"`
 	// At is in milliseconds since the Unix epoch.
 	At int64 `cbor:"14,keyasint"`
 }
@@ -88,6 +91,11 @@
 		for _, id := range c.Jobs {
 			p.cancel(id, c.At)
 		}
+	case Siding:
+		p.Aside = slices.DeleteFunc(p.Aside, func(w model.WorkerID) bool { return w == c.Worker })
+		if c.Aside {
+			p.Aside = append(p.Aside, c.Worker)
+		}
 	default:
 		if c.Epoch == p.Epoch {
 			p.own(c)
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -113,6 +113,8 @@
 	Writes []Write `cbor:"7,keyasint,omitempty"`
 	// Note belongs to the decision.
 	Note []byte `cbor:"8,keyasint,omitempty"`
+	// Aside names the workers that operators have taken out of use.
+	Aside []model.WorkerID `cbor:"9,keyasint,omitempty"`
 }
 
 // Write names the last batch of a writer.
@@ -127,6 +129,7 @@
 	c.Jobs = maps.Clone(p.Jobs)
 	c.Ended = slices.Clone(p.Ended)
 	c.Writes = slices.Clone(p.Writes)
+	c.Aside = slices.Clone(p.Aside)
 	return &c
 }
 
--- a/io/sched/driver.go
+++ b/io/sched/driver.go
@@ -193,12 +193,33 @@
 			differs = true
 		}
 	}
-	if differs {
+	if d.side(now, p) || differs {
 		// A clone works out its index anew.
 		d.state = d.state.Clone()
 	}
 }
 
+// asideFor is how long a worker stays out of use that an operator has taken out; the plan lists it until it is
+// returned.
+const asideFor = 10 * 365 * 24 * time.Hour
+
+// side brings the workers out of use in line with the plan and reports whether any has changed.
+func (d *driver) side(now time.Time, p *cell.Plan) bool {
+	changed := false
+	for id, h := range d.state.Hosts {
+		out := h.Aside.Sub(now) > asideFor/2
+		if want := slices.Contains(p.Aside, id); want != out {
+			h.Aside = time.Time{}
+			if want {
+				h.Aside = now.Add(asideFor)
+			}
+			d.state.Hosts[id] = h
+			changed = true
+		}
+	}
+	return changed
+}
+
 func slots(j *cell.Job) []plan.Slot {
 	var out []plan.Slot
 	for _, w := range j.Workers {
--- a/io/sched/errors.go
+++ b/io/sched/errors.go
@@ -41,6 +41,12 @@
 // Error names the job and what is wrong.
 func (e *InvalidError) Error() string { return fmt.Sprintf("job %q: %s", e.Job, e.Reason) }
 
+// UnknownWorkerError reports a worker that the worker service does not list.
+type UnknownWorkerError struct{ Worker model.WorkerID }
+
+// Error names the worker.
+func (e *UnknownWorkerError) Error() string { return fmt.Sprintf("unknown worker %q", e.Worker) }
+
 // UnknownJobsError reports jobs that no cell knows.
 type UnknownJobsError struct{ Jobs []model.JobID }
 
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -188,6 +188,22 @@
 	return nil
 }
 
+// Aside takes a worker out of use for new work, or returns it, and returns when that is durable.
+func (s *Sched) Aside(ctx context.Context, worker model.WorkerID, aside bool) error {
+	s.mu.Lock()
+	var c *control
+	for id, list := range s.workers {
+		if slices.ContainsFunc(list, func(w model.Worker) bool { return w.ID == worker }) {
+			c = s.controls[id]
+		}
+	}
+	s.mu.Unlock()
+	if c == nil {
+		return &UnknownWorkerError{Worker: worker}
+	}
+	return c.request(ctx, cell.Change{Kind: cell.Siding, Worker: worker, Aside: aside, At: s.clock().UnixMilli()})
+}
+
 // Drain hands the cells over to other processes. It returns when the leases are revoked and, where gangs run,
 // another owner has taken them or the wait for one is over; until ctx of Run ends, grants go on being renewed.
 func (s *Sched) Drain(ctx context.Context) {
--- a/io/sched/sched_test.go
+++ b/io/sched/sched_test.go
@@ -229,6 +229,39 @@
 	}
 }
 
+// Guards against a worker that operators took out of use and that gets work all the same, also from the next owner.
+func TestAside(t *testing.T) {
+	r := newRig(t, "chur=3")
+	s, end := r.start("e1")
+	r.until("ownership", owns(s))
+	if err := s.Aside(t.Context(), "chur-w1", true); err != nil {
+		t.Fatal(err)
+	}
+	end()
+	s, _ = r.start("e2")
+	r.until("ownership", owns(s))
+	r.submit(s, gang("j", 3))
+	r.submit(s, gang("k", 2))
+	r.until("the smaller gang runs", func() bool { return r.running("k") == 2 })
+	if got := r.running("j"); got != 0 {
+		t.Errorf("tasks of the larger gang: got %d running, want none beside a worker out of use", got)
+	}
+	for _, e := range r.Tasks.Log(0) {
+		if e.Worker == "chur-w1" {
+			t.Errorf("got event %+v on a worker out of use", e)
+		}
+	}
+	r.Tasks.Finish("k", time.Now())
+	if err := s.Aside(t.Context(), "chur-w1", false); err != nil {
+		t.Fatal(err)
+	}
+	r.until("the larger gang runs", func() bool { return r.running("j") == 3 })
+	var unknown *sched.UnknownWorkerError
+	if err := s.Aside(t.Context(), "none", true); !errors.As(err, &unknown) {
+		t.Errorf("got %v, want an unknown worker", err)
+	}
+}
+
 // Guards against jobs that can never run and that no one is told of.
 func TestFinalReasons(t *testing.T) {
 	r := newRig(t, "lausanne=3")
