Add the operators' API and commands

The API checks the token in constant time, bounds bodies and rates (guesses have a bucket of their own, so that they can't lock operators out), and names the kind of each failure. Commands map the kinds to documented exit codes. A call without an answer is repeated only where a change identifier makes that safe; otherwise its effect is reported as unknown.

Proved by go test -race ./io/admin ./cmds.

--- /dev/null
+++ b/cmds/check.go
@@ -0,0 +1,112 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"wagtailhoist/core/decl"
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/admin"
+)
+
+type checkCmd struct {
+	File  string `arg:"" help:"Declaration in YAML; - reads the standard input."`
+	Admin string `help:"URL of an entry's operators' listener, to show what would change."`
+	Token string `help:"Operators' secret, with --admin."`
+	outputFlags
+}
+
+// Help returns the example.
+func (*checkCmd) Help() string {
+	return `Lists every fault of a declaration with its line and column. With --admin it also shows what applying
+the declaration would change.
+
+Example: wagtailhoist check teams.yaml` + exitCodes
+}
+
+func (c *checkCmd) check(k *checks) {
+	if c.Admin != "" {
+		k.url("admin", c.Admin)
+		k.token("token", c.Token)
+	}
+}
+
+// checkResult is the output of check.
+type checkResult struct {
+	Problems []decl.Problem `json:"problems"`
+	Teams    int            `json:"teams"`
+	// Base is the revision that Changes are counted from; it is missing without --admin.
+	Base    *model.Revision `json:"base,omitempty"`
+	Changes []decl.Change   `json:"changes,omitempty"`
+}
+
+// Run checks the file.
+func (c *checkCmd) Run(s streams) error {
+	document, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	d, err := decl.Parse(document)
+	var problems *decl.ProblemsError
+	if errors.As(err, &problems) {
+		return c.invalid(s, problems)
+	}
+	if err != nil {
+		return err
+	}
+	result := checkResult{Problems: []decl.Problem{}, Teams: len(d.Teams)}
+	if c.Admin != "" {
+		flags := operatorFlags{Admin: c.Admin, Token: c.Token}
+		base, changes, err := compare(flags.client(), d)
+		if err != nil {
+			return err
+		}
+		result.Base, result.Changes = &base, changes
+	}
+	return c.print(s.out, result, func(w io.Writer) error {
+		fmt.Fprintf(w, "%s: %d teams, no problems\n", c.File, result.Teams)
+		if result.Base != nil {
+			fmt.Fprintf(w, "%d changes from revision %d\n", len(result.Changes), *result.Base)
+		}
+		return writeChanges(w, result.Changes)
+	})
+}
+
+func (c *checkCmd) invalid(s streams, problems *decl.ProblemsError) error {
+	err := c.print(s.out, checkResult{Problems: problems.Problems}, func(w io.Writer) error {
+		for _, p := range problems.Problems {
+			fmt.Fprintf(w, "%s:%s\n", c.File, p)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return &exitError{exitUsage, fmt.Errorf("%s has %d problems", c.File, len(problems.Problems))}
+}
+
+// compare returns the differences of d from the configuration in force.
+func compare(client *admin.Client, d model.Declaration) (model.Revision, []decl.Change, error) {
+	current, err := client.Current(context.Background())
+	if err != nil {
+		return 0, nil, err
+	}
+	var old model.Declaration
+	if current.Revision > 0 {
+		if old, err = decl.Parse([]byte(current.Document)); err != nil {
+			return 0, nil, fmt.Errorf("reading the declaration in force: %w", err)
+		}
+	}
+	return current.Revision, decl.Diff(old, d), nil
+}
+
+func writeChanges(w io.Writer, changes []decl.Change) error {
+	for _, change := range changes {
+		if _, err := fmt.Fprintln(w, change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -17,6 +17,11 @@
 type commands struct {
 	Entry   entryCmd   `cmd:"" help:"Run an entry."`
 	Agent   agentCmd   `cmd:"" help:"Run an agent."`
+	Check   checkCmd   `cmd:"" help:"Check a declaration."`
+	Apply   applyCmd   `cmd:"" help:"Apply a declaration."`
+	Query   queryCmd   `cmd:"" help:"Answer a query or carry out a change."`
+	Drain   drainCmd   `cmd:"" help:"Drain and stop a process."`
+	Status  statusCmd  `cmd:"" help:"Show the processes."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -51,7 +56,7 @@
 	}
 	if err := ctx.Run(streams{out: stdout, err: stderr}); err != nil {
 		fmt.Fprintln(stderr, "wagtailhoist:", err)
-		return exitFail
+		return exitCode(err)
 	}
 	return exitOK
 }
--- a/cmds/settings.go
+++ b/cmds/settings.go
@@ -272,7 +272,7 @@
 	case reflect.Float64:
 		return "a number"
 	}
-	return strings.TrimSuffix(strings.ToLower(v.Help[:min(1, len(v.Help))])+v.Help[min(1, len(v.Help)):], ".")
+	return strings.TrimSuffix(v.Help, ".")
 }
 
 // environ is the environment that commands read; tests replace it.
--- /dev/null
+++ b/cmds/status.go
@@ -0,0 +1,63 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"wagtailhoist/core/query"
+	"wagtailhoist/io/admin"
+)
+
+// stateLost is the state of a process that was seen lately and is not any more.
+const stateLost = "lost"
+
+type statusCmd struct{ operatorFlags }
+
+// Help returns the example.
+func (*statusCmd) Help() string {
+	return `Shows each process with the revision that is in force there, whether the store has confirmed it, and
+whether the process is ready, draining or lost; then waiting, service and completion times of the
+entry that is asked, by team and by class.
+
+Example: wagtailhoist status --admin http://10.0.0.1:7403` + exitCodes
+}
+
+// Run shows the status.
+func (c *statusCmd) Run(s streams) error {
+	status, err := c.client().Status(context.Background())
+	if err != nil {
+		return err
+	}
+	return c.print(s.out, status, func(w io.Writer) error { return writeStatus(w, status) })
+}
+
+func writeStatus(w io.Writer, status admin.Status) error {
+	processes := query.Answer{Columns: []string{"process", "role", "region", "centre", "state", "revision", "config"}}
+	for _, p := range status.Processes {
+		confirmation := string(p.Config)
+		if p.Watch {
+			confirmation += ", watches the store"
+		}
+		processes.Rows = append(processes.Rows, []string{
+			string(p.ID), p.Role, string(p.Region), string(p.Centre), p.State, strconv.FormatUint(uint64(p.Revision), 10), confirmation,
+		})
+	}
+	if err := processes.WriteTable(w); err != nil || len(status.Timings) == 0 {
+		return err
+	}
+	fmt.Fprintf(w, "\ntimes of %s\n", status.Asked)
+	timings := query.Answer{Columns: []string{"time", "by", "name", "count", "p50", "p95", "p99"}}
+	for _, t := range status.Timings {
+		timings.Rows = append(timings.Rows, []string{
+			t.Metric, t.By, t.Name, strconv.FormatUint(t.Count, 10), seconds(t.P50), seconds(t.P95), seconds(t.P99),
+		})
+	}
+	return timings.WriteTable(w)
+}
+
+func seconds(v float64) string {
+	return "<= " + time.Duration(v*float64(time.Second)).Round(time.Microsecond).String()
+}
--- /dev/null
+++ b/io/admin/admin_test.go
@@ -0,0 +1,271 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/query"
+	"wagtailhoist/io/conf"
+	"wagtailhoist/io/meter"
+	"wagtailhoist/io/store"
+	"wagtailhoist/stand/fault"
+	"wagtailhoist/stand/plat"
+)
+
+const (
+	testToken = "operator-secret"
+	doc       = "teams: [{name: a, weight: 1}]\n"
+)
+
+// fakeFleet and fakeJobs record what the API asks of them.
+type fakeFleet struct {
+	workers []model.Worker
+	err     error
+	calls   []string
+}
+
+func (f *fakeFleet) Processes() []Process {
+	return []Process{{ID: "z", State: "ready"}, {ID: "e1", State: "ready"}}
+}
+func (f *fakeFleet) Records() []model.Record { return []model.Record{{ID: "m1", Service: "s"}} }
+func (f *fakeFleet) Workers(context.Context) ([]model.Worker, error) {
+	return f.workers, f.err
+}
+
+func (f *fakeFleet) Drain(_ context.Context, id model.NodeID) error {
+	if id != "m1" {
+		return &query.MissingError{Kind: "process", Name: string(id)}
+	}
+	f.calls = append(f.calls, "drain m1")
+	return nil
+}
+
+type fakeJobs struct{ fleet *fakeFleet }
+
+func (j fakeJobs) note(format string, args ...any) error {
+	j.fleet.calls = append(j.fleet.calls, fmt.Sprintf(format, args...))
+	return nil
+}
+
+func (j fakeJobs) Submit(_ context.Context, job model.JobSpec) error {
+	return j.note("submit %s", job.ID)
+}
+
+func (j fakeJobs) Cancel(_ context.Context, ids []model.JobID) error { return j.note("cancel %v", ids) }
+
+func (j fakeJobs) Aside(_ context.Context, id model.WorkerID, aside bool) error {
+	return j.note("aside %s %v", id, aside)
+}
+
+func (j fakeJobs) Observe(_ context.Context, s *query.Snapshot) {
+	s.Workers = append(s.Workers, query.Worker{Worker: model.Worker{ID: "w1", GPUs: 8, Up: true}})
+}
+
+type bench struct {
+	fleet  *fakeFleet
+	faults *fault.Set
+	client *Client
+	ctx    context.Context
+}
+
+func newBench(t *testing.T) *bench {
+	p := plat.New(nil, 0)
+	platform := httptest.NewServer(p.Handler())
+	t.Cleanup(platform.Close)
+	m := conf.New(conf.Options{ID: "e1", Store: &store.Client{URL: platform.URL, Timeout: 300 * time.Millisecond}})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.Run(ctx)
+	}()
+	figures := meter.New()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		_ = figures.Close()
+	})
+	for !m.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	fleet := &fakeFleet{}
+	s := &Server{ID: "e1", Token: testToken, Config: m, Fleet: fleet, Jobs: fakeJobs{fleet}, Meter: figures}
+	api := httptest.NewServer(s.Handler())
+	t.Cleanup(api.Close)
+	return &bench{fleet, p.Faults, &Client{URL: api.URL, Token: testToken}, t.Context()}
+}
+
+func kindOf(err error) Kind {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f.Kind
+	}
+	return ""
+}
+
+func (b *bench) ask(text string) (QueryAnswer, error) {
+	return b.client.Query(b.ctx, QueryRequest{Text: text, Author: "ann"})
+}
+
+// A caller without the token could read the plan or stop jobs.
+func TestEveryPathNeedsTheToken(t *testing.T) {
+	b := newBench(t)
+	for _, token := range []string{"", "wrong", testToken + "x"} {
+		for _, path := range []string{"/status", "/config", "/metrics"} {
+			c := &Client{URL: b.client.URL, Token: token}
+			if got := kindOf(c.call(b.ctx, http.MethodGet, path, nil, nil)); got != KindDenied {
+				t.Errorf("%s with token %q: got %q, want denied", path, token, got)
+			}
+		}
+	}
+	c := &Client{URL: b.client.URL, Token: "wrong"}
+	if _, err := c.Query(b.ctx, QueryRequest{Text: "cancel j"}); kindOf(err) != KindDenied {
+		t.Errorf("change with a wrong token: got %v, want denied", err)
+	}
+	if len(b.fleet.calls) > 0 {
+		t.Errorf("carried out without the token: %v", b.fleet.calls)
+	}
+}
+
+// Guesses are answered slowly, and don't use up the calls of operators who have the token.
+func TestCallsAreLimited(t *testing.T) {
+	b := newBench(t)
+	counts := map[Kind]int{}
+	for range deniedBurst + 50 {
+		counts[kindOf((&Client{URL: b.client.URL}).call(b.ctx, http.MethodGet, "/status", nil, nil))]++
+	}
+	if counts[KindTooMany] < 40 {
+		t.Errorf("calls without the token: got %v, want at least 40 refused as too many", counts)
+	}
+	if _, err := b.client.Status(b.ctx); err != nil {
+		t.Errorf("call with the token: got %v, want none", err)
+	}
+	limit := newBucket(2, 10)
+	now := time.Unix(100, 0)
+	for i, want := range []bool{true, true, false} {
+		if got := limit.take(now); got != want {
+			t.Errorf("call %d at once: got %v, want %v", i, got, want)
+		}
+	}
+	if !limit.take(now.Add(100*time.Millisecond)) || limit.take(now.Add(110*time.Millisecond)) {
+		t.Error("after a tenth of a second: want one more call of ten a second")
+	}
+}
+
+func TestFailuresHaveTheirKind(t *testing.T) {
+	b := newBench(t)
+	apply := func(base model.Revision, document string) error {
+		_, err := b.client.Apply(b.ctx, ApplyRequest{Base: base, Document: document, Author: "ann"})
+		return err
+	}
+	if err := apply(0, doc); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct {
+		name string
+		err  error
+		want Kind
+		text string
+	}{
+		{"stale base", apply(0, doc), KindConflict, "made for revision 0, but the latest is revision 1 by ann"},
+		{"faulty document", apply(1, "teams: [{name: A, weight: 1}]"), KindInvalid, "1:16: teams[0].name"},
+		{"too large", apply(1, strings.Repeat(" ", maxBody)), KindTooLarge, "larger"},
+		{"long author", func() error {
+			_, err := b.client.Apply(b.ctx, ApplyRequest{Author: strings.Repeat("a", 999), Document: doc})
+			return err
+		}(), KindInvalid, "at most 128 bytes"},
+		{"unknown field", b.client.call(b.ctx, http.MethodPost, "/query", map[string]int{"x": 1}, nil), KindInvalid, "unknown field"},
+		{"syntax", func() error { _, err := b.ask("show nothing"); return err }(), KindInvalid, "1:6: found"},
+		{"no such job", func() error { _, err := b.ask("why j"); return err }(), KindMissing, `no job "j"`},
+		{"no such process", func() error { _, err := b.ask("drain x"); return err }(), KindMissing, `no process "x"`},
+		{"change for an old revision", func() error { _, err := b.ask("cancel j at 0"); return err }(), KindConflict, "revision 0"},
+		{"edit for an old revision", func() error { _, err := b.ask("team a weight 2 at 0"); return err }(), KindConflict, "revision 0"},
+		{"edit out of range", func() error { _, err := b.ask("team a weight 0"); return err }(), KindInvalid, "teams[0].weight"},
+		{"no entry", func() error {
+			_, err := (&Client{URL: "http://127.0.0.1:1"}).Query(b.ctx, QueryRequest{})
+			return err
+		}(), KindUnavailable, "can't be reached"},
+	} {
+		if got := kindOf(tc.err); got != tc.want || !strings.Contains(tc.err.Error(), tc.text) {
+			t.Errorf("%s: got %q, %.200v; want %q with %q", tc.name, got, tc.err, tc.want, tc.text)
+		}
+	}
+	if len(b.fleet.calls) > 0 {
+		t.Errorf("refused changes were carried out: %v", b.fleet.calls)
+	}
+}
+
+// Guarantees that can't be met together would make P1 false from the start.
+func TestGuaranteesAreCheckedAgainstTheWorkers(t *testing.T) {
+	b := newBench(t)
+	b.fleet.workers = []model.Worker{{ID: "w1", Centre: "c", Rack: "r", GPUs: 8, Cores: 8, Memory: 8, Up: true}}
+	two := "teams: [{name: a, weight: 1, guarantees: [{name: g, grace: 5s, shape: {tasks: 1, gpus: 8}}]}," +
+		" {name: b, weight: 1, guarantees: [{name: h, grace: 5s, shape: {tasks: 1, gpus: 8}}]}]"
+	_, err := b.client.Apply(b.ctx, ApplyRequest{Document: two})
+	if kindOf(err) != KindInvalid || !strings.Contains(err.Error(), "a/g") || !strings.Contains(err.Error(), "b/h") {
+		t.Errorf("two guarantees on one worker: got %v, want a refusal that names both", err)
+	}
+	b.fleet.err = errors.New("down")
+	if _, err := b.client.Apply(b.ctx, ApplyRequest{Document: two}); kindOf(err) != KindUnavailable {
+		t.Errorf("without the list of workers: got %v, want unavailable", err)
+	}
+}
+
+func TestStoreFaultsAreReportedAsTheyAre(t *testing.T) {
+	b := newBench(t)
+	b.faults.Add(fault.Fault{Mode: fault.Down, Of: "store"})
+	if _, err := b.client.Apply(b.ctx, ApplyRequest{Document: doc}); kindOf(err) != KindUnavailable {
+		t.Errorf("store down: got %v, want unavailable", err)
+	}
+	b.faults.Add(fault.Fault{Mode: fault.Clear})
+	b.faults.Add(fault.Fault{Mode: fault.Lost, Of: "store", Method: "PUT", Path: "/kv/config", Count: 1})
+	got, err := b.client.Apply(b.ctx, ApplyRequest{Document: doc, Change: "c"})
+	if err != nil || got.Revision != 1 {
+		t.Errorf("answer lost after the effect: got %+v, %v, want revision 1", got, err)
+	}
+	again, err := b.client.Apply(b.ctx, ApplyRequest{Document: doc, Change: "c"})
+	if err != nil || again.Revision != 1 {
+		t.Errorf("same change again: got %+v, %v, want revision 1", again, err)
+	}
+}
+
+func TestStatementsReachTheirPart(t *testing.T) {
+	b := newBench(t)
+	for text, want := range map[string]string{
+		"show workers":          "[w1   8 0 up]",
+		"show minions":          "[m1 s  ready 0 0 0]",
+		"team a weight 3":       "accepted as revision 1",
+		"job j of a 1x8 urgent": "submitted j",
+		"drain m1":              "draining m1",
+	} {
+		got, err := b.ask(text)
+		shown := got.Done
+		if got.Answer != nil {
+			shown = fmt.Sprint(got.Rows[0])
+		}
+		if err != nil || shown != want {
+			t.Errorf("%s: got %q, %v, want %q", text, shown, err, want)
+		}
+	}
+	b.fleet.calls = nil
+	for _, text := range []string{"job j of a 1x8", "cancel j k", "aside w1", "back w1", "drain m1"} {
+		if _, err := b.ask(text); err != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+	}
+	want := "[submit j cancel [j k] aside w1 true aside w1 false drain m1]"
+	if got := fmt.Sprint(b.fleet.calls); got != want {
+		t.Errorf("carried out: got %s, want %s", got, want)
+	}
+	status, err := b.client.Status(b.ctx)
+	if err != nil || len(status.Processes) != 2 || status.Processes[0].ID != "e1" {
+		t.Errorf("status: got %+v, %v, want two processes by name", status, err)
+	}
+}
--- /dev/null
+++ b/io/admin/client.go
@@ -0,0 +1,101 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+)
+
+// maxAnswer bounds an answer, in bytes; a table of 95,000 jobs takes about 20 MB.
+const maxAnswer = 64 << 20
+
+// Client calls the API of an entry. Errors of the API are of type Failure.
+type Client struct {
+	// URL is the root of the operators' listener, for example http://10.0.0.1:7403.
+	URL   string
+	Token string
+	// HTTP sends the calls; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Status returns the status.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	err := c.call(ctx, http.MethodGet, "/status", nil, &out)
+	return out, err
+}
+
+// Current returns the configuration in force.
+func (c *Client) Current(ctx context.Context) (Current, error) {
+	var out Current
+	err := c.call(ctx, http.MethodGet, "/config", nil, &out)
+	return out, err
+}
+
+// Apply writes a configuration. A failure of KindUnknown can be tried again with the same change.
+func (c *Client) Apply(ctx context.Context, req ApplyRequest) (ApplyAnswer, error) {
+	var out ApplyAnswer
+	err := c.call(ctx, http.MethodPost, "/config", req, &out)
+	return out, err
+}
+
+// Query answers a query or carries out a change.
+func (c *Client) Query(ctx context.Context, req QueryRequest) (QueryAnswer, error) {
+	var out QueryAnswer
+	err := c.call(ctx, http.MethodPost, "/query", req, &out)
+	return out, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("encoding the request: %w", err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Token)
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return lost(method, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return lost(method, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		f := &Failure{}
+		if err := json.Unmarshal(data, f); err != nil || f.Kind == "" {
+			return &Failure{Kind: KindInternal, Text: fmt.Sprintf("the entry answered with status %d", resp.StatusCode)}
+		}
+		return f
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return lost(method, err)
+	}
+	return nil
+}
+
+// lost explains a call without an answer: a change that was sent may have taken effect.
+func lost(method string, err error) error {
+	var dial *net.OpError
+	if method == http.MethodGet || errors.As(err, &dial) && dial.Op == "dial" {
+		return &Failure{Kind: KindUnavailable, Text: "the entry can't be reached: " + err.Error()}
+	}
+	return &Failure{Kind: KindUnknown, Text: "the entry did not answer, so the effect is unknown: " + err.Error()}
+}
--- /dev/null
+++ b/io/admin/handle.go
@@ -0,0 +1,198 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"wagtailhoist/core/config"
+	"wagtailhoist/core/decl"
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/plan"
+	"wagtailhoist/core/query"
+	"wagtailhoist/io/conf"
+)
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	out := Status{Asked: s.ID, Processes: s.Fleet.Processes()}
+	slices.SortFunc(out.Processes, func(a, b Process) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if s.Meter != nil {
+		timings, err := s.Meter.Summaries()
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		out.Timings = timings
+	}
+	answer(w, out)
+}
+
+func (s *Server) current(w http.ResponseWriter, _ *http.Request) {
+	c, _, ready := s.Config.Force()
+	answer(w, Current{Copy: c, Ready: ready})
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
+	var req ApplyRequest
+	if err := read(r, &req); err != nil {
+		fail(w, err)
+		return
+	}
+	d, err := decl.Parse([]byte(req.Document))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	out, err := s.write(r.Context(), req, d)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, out)
+}
+
+// write checks that the guarantees can be met together and writes the configuration.
+func (s *Server) write(ctx context.Context, req ApplyRequest, d model.Declaration) (ApplyAnswer, error) {
+	var out ApplyAnswer
+	if len(req.Author) > maxAuthor || len(req.Change) > maxAuthor {
+		return out, &Failure{Kind: KindInvalid, Text: fmt.Sprintf("author and change have at most %d bytes each", maxAuthor)}
+	}
+	if req.Change == "" {
+		req.Change = conf.NewChange()
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	workers, err := s.Fleet.Workers(ctx)
+	if err != nil {
+		return out, &Failure{Kind: KindUnavailable, Text: "the guarantees can't be checked without the list of workers: " + err.Error()}
+	}
+	if workers == nil {
+		out.Notes = append(out.Notes, "the guarantees were not checked against the workers: no worker service is set")
+	} else if err := plan.Check(workers, d); err != nil {
+		return out, err
+	}
+	before, old, _ := s.Config.Force()
+	out.Revision, err = s.Config.Apply(ctx, config.Write{
+		Base: req.Base, Change: req.Change, Author: req.Author, Document: req.Document,
+	})
+	if err != nil {
+		return out, err
+	}
+	if before.Revision == req.Base {
+		out.Changes = decl.Diff(old, d)
+	}
+	s.Log.Info("configuration accepted", "revision", out.Revision, "change", req.Change, "author", req.Author)
+	return out, nil
+}
+
+func (s *Server) query(w http.ResponseWriter, r *http.Request) {
+	var req QueryRequest
+	if err := read(r, &req); err != nil {
+		fail(w, err)
+		return
+	}
+	statement, err := query.Parse(req.Text)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	var out QueryAnswer
+	if statement.Changes() {
+		out, err = s.change(r.Context(), req, statement)
+	} else {
+		var table query.Answer
+		table, err = query.Eval(statement, s.snapshot(r.Context()))
+		out.Answer = &table
+	}
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, out)
+}
+
+func (s *Server) snapshot(ctx context.Context) query.Snapshot {
+	c, d, _ := s.Config.Force()
+	snap := query.Snapshot{Now: time.Now(), Revision: c.Revision, Declaration: d, Minions: s.Fleet.Records()}
+	slices.SortFunc(snap.Minions, func(a, b model.Record) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if s.Jobs == nil {
+		snap.Missing = append(snap.Missing, "jobs, anchors and workers: this process schedules nothing")
+	} else {
+		s.Jobs.Observe(ctx, &snap)
+	}
+	return snap
+}
+
+// change carries out a change after its revision, if it names one, is found to be in force.
+func (s *Server) change(ctx context.Context, req QueryRequest, statement *query.Statement) (QueryAnswer, error) {
+	c, d, ready := s.Config.Force()
+	if !ready {
+		return QueryAnswer{}, &Failure{Kind: KindUnavailable, Text: "this process has no configuration in force yet"}
+	}
+	base, named := statement.Revision()
+	if named && base != c.Revision {
+		return QueryAnswer{}, &config.ConflictError{Base: base, Have: c.Revision, Author: c.Author, Change: c.Change}
+	}
+	if statement.Edits() {
+		return s.edit(ctx, req, statement, c.Revision, d)
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	done, err := s.command(ctx, statement)
+	if err != nil {
+		return QueryAnswer{}, err
+	}
+	s.Log.Info("change carried out", "text", req.Text, "author", req.Author)
+	return QueryAnswer{Done: done, Revision: c.Revision}, nil
+}
+
+// edit writes the configuration that a statement makes of the one in force.
+func (s *Server) edit(
+	ctx context.Context, req QueryRequest, statement *query.Statement, base model.Revision, d model.Declaration,
+) (QueryAnswer, error) {
+	d, err := statement.Edit(d)
+	if err != nil {
+		return QueryAnswer{}, err
+	}
+	if problems := decl.Check(d); len(problems) > 0 {
+		return QueryAnswer{}, &decl.ProblemsError{Problems: problems}
+	}
+	document, err := decl.Format(d)
+	if err != nil {
+		return QueryAnswer{}, err
+	}
+	out, err := s.write(ctx, ApplyRequest{
+		Base: base, Change: req.Change, Author: req.Author, Document: string(document),
+	}, d)
+	if err != nil {
+		return QueryAnswer{}, err
+	}
+	return QueryAnswer{Done: fmt.Sprintf("accepted as revision %d", out.Revision), Revision: out.Revision}, nil
+}
+
+// command carries out a change that is not one of the configuration.
+func (s *Server) command(ctx context.Context, statement *query.Statement) (string, error) {
+	if statement.Drain != nil {
+		return "draining " + statement.Drain.Node, s.Fleet.Drain(ctx, model.NodeID(statement.Drain.Node))
+	}
+	if s.Jobs == nil {
+		return "", &Failure{Kind: KindUnavailable, Text: "this process schedules nothing; ask an entry with a worker service"}
+	}
+	switch {
+	case statement.Job != nil:
+		spec := statement.JobSpec()
+		return "submitted " + string(spec.ID), s.Jobs.Submit(ctx, spec)
+	case statement.Cancel != nil:
+		ids := make([]model.JobID, len(statement.Cancel.Jobs))
+		for i, id := range statement.Cancel.Jobs {
+			ids[i] = model.JobID(id)
+		}
+		return fmt.Sprintf("cancelled %d jobs", len(ids)), s.Jobs.Cancel(ctx, ids)
+	case statement.Aside != nil:
+		return "put aside " + statement.Aside.Worker, s.Jobs.Aside(ctx, model.WorkerID(statement.Aside.Worker), true)
+	}
+	return "returned " + statement.Back.Worker, s.Jobs.Aside(ctx, model.WorkerID(statement.Back.Worker), false)
+}
