Wire configuration and the operators' API into entries and agents

Entries and agents report every link to the manager; a new process without the store also dials agents that it is not linked to, and looks whether unlinked entries can be reached. An entry without a store has the empty revision.

--- a/cmds/agent.go
+++ b/cmds/agent.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -13,29 +14,45 @@
 
 	"wagtailhoist/core/model"
 	"wagtailhoist/io/agent"
+	"wagtailhoist/io/conf"
 	"wagtailhoist/io/link"
 )
 
 type agentCmd struct {
-	ID          string   `required:"" help:"Identifier of the node."`
-	Region      string   `required:"" help:"Region of the node."`
-	Centre      string   `required:"" help:"Data centre of the node."`
-	Listen      string   `default:"127.0.0.1:0" help:"Address of the link listener."`
-	Advertise   string   `help:"Address that entries dial, if it differs from the listener's."`
-	Minion      string   `required:"" help:"URL of the minion."`
-	Service     string   `default:"default" help:"Service that the minion provides."`
-	Slots       int      `default:"8" help:"Requests that the minion serves at a time."`
-	Connections int      `default:"64" help:"Connections that the minion accepts."`
-	Join        []string `required:"" help:"Link addresses of entries."`
-	Token       string   `help:"Link token."`
+	nodeFlags
+	Listen      string `default:"127.0.0.1:0" help:"Address of the link listener."`
+	Advertise   string `help:"Address that entries dial, if it differs from the listener's."`
+	Minion      string `required:"" help:"URL of the minion."`
+	Service     string `default:"default" help:"Service that the minion provides."`
+	Slots       int    `default:"8" help:"Requests that the minion serves at a time."`
+	Connections int    `default:"64" help:"Connections that the minion accepts."`
+}
+
+func (c *agentCmd) check(k *checks) {
+	c.nodeFlags.check(k)
+	k.listen("listen", c.Listen)
+	if c.Advertise != "" {
+		k.listen("advertise", c.Advertise)
+	}
+	k.url("minion", c.Minion)
+	k.name("service", c.Service)
+	k.count("slots", c.Slots, 1, 10000)
+	k.count("connections", c.Connections, 1, 10000)
+	if c.Slots > c.Connections {
+		k.fail("slots", strconv.Itoa(c.Slots), "at most the number of --connections, because each request takes one")
+	}
+	if len(c.Join) == 0 {
+		k.fail("join", "", "the address of at least one entry")
+	}
 }
 
 // Run serves until the process is told to stop.
 func (c *agentCmd) Run(s streams) error {
-	return serve(s,
+	return serve(s, c.Level,
 		fx.Supply(c),
 		fx.Provide(newAgentSelf, newAgentMinion, newAgent),
-		fx.Invoke(startAgent),
+		fx.Provide(newAgentConf, newExchange),
+		fx.Invoke(startAgentConf, startAgent),
 	)
 }
 
@@ -76,10 +93,12 @@
 // expireEvery is the interval at which an agent forgets old attempts.
 const expireEvery = 5 * time.Second
 
-func startAgent(life fx.Lifecycle, c *agentCmd, self agentSelf, a *agent.Agent, m *agent.Minion, log *slog.Logger) {
+func startAgent(life fx.Lifecycle, c *agentCmd, self agentSelf, a *agent.Agent, m *agent.Minion,
+	config *conf.Manager, log *slog.Logger,
+) {
 	ctx, cancel := context.WithCancel(context.Background())
 	joined := make(chan struct{})
-	server := linkServer(self.settings, a.Serve, a.Ready)
+	server := linkServer(self.settings, a.Serve, agentReady(a, config))
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			log.Info("listening", "link", self.listener.Addr().String())
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -5,13 +5,13 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
 
 	"wagtailhoist/core/model"
 	"wagtailhoist/io/claims"
+	"wagtailhoist/io/conf"
 	"wagtailhoist/io/front"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/peers"
@@ -19,46 +19,53 @@
 )
 
 type entryCmd struct {
-	ID     string        `required:"" help:"Identifier of the node."`
-	Region string        `required:"" help:"Region of the node."`
-	Centre string        `required:"" help:"Data centre of the node."`
+	nodeFlags
 	Listen string        `default:"127.0.0.1:0" help:"Address of the callers' listener."`
 	Link   string        `default:"127.0.0.1:0" help:"Address of the link listener."`
-	Token  string        `help:"Link token."`
-	Store  string        `help:"URL of the platform's store. Without it, requests with a key are refused."`
-	Join   []string      `help:"Addresses of links of other entries, for a start while the store is down."`
+	Admin  string        `default:"127.0.0.1:0" help:"Address of the operators' listener."`
+	Store  string        `help:"URL of the platform's store. Without it, requests with a key are refused and there is no configuration."`
 	Drain  time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
 }
 
+func (c *entryCmd) check(k *checks) {
+	c.nodeFlags.check(k)
+	k.listen("listen", c.Listen)
+	k.listen("link", c.Link)
+	k.listen("admin", c.Admin)
+	k.distinct("listen", c.Listen, "link", c.Link, "admin", c.Admin)
+	if c.Store != "" {
+		k.url("store", c.Store)
+	}
+	k.duration("drain", c.Drain, 0, 10*time.Minute)
+}
+
 // Run serves until the process is told to stop.
 func (c *entryCmd) Run(s streams) error {
-	return serve(s,
+	return serve(s, c.Level,
 		fx.Supply(c),
 		fx.Provide(newEntrySelf, newEntryPool, newEntryDispatcher, newStore, newMembers, newPeers, newClaims, newGate),
-		fx.Invoke(startEntry),
+		fx.Provide(newPhase, newConf, newExchange, newMeter, newFleet),
+		fx.Invoke(startConf, startAdmin, startEntry),
 	)
 }
 
 // entrySelf is the identity and the listeners of an entry.
 type entrySelf struct {
-	callers, links net.Listener
-	settings       link.Settings
+	callers, links, admin net.Listener
+	settings              link.Settings
 }
 
 func newEntrySelf(c *entryCmd) (entrySelf, error) {
-	callers, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return entrySelf{}, err
-	}
-	links, err := net.Listen("tcp", c.Link)
+	open, err := listenAll(c.Listen, c.Link, c.Admin)
 	if err != nil {
 		return entrySelf{}, err
 	}
+	callers, links, admin := open[0], open[1], open[2]
 	hello := link.Hello{
 		Node: model.NodeID(c.ID), Incarnation: model.NewIncarnation(time.Now()), Role: link.RoleEntry,
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: links.Addr().String(),
 	}
-	return entrySelf{callers, links, link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}}, nil
+	return entrySelf{callers, links, admin, link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}}, nil
 }
 
 func newEntryPool(self entrySelf) *front.Pool { return &front.Pool{Settings: self.settings} }
@@ -80,24 +87,26 @@
 	Peers    *peers.Peers
 	Claims   *claims.Writer
 	Gate     *queue.Gate
+	Phase    *phase
+	Conf     *conf.Manager
 }
 
 func startEntry(life fx.Lifecycle, c *entryCmd, e entryParts, log *slog.Logger) {
-	var draining, stopping atomic.Bool
 	ctx, cancel := context.WithCancel(context.Background())
 	self, d := e.Self, e.Dispatch
 	handle := front.Chain(
-		front.Claiming(claimer(e.Claims), d.Do, d.Next), front.Stopping(stopping.Load), front.Admitting(e.Gate),
+		front.Claiming(claimer(e.Claims), d.Do, d.Next), front.Stopping(e.Phase.stopping.Load), front.Admitting(e.Gate),
 	)
 	callers := &http.Server{
-		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody, Closing: draining.Load},
+		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody, Closing: e.Phase.draining.Load},
 		ReadHeaderTimeout: 5 * time.Second,
 	}
-	links := linkServer(self.settings, e.Peers.Serve, func() bool { return !draining.Load() })
+	links := linkServer(self.settings, e.Peers.Serve, func() bool { return !e.Phase.draining.Load() && e.Conf.Ready() })
 	linked := make(chan struct{})
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			log.Info("listening", "listen", self.callers.Addr().String(), "link", self.links.Addr().String())
+			log.Info("listening", "listen", self.callers.Addr().String(), "link", self.links.Addr().String(),
+				"admin", self.admin.Addr().String())
 			go serveHTTP(callers, self.callers, log)
 			go serveHTTP(links, link.Listen(self.links, link.Guests), log)
 			go every(ctx, sweepEvery, d.Pool.Sweep)
@@ -110,9 +119,9 @@
 		},
 		OnStop: func(stop context.Context) error {
 			log.Info("draining")
-			draining.Store(true)
+			e.Phase.draining.Store(true)
 			time.Sleep(c.Drain)
-			stopping.Store(true)
+			e.Phase.stopping.Store(true)
 			err := callers.Shutdown(stop)
 			closeClaims(stop, e.Claims)
 			cancel()
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
+
+	"wagtailhoist/io/logs"
 )
 
 const (
@@ -19,8 +21,12 @@
 )
 
 // serve constructs a process from options, runs it until SIGTERM or SIGINT, and shuts it down gracefully.
-func serve(s streams, options ...fx.Option) error {
-	log := slog.New(slog.NewJSONHandler(s.err, nil))
+func serve(s streams, level string, options ...fx.Option) error {
+	var lowest slog.Level
+	if err := lowest.UnmarshalText([]byte(level)); err != nil {
+		return err
+	}
+	log := logs.New(s.err, lowest)
 	app := fx.New(append(options,
 		fx.Supply(log),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
--- a/core/config/message.go
+++ b/core/config/message.go
@@ -29,6 +29,8 @@
 	Confirmed bool `cbor:"6,keyasint,omitempty"`
 	// Watch is the region whose watch of the store the sender holds, empty for none.
 	Watch model.Region `cbor:"7,keyasint,omitempty"`
+	// State is the drain state of the sender.
+	State model.State `cbor:"12,keyasint,omitempty"`
 	// Want asks for the document of Held of the receiver.
 	Want bool `cbor:"8,keyasint,omitempty"`
 	// Sent is the sender's time, Echo the last Sent that it had of the receiver.
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -75,11 +75,18 @@
 
 // Down reports that the link to a peer broke or could not be made.
 func (s *State) Down(now time.Time, id model.NodeID) []Effect {
+	if s.ready {
+		delete(s.peers, id)
+		return nil
+	}
 	s.Meet(id)
 	s.peers[id].up, s.peers[id].failed = false, now
 	return s.decide(now, nil)
 }
 
+// Alone puts the empty revision in force, in a process that has no store to learn one from.
+func (s *State) Alone() { s.ready = true }
+
 // Watch names the region whose watch the process holds, empty for none.
 func (s *State) Watch(region model.Region) { s.watch = region }
 
@@ -232,16 +239,30 @@
 	return effects
 }
 
+// Answer returns the message for a process that asks without being a peer.
+func (s *State) Answer(now time.Time, m Message) Message {
+	out := s.message(now, m.Sent, nil)
+	if m.Want && s.held.Revision > m.Held {
+		held := s.held
+		out.Copy = &held
+	}
+	return out
+}
+
 func (s *State) send(now time.Time, id model.NodeID, c *Copy) Send {
+	return Send{To: id, Message: s.message(now, s.peers[id].echo, c)}
+}
+
+func (s *State) message(now time.Time, echo Stamp, c *Copy) Message {
 	age := time.Duration(-1)
 	if !s.contact.IsZero() {
 		age = now.Sub(s.contact)
 	}
-	return Send{To: id, Message: Message{
+	return Message{
 		Held: s.held.Revision, Force: s.force.Revision, Known: s.known, Age: age, Ready: s.ready,
 		Confirmed: s.Confirmed(), Watch: s.watch,
-		Sent: Stamp{Life: s.life, At: now.Sub(s.started)}, Echo: s.peers[id].echo, Copy: c,
-	}}
+		Sent: Stamp{Life: s.life, At: now.Sub(s.started)}, Echo: echo, Copy: c,
+	}
 }
 
 // Held returns the highest revision that the process holds.
--- /dev/null
+++ b/core/member/list.go
@@ -0,0 +1,18 @@
+package member
+
+import (
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+// Records returns the records that are heard of at now, whatever their state.
+func (t *Table) Records(now time.Time) []model.Record {
+	out := make([]model.Record, 0, len(t.rows))
+	for _, row := range t.rows {
+		if !row.Lost && now.Sub(t.heard(row)) <= t.silence() {
+			out = append(out, row.Record)
+		}
+	}
+	return out
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -16,8 +16,21 @@
 	Do(ctx context.Context, b link.Begin, body []byte) Result
 }
 
+// Config exchanges the configuration over the agent's links.
+type Config interface {
+	// Linked and Unlinked report a link that the agent opened, Heard its frames.
+	Linked(l *link.Link)
+	Unlinked(l *link.Link)
+	Heard(l *link.Link, f link.Frame)
+	// Asked answers a process that opened the link.
+	Asked(l *link.Link, f link.Config)
+}
+
 // Agent accepts attempts from entries and runs them at its minion.
 type Agent struct {
+	// Config is set before Join and Serve; nil means none.
+	Config Config
+
 	// Record is what the agent announces; Address, State, Load and Sequence are kept up to date.
 	record model.Record
 	runner Runner
@@ -69,6 +82,10 @@
 			a.fence(l, f)
 		case link.Attach:
 			a.attach(l, f)
+		case link.Config:
+			if a.Config != nil {
+				a.Config.Asked(l, f)
+			}
 		case link.Done:
 			a.mu.Lock()
 			a.book.Done(f.Attempt)
--- a/io/agent/drain.go
+++ b/io/agent/drain.go
@@ -52,6 +52,13 @@
 	}
 }
 
+// State returns the announced state.
+func (a *Agent) State() model.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.record.State
+}
+
 // Ready reports whether the agent accepts new attempts.
 func (a *Agent) Ready() bool {
 	a.mu.Lock()
--- a/io/agent/join.go
+++ b/io/agent/join.go
@@ -120,6 +120,10 @@
 		return
 	}
 	defer l.Close()
+	if c := h.agent.Config; c != nil {
+		c.Linked(l)
+		defer c.Unlinked(l)
+	}
 	go h.listen(l)
 	tick := time.NewTicker(announceEvery)
 	defer tick.Stop()
@@ -151,6 +155,9 @@
 			h.known = k.Entries
 			h.mu.Unlock()
 		}
+		if h.agent.Config != nil {
+			h.agent.Config.Heard(l, f)
+		}
 	}
 }
 
@@ -163,6 +170,15 @@
 	return a.record, a.changed
 }
 
+// SetRevision announces the configuration revision that is in force.
+func (a *Agent) SetRevision(r model.Revision) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.record.Revision = r
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
 // publish changes the announced state at once.
 func (a *Agent) publish(s model.State) {
 	a.mu.Lock()
--- a/io/conf/manager.go
+++ b/io/conf/manager.go
@@ -40,6 +40,8 @@
 	Life   model.Incarnation
 	// Store is nil in processes that don't reach the store.
 	Store Store
+	// State returns the drain state to tell others; nil means ready.
+	State func() model.State
 	Log   *slog.Logger
 }
 
@@ -112,6 +114,13 @@
 	}
 }
 
+// Alone puts the empty revision in force, in a process that has no store to learn one from.
+func (m *Manager) Alone() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state.Alone()
+}
+
 // Meet names processes that this one has to hear of, or fail to reach, before it trusts its peers.
 func (m *Manager) Meet(ids ...model.NodeID) {
 	m.mu.Lock()
@@ -130,8 +139,9 @@
 	m.state.Forget(id)
 }
 
-// Up reports a link to a process; a later link replaces an earlier one.
-func (m *Manager) Up(id model.NodeID, p Peer) {
+// Up reports a link to a process; a later link replaces an earlier one. The returned function
+// reports the end of the link.
+func (m *Manager) Up(id model.NodeID, p Peer) (down func()) {
 	b := &box{messages: make(chan config.Message, outbox), done: make(chan struct{})}
 	go b.run(p)
 	m.step(func(now time.Time) []config.Effect {
@@ -141,6 +151,14 @@
 		m.boxes[id] = b
 		return m.state.Up(now, id)
 	})
+	return func() {
+		m.step(func(now time.Time) []config.Effect {
+			if m.boxes[id] != b {
+				return nil
+			}
+			return m.down(now, id)
+		})
+	}
 }
 
 func (b *box) run(p Peer) {
@@ -157,17 +175,46 @@
 	}
 }
 
-// Down reports that the link to a process broke or could not be made.
-func (m *Manager) Down(id model.NodeID) {
+// Fail reports that a process without a link can't be reached.
+func (m *Manager) Fail(id model.NodeID) {
 	m.step(func(now time.Time) []config.Effect {
-		if old := m.boxes[id]; old != nil {
-			close(old.done)
-			delete(m.boxes, id)
+		if m.boxes[id] != nil {
+			return nil
 		}
 		return m.state.Down(now, id)
 	})
 }
 
+func (m *Manager) down(now time.Time, id model.NodeID) []config.Effect {
+	if old := m.boxes[id]; old != nil {
+		close(old.done)
+		delete(m.boxes, id)
+	}
+	return m.state.Down(now, id)
+}
+
+// Linked reports whether the process has a link.
+func (m *Manager) Linked(id model.NodeID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.boxes[id] != nil
+}
+
+// Answer returns the message for a process that asks over a link that Up has not reported.
+func (m *Manager) Answer(message config.Message) config.Message {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.marked(m.state.Answer(time.Now(), message))
+}
+
+// marked adds the drain state to a message.
+func (m *Manager) marked(message config.Message) config.Message {
+	if m.opts.State != nil {
+		message.State = m.opts.State()
+	}
+	return message
+}
+
 // Hear takes a message from a linked process.
 func (m *Manager) Hear(id model.NodeID, message config.Message) {
 	m.step(func(now time.Time) []config.Effect { return m.state.Hear(now, id, message) })
@@ -182,7 +229,7 @@
 		case config.Send:
 			if b := m.boxes[e.To]; b != nil {
 				select {
-				case b.messages <- e.Message:
+				case b.messages <- m.marked(e.Message):
 				default:
 				}
 			}
@@ -238,6 +285,8 @@
 	Confirmed bool `json:"confirmed"`
 	// Watch is the region whose watch the process holds.
 	Watch model.Region `json:"watch,omitempty"`
+	// State is the drain state.
+	State model.State `json:"state"`
 }
 
 // Status returns the state of this process and, by identifier, that of the linked ones.
@@ -247,11 +296,13 @@
 	c, ready := m.state.Force()
 	self := Status{
 		ID: m.opts.ID, Held: m.state.Held().Revision, Force: c.Revision, Ready: ready,
-		Confirmed: m.state.Confirmed(), Watch: m.state.Holds(),
+		Confirmed: m.state.Confirmed(), Watch: m.state.Holds(), State: m.marked(config.Message{}).State,
 	}
 	peers := map[model.NodeID]Status{}
 	for id, p := range m.state.Peers() {
-		peers[id] = Status{ID: id, Held: p.Held, Force: p.Force, Ready: p.Ready, Confirmed: p.Confirmed, Watch: p.Watch}
+		peers[id] = Status{
+			ID: id, Held: p.Held, Force: p.Force, Ready: p.Ready, Confirmed: p.Confirmed, Watch: p.Watch, State: p.State,
+		}
 	}
 	return self, peers
 }
--- a/io/link/frames.go
+++ b/io/link/frames.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wagtailhoist/core/config"
 	"wagtailhoist/core/member"
 	"wagtailhoist/core/model"
 )
@@ -176,14 +177,13 @@
 	Attempt model.Attempt `cbor:"1,keyasint"`
 }
 
-// Config carries a configuration revision between processes.
+// Config carries what a process holds of the configuration.
 type Config struct {
-	Revision model.Revision `cbor:"1,keyasint"`
-	Change   string         `cbor:"2,keyasint,omitempty"`
-	Author   string         `cbor:"3,keyasint,omitempty"`
-	Document []byte         `cbor:"4,keyasint,omitempty"`
-	// Confirmed says that the store confirmed the revision.
-	Confirmed bool `cbor:"5,keyasint,omitempty"`
+	Message config.Message `cbor:"1,keyasint"`
+	// Document is the compressed document of Message.Copy, whose own one is empty.
+	Document []byte `cbor:"2,keyasint,omitempty"`
+	// Drain asks the receiver to finish its work and stop; entries pass on an operator's command.
+	Drain bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind returns KindHello.
--- /dev/null
+++ b/proof/config_test.go
@@ -0,0 +1,359 @@
+package proof
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/config"
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/store"
+)
+
+const (
+	operatorToken = "operators"
+	// everywhere is the bound of P8.
+	everywhere = 8 * time.Second
+)
+
+// configFleet is a store, two entries in each of two regions, and an agent in each region.
+type configFleet struct {
+	t        *testing.T
+	dir      string
+	platform *process
+	entries  map[string]*process
+	agents   map[string]*process
+	regions  map[string]string
+	minion   *process
+}
+
+func startConfigFleet(t *testing.T) *configFleet {
+	return startProcesses(t, "e1", "e2", "e3", "e4", "a1", "a2")
+}
+
+// startProcesses starts a store and the named processes; the first one is an entry.
+func startProcesses(t *testing.T, ids ...string) *configFleet {
+	f := &configFleet{
+		t: t, dir: t.TempDir(), entries: map[string]*process{}, agents: map[string]*process{},
+		regions: map[string]string{"e1": "west", "e2": "west", "e3": "east", "e4": "east", "a1": "west", "a2": "east"},
+	}
+	f.platform = start(t, "stand", "platform")
+	f.minion = start(t, "stand", "minion")
+	for _, id := range ids {
+		if id[0] == 'e' {
+			f.startEntry(id)
+		} else {
+			f.startAgent(id)
+		}
+	}
+	f.within(startTimeout, "all processes", func() bool { return len(f.status(ids[0])) == len(ids) })
+	return f
+}
+
+// addresses returns the link addresses of the running entries.
+func (f *configFleet) addresses() string {
+	var out []string
+	for _, e := range f.entries {
+		out = append(out, e.addr("link"))
+	}
+	return strings.Join(out, ",")
+}
+
+func (f *configFleet) startEntry(id string) {
+	f.t.Helper()
+	f.entries[id] = start(f.t, "wagtailhoist", "entry", "--id", id, "--region", f.regions[id], "--centre", f.regions[id]+"-a",
+		"--store", f.platform.url("listen"), "--token", operatorToken, "--drain", "0s", "--join", f.addresses()).ready("link")
+}
+
+func (f *configFleet) startAgent(id string) {
+	f.t.Helper()
+	f.agents[id] = start(f.t, "wagtailhoist", "agent", "--id", id, "--region", f.regions[id], "--centre", f.regions[id]+"-a",
+		"--minion", f.minion.url("listen"), "--token", operatorToken, "--join", f.addresses()).ready("link")
+}
+
+// within is eventually with the fleet's test.
+func (f *configFleet) within(limit time.Duration, what string, ok func() bool) {
+	f.t.Helper()
+	eventually(f.t, limit, what, ok)
+}
+
+func (f *configFleet) faults(body map[string]any) {
+	f.t.Helper()
+	if status, answer := post(f.t, f.platform.url("listen")+"/faults", body); status >= 300 {
+		f.t.Fatalf("setting a fault: got %d %s", status, answer)
+	}
+}
+
+func (f *configFleet) storeDown() { f.faults(map[string]any{"mode": "down", "of": "store"}) }
+func (f *configFleet) storeUp()   { f.faults(map[string]any{"mode": "clear"}) }
+
+// shown is one process in the status of an entry.
+type shown struct {
+	ID, State, Config string
+	Revision          int
+	Watch             bool
+}
+
+// status returns the processes as an entry shows them, without those that it shows as lost.
+func (f *configFleet) status(id string) map[string]shown {
+	req, err := http.NewRequest(http.MethodGet, f.entries[id].url("admin")+"/status", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	client := &http.Client{Timeout: time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var body struct{ Processes []shown }
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		return nil
+	}
+	out := map[string]shown{}
+	for _, p := range body.Processes {
+		if p.State != "lost" {
+			out[p.ID] = p
+		}
+	}
+	return out
+}
+
+// self returns what an entry says of itself.
+func (f *configFleet) self(id string) shown { return f.status(id)[id] }
+
+// watcher returns the entry that watches the store for a region, empty for none.
+func (f *configFleet) watcher(region string) string {
+	for id := range f.entries {
+		if f.regions[id] == region && f.self(id).Watch {
+			return id
+		}
+	}
+	return ""
+}
+
+// run runs an operator's command and returns its exit code and output.
+func (f *configFleet) run(entry string, args ...string) (int, string) {
+	f.t.Helper()
+	args = append(args, "--admin", f.entries[entry].url("admin"), "--token", operatorToken)
+	cmd := exec.Command(filepath.Join(binDir, "wagtailhoist"), args...)
+	out, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		f.t.Fatalf("%v: %v", args, err)
+	}
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+// file writes a declaration with a team of the given name.
+func (f *configFleet) file(team string) string {
+	f.t.Helper()
+	path := filepath.Join(f.dir, team+".yaml")
+	if err := os.WriteFile(path, fmt.Appendf(nil, "teams:\n- {name: %s, weight: 1}\n", team), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// apply applies a declaration through an entry and returns a time before its acceptance.
+func (f *configFleet) apply(entry, team string) time.Time {
+	f.t.Helper()
+	before := time.Now()
+	if code, out := f.run(entry, "apply", f.file(team)); code != 0 {
+		f.t.Fatalf("apply at %s: got exit code %d, want 0\n%s", entry, code, out)
+	}
+	return before
+}
+
+// put writes a revision into the store past all entries, so that only a watch can find it.
+func (f *configFleet) put(revision model.Revision) time.Time {
+	f.t.Helper()
+	s := &store.Client{URL: f.platform.url("listen")}
+	record := config.Record{Copy: config.Copy{Revision: revision, Change: "outside", Document: "teams: []\n"}}
+	value, err := record.Encode()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	before := time.Now()
+	if _, err := s.Put(f.t.Context(), config.Key, value, 0, 0); err != nil {
+		f.t.Fatal(err)
+	}
+	return before
+}
+
+// everywhere waits until every running process has the revision in force, by its own account.
+func (f *configFleet) everywhere(accepted time.Time, revision int, ids ...string) {
+	f.t.Helper()
+	for _, id := range ids {
+		f.within(time.Until(accepted.Add(everywhere)), fmt.Sprintf("revision %d in force in %s", revision, id), func() bool {
+			if f.entries[id] != nil {
+				p := f.self(id)
+				return p.Revision == revision && p.Config == "confirmed"
+			}
+			// An agent says so to every entry; one that it is linked to is enough.
+			for entry := range f.entries {
+				if p, ok := f.status(entry)[id]; ok && p.Revision == revision && p.Config == "confirmed" {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	f.t.Logf("revision %d in force in %v after %v", revision, ids, time.Since(accepted).Round(time.Millisecond))
+}
+
+// Guards against revisions that reach only the processes near the operator.
+func TestRevisionIsInForceEverywhere(t *testing.T) {
+	f := startConfigFleet(t)
+	for i, entry := range []string{"e1", "e4", "e2"} {
+		accepted := f.apply(entry, fmt.Sprint("team", i))
+		f.everywhere(accepted, i+1, "e1", "e2", "e3", "e4", "a1", "a2")
+	}
+	code, out := f.run("e3", "apply", "--wait", f.file("waited"))
+	if code != 0 || !strings.Contains(out, "accepted as revision 4") || !strings.Contains(out, "in force in every process after") {
+		t.Errorf("apply --wait: got exit code %d, want 0\n%s", code, out)
+	}
+	for _, p := range f.agents {
+		p.stop()
+	}
+	for _, p := range f.entries {
+		p.stop()
+	}
+}
+
+// Guards against a store outage that stops processes, accepts changes or reverts them.
+func TestStoreOutageKeepsTheRevision(t *testing.T) {
+	f := startConfigFleet(t)
+	f.everywhere(f.apply("e1", "before"), 1, "e1", "e2", "e3", "e4", "a1", "a2")
+	f.storeDown()
+	code, out := f.run("e1", "apply", f.file("during"))
+	if code != 5 && code != 6 {
+		t.Errorf("apply without the store: got exit code %d, want 5 or 6\n%s", code, out)
+	}
+	// The processes restart one after the other; each finds the revision at its peers.
+	for _, id := range []string{"e1", "e3"} {
+		f.entries[id].kill()
+		delete(f.entries, id)
+		f.startEntry(id)
+		if got := f.self(id); got.Revision != 1 || got.Config != "unconfirmed" {
+			t.Errorf("%s restarted without the store: got %+v, want revision 1 unconfirmed", id, got)
+		}
+	}
+	f.agents["a2"].kill()
+	f.startAgent("a2")
+	f.within(everywhere, "a2 has revision 1", func() bool { return f.status("e4")["a2"].Revision == 1 })
+	f.storeUp()
+	f.everywhere(time.Now(), 1, "e1", "e2", "e3", "e4", "a1", "a2")
+	f.everywhere(f.apply("e3", "after"), 2, "e1", "e2", "e3", "e4", "a1", "a2")
+}
+
+// Guards against a restart that takes the revision of a lagging peer while an agent alone holds the latest one.
+func TestRestartWithoutStoreAsksAgentsToo(t *testing.T) {
+	f := startConfigFleet(t)
+	f.everywhere(f.apply("e1", "one"), 1, "e1", "e2", "e3", "e4", "a1", "a2")
+	f.storeDown()
+	for _, id := range []string{"e1", "e2", "e3", "e4"} {
+		f.entries[id].kill()
+	}
+	addresses := f.entries["e1"].addr("link")
+	clear(f.entries)
+	// The new entry takes over the address that the agents dial.
+	f.entries["e1"] = start(t, "wagtailhoist", "entry", "--id", "e1", "--region", "west", "--centre", "west-a",
+		"--store", f.platform.url("listen"), "--token", operatorToken, "--link", addresses).ready("link")
+	if got := f.self("e1"); got.Revision != 1 || got.Config != "unconfirmed" {
+		t.Errorf("entry restarted with agents only: got %+v, want revision 1 unconfirmed", got)
+	}
+}
+
+// Guards against a region that waits for a process that can't watch any more. The region is alone, and
+// the revision is written past its entries, so that nothing but the new holder of the watch can find it.
+func TestWatchIsTakenOver(t *testing.T) {
+	for name, fail := range map[string]func(*process){"killed": (*process).kill, "paused": (*process).pause} {
+		t.Run(name, func(t *testing.T) {
+			f := startProcesses(t, "e1", "e2", "a1")
+			var holder string
+			f.within(everywhere, "a watch", func() bool {
+				holder = f.watcher("west")
+				return holder != ""
+			})
+			other := map[string]string{"e1": "e2", "e2": "e1"}[holder]
+			fail(f.entries[holder])
+			f.everywhere(f.put(1), 1, other, "a1")
+			f.within(everywhere, "another watch", func() bool { return f.self(other).Watch })
+			if name == "paused" {
+				f.entries[holder].resume()
+				f.everywhere(time.Now(), 1, holder)
+				f.within(everywhere, "the first holder gives way", func() bool { return !f.self(holder).Watch })
+				if !f.self(other).Watch {
+					t.Errorf("%s: watch lost to a process that resumed", other)
+				}
+			}
+		})
+	}
+}
+
+// Guards against two operators who both believe that their declaration is in force.
+func TestOneOfTwoOperatorsWins(t *testing.T) {
+	f := startConfigFleet(t)
+	f.everywhere(f.apply("e1", "base"), 1, "e1", "e2", "e3", "e4")
+	var codes [2]int
+	var outs [2]string
+	var wg sync.WaitGroup
+	for i, entry := range []string{"e1", "e3"} {
+		path := f.file(fmt.Sprint("racer", i))
+		wg.Go(func() { codes[i], outs[i] = f.run(entry, "apply", "--at", "1", path) })
+	}
+	wg.Wait()
+	winner := 0
+	if codes[1] == 0 {
+		winner = 1
+	}
+	if codes[winner] != 0 || codes[1-winner] != 3 {
+		t.Fatalf("exit codes: got %v, want 0 and 3\n%s\n%s", codes, outs[0], outs[1])
+	}
+	if out := outs[1-winner]; !strings.Contains(out, "made for revision 1, but the latest is revision 2") {
+		t.Errorf("conflict: got %s, want both revisions", out)
+	}
+	f.everywhere(time.Now(), 2, "e1", "e2", "e3", "e4", "a1", "a2")
+	_, out := f.run("e2", "query", "show", "teams")
+	if !strings.Contains(out, fmt.Sprint("racer", winner)) || strings.Contains(out, fmt.Sprint("racer", 1-winner)) {
+		t.Errorf("teams in force: got %s, want the winner's racer%d alone", out, winner)
+	}
+}
+
+// Guards against an answer that is lost after the write took effect and is reported as a failure, or applied twice.
+func TestLostAnswerOfTheStore(t *testing.T) {
+	f := startConfigFleet(t)
+	for i, fault := range []string{"lost", "twice", "refuse", "down"} {
+		f.faults(map[string]any{"mode": fault, "of": "store", "method": "PUT", "path": "/kv/config", "count": 1})
+		code, out := f.run("e1", "apply", f.file(fault))
+		if code != 0 || !strings.Contains(out, fmt.Sprintf("accepted as revision %d", i+1)) {
+			t.Errorf("%s: got exit code %d, want revision %d\n%s", fault, code, i+1, out)
+		}
+	}
+	f.everywhere(time.Now(), 4, "e1", "e2", "e3", "e4", "a1", "a2")
+}
+
+// Guards against apply --wait that returns before every process has the revision, or does not say which one lags.
+func TestWaitNamesLaggingProcesses(t *testing.T) {
+	f := startConfigFleet(t)
+	f.agents["a2"].pause()
+	code, out := f.run("e1", "apply", "--wait", "--limit", "2s", f.file("lag"))
+	if code != 4 || !strings.Contains(out, "a2") || strings.Contains(out, "a1 (") {
+		t.Errorf("apply --wait with a paused agent: got exit code %d, want 4 with a2 alone\n%s", code, out)
+	}
+	f.agents["a2"].resume()
+	f.everywhere(time.Now(), 1, "a2")
+	if code, out = f.run("e1", "status"); code != 0 || !strings.Contains(out, "confirmed") {
+		t.Errorf("status: got exit code %d\n%s", code, out)
+	}
+}
