--- a/cmds/admin.go
+++ b/cmds/admin.go
@@ -17,6 +17,8 @@
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
 	"wagtailhoist/io/peers"
+	"wagtailhoist/io/sched"
+	"wagtailhoist/io/works"
 )
 
 const (
@@ -151,14 +153,24 @@
 }
 
 func newFleet(
-	self entrySelf, p *phase, x *conf.Exchange, m *peers.Members, shutdown fx.Shutdowner, log *slog.Logger,
+	c *entryCmd, self entrySelf, p *phase, x *conf.Exchange, m *peers.Members, shutdown fx.Shutdowner, log *slog.Logger,
 ) *fleet {
-	return &fleet{self: self.settings.Self, phase: p, exchange: x, members: m, stop: stopper(shutdown, log)}
+	f := &fleet{self: self.settings.Self, phase: p, exchange: x, members: m, stop: stopper(shutdown, log)}
+	if c.Works != "" {
+		f.workers = (&works.Client{URL: c.Works}).Workers
+	}
+	return f
 }
 
 // startAdmin serves the operators' API of an entry.
-func startAdmin(life fx.Lifecycle, c *entryCmd, self entrySelf, f *fleet, m *conf.Manager, figures *meter.Meter, log *slog.Logger) {
+func startAdmin(
+	life fx.Lifecycle, c *entryCmd, self entrySelf, f *fleet, m *conf.Manager, figures *meter.Meter,
+	s *sched.Sched, log *slog.Logger,
+) {
 	api := &admin.Server{ID: f.self.Node, Token: c.Token, Config: m, Fleet: f, Meter: figures, Log: log}
+	if s != nil {
+		api.Jobs = jobs{sched: s, conf: m}
+	}
 	server := &http.Server{Handler: api.Handler(), ReadTimeout: adminTime, WriteTimeout: adminTime}
 	background(life, func(ctx context.Context) { every(ctx, censusInterval, func(now time.Time) { f.census(now) }) })
 	life.Append(fx.Hook{
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -24,6 +24,7 @@
 	Link   string        `default:"127.0.0.1:0" help:"Address of the link listener."`
 	Admin  string        `default:"127.0.0.1:0" help:"Address of the operators' listener."`
 	Store  string        `help:"URL of the platform's store. Without it, requests with a key are refused and there is no configuration."`
+	Works  string        `help:"URL of the platform's worker service. Without it, the entry schedules nothing."`
 	Drain  time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
 }
 
@@ -36,6 +37,12 @@
 	if c.Store != "" {
 		k.url("store", c.Store)
 	}
+	if c.Works != "" {
+		k.url("works", c.Works)
+		if c.Store == "" {
+			k.fail("works", c.Works, "nothing without --store, because the store keeps the plans")
+		}
+	}
 	k.duration("drain", c.Drain, 0, 10*time.Minute)
 }
 
@@ -44,8 +51,8 @@
 	return serve(s, c.Level,
 		fx.Supply(c),
 		fx.Provide(newEntrySelf, newEntryPool, newEntryDispatcher, newStore, newMembers, newPeers, newClaims, newGate),
-		fx.Provide(newPhase, newConf, newExchange, newMeter, newFleet),
-		fx.Invoke(startConf, startAdmin, startEntry),
+		fx.Provide(newPhase, newConf, newExchange, newMeter, newFleet, newSched),
+		fx.Invoke(startConf, startSched, startAdmin, startEntry),
 	)
 }
 
--- /dev/null
+++ b/cmds/jobs.go
@@ -0,0 +1,171 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"wagtailhoist/core/cell"
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/plan"
+	"wagtailhoist/core/query"
+	"wagtailhoist/io/admin"
+	"wagtailhoist/io/conf"
+	"wagtailhoist/io/sched"
+)
+
+// jobs carries out operators' changes at the controller of the cells and shows what it knows.
+type jobs struct {
+	sched *sched.Sched
+	conf  *conf.Manager
+}
+
+var _ admin.Jobs = jobs{}
+
+// Submit submits a job.
+func (j jobs) Submit(ctx context.Context, spec model.JobSpec) error {
+	return schedFailure(j.sched.Submit(ctx, spec))
+}
+
+// Cancel cancels jobs.
+func (j jobs) Cancel(ctx context.Context, ids []model.JobID) error {
+	return schedFailure(j.sched.Cancel(ctx, ids))
+}
+
+// Aside is refused: the controller has no command for it yet.
+func (j jobs) Aside(context.Context, model.WorkerID, bool) error {
+	return &admin.Failure{Kind: admin.KindUnavailable, Text: "the scheduler can't put workers aside by command yet"}
+}
+
+// schedFailure gives an error of the controller its kind.
+func schedFailure(err error) error {
+	var (
+		pending *sched.PendingError
+		invalid *sched.InvalidError
+		unknown *sched.UnknownJobsError
+		full    *sched.FullError
+		noCell  *sched.NoCellError
+	)
+	switch {
+	case errors.As(err, &pending):
+		return &admin.Failure{Kind: admin.KindUnknown, Text: err.Error()}
+	case errors.As(err, &invalid):
+		return &admin.Failure{Kind: admin.KindInvalid, Text: err.Error()}
+	case errors.As(err, &unknown):
+		return &admin.Failure{Kind: admin.KindMissing, Text: err.Error()}
+	case errors.As(err, &full), errors.As(err, &noCell):
+		return &admin.Failure{Kind: admin.KindUnavailable, Text: err.Error()}
+	}
+	return err
+}
+
+// Observe adds the cells to the snapshot.
+func (j jobs) Observe(_ context.Context, s *query.Snapshot) {
+	view := j.sched.Snapshot()
+	if len(view.Cells) == 0 {
+		s.Missing = append(s.Missing, "cells: the worker service has not listed any workers yet")
+	}
+	for _, c := range view.Cells {
+		if c.Owner == "" {
+			s.Missing = append(s.Missing, "changes in the cell "+string(c.Cell)+": it has no owner")
+		}
+		s.Observe(stateOf(c, s.Declaration), plan.Decision{Waiting: reasonsOf(c), Shortfalls: c.Shortfalls})
+	}
+}
+
+func reasonsOf(c sched.CellView) []plan.Waiting {
+	out := make([]plan.Waiting, len(c.Waiting))
+	for i, w := range c.Waiting {
+		out[i] = plan.Waiting{Job: w.Job, Reason: w.Reason}
+	}
+	return out
+}
+
+// phasesOf maps the phases of the durable plan to those of the decision.
+var phasesOf = map[cell.Phase]plan.Phase{
+	cell.Waiting: plan.Queued, cell.Placed: plan.Starting, cell.Released: plan.Running, cell.Stopping: plan.Stopping,
+}
+
+// stateOf returns the state that a decision on the cell as shown would start from.
+func stateOf(c sched.CellView, d model.Declaration) *plan.State {
+	s := &plan.State{
+		Cell: c.Cell, Policy: d.Policy, Teams: d.Teams,
+		Hosts: map[model.WorkerID]plan.Host{}, Jobs: map[model.JobID]*plan.Job{},
+		History: map[string]plan.Past{}, Cancelled: map[model.JobID]time.Time{},
+	}
+	for _, w := range c.Workers {
+		s.Hosts[w.ID] = plan.Host{Worker: w}
+	}
+	for _, r := range c.Running {
+		job := &plan.Job{Spec: r.Spec, Phase: phasesOf[r.Phase], Started: r.Since, Submitted: r.Since, Run: r.Placement, Anchored: r.Anchored}
+		for _, w := range r.Workers {
+			job.Slots = addSlot(job.Slots, plan.Slot{Worker: w, Tasks: 1, GPUs: r.GPUs})
+		}
+		s.Jobs[r.Job] = job
+	}
+	for _, w := range c.Waiting {
+		job := &plan.Job{Spec: w.Spec, Phase: plan.Queued, Submitted: w.Since}
+		if w.Reason.Final() {
+			job.Phase, job.Refusal = plan.Refused, w.Reason
+		}
+		s.Jobs[w.Job] = job
+	}
+	for _, h := range c.Held {
+		hold(s, h, d)
+	}
+	for _, short := range c.Shortfalls {
+		if a := anchorOf(s, short.Team, short.Guarantee, d); a != nil {
+			a.Short, a.Slots = &short, nil
+		}
+	}
+	return s
+}
+
+// hold adds what is kept on one worker, for a job with a reservation or for a guarantee.
+func hold(s *plan.State, h sched.Hold, d model.Declaration) {
+	slot := plan.Slot{Worker: h.Worker, Tasks: 1, GPUs: h.GPUs}
+	if h.Job != "" {
+		if job := s.Jobs[h.Job]; job != nil {
+			job.Target, job.Due = append(job.Target, slot), h.Due
+		}
+		return
+	}
+	if a := anchorOf(s, h.Team, h.Guarantee, d); a != nil {
+		if each := a.Guarantee.Shape.GPUs; each > 0 {
+			slot.Tasks = h.GPUs / each
+		}
+		a.Slots = append(a.Slots, slot)
+	}
+}
+
+// anchorOf returns the anchor of a guarantee and adds it if it is missing, or nil for a guarantee
+// that is not declared any more.
+func anchorOf(s *plan.State, team model.Team, name string, d model.Declaration) *plan.Anchor {
+	for i, a := range s.Anchors {
+		if a.Team == team && a.Guarantee.Name == name {
+			return &s.Anchors[i]
+		}
+	}
+	for _, t := range d.Teams {
+		if t.Name != team {
+			continue
+		}
+		if i := slices.IndexFunc(t.Guarantees, func(g model.Guarantee) bool { return g.Name == name }); i >= 0 {
+			s.Anchors = append(s.Anchors, plan.Anchor{Team: team, Guarantee: t.Guarantees[i]})
+			return &s.Anchors[len(s.Anchors)-1]
+		}
+	}
+	return nil
+}
+
+func addSlot(slots []plan.Slot, one plan.Slot) []plan.Slot {
+	for i := range slots {
+		if slots[i].Worker == one.Worker {
+			slots[i].Tasks += one.Tasks
+			slots[i].GPUs += one.GPUs
+			return slots
+		}
+	}
+	return append(slots, one)
+}
