--- /dev/null
+++ b/script_test.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"wagtailhoist/cmds"
+	"wagtailhoist/stand/plat"
+	"wagtailhoist/stand/tasks"
+)
+
+// readyLimit bounds the start of an entry.
+const readyLimit = 15 * time.Second
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"wagtailhoist": func() { os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs the sessions in testdata/scripts. Each has a platform of its own at $PLATFORM,
+// and free addresses for an entry in $LINK and $ADMIN.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/scripts",
+		RequireExplicitExec: true,
+		Setup:               setup,
+		Cmds:                map[string]func(*testscript.TestScript, bool, []string){"ready": ready, "until": until},
+	})
+}
+
+func setup(env *testscript.Env) error {
+	workers, err := tasks.Seed("west/west-a=3", 128, 512, 8)
+	if err != nil {
+		return err
+	}
+	platform := plat.New(workers, 0)
+	server := httptest.NewServer(platform.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		tick := time.NewTicker(10 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-tick.C:
+				platform.Keys.Expire(now)
+			}
+		}
+	}()
+	env.Defer(func() {
+		cancel()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	env.Setenv("PLATFORM", server.URL)
+	for _, name := range []string{"LINK", "ADMIN"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		env.Setenv(name, l.Addr().String())
+		if err := l.Close(); err != nil {
+			return err
+		}
+	}
+	env.Setenv("WAGTAILHOIST_TOKEN", "operators")
+	return nil
+}
+
+// ready waits until the entry at $LINK is ready.
+func ready(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) > 0 {
+		ts.Fatalf("usage: ready")
+	}
+	for end := time.Now().Add(readyLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		resp, err := http.Get("http://" + ts.Getenv("LINK") + "/ready")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	ts.Fatalf("the entry is not ready within %v", readyLimit)
+}
+
+// until repeats a command until its output matches a pattern: what a change starts takes a moment.
+func until(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: until pattern command args...")
+	}
+	pattern, err := regexp.Compile(args[0])
+	ts.Check(err)
+	for end := time.Now().Add(readyLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if err := ts.Exec(args[1], args[2:]...); err == nil && pattern.MatchString(ts.ReadFile("stdout")) {
+			return
+		}
+	}
+	ts.Fatalf("no match for %s within %v", pattern, readyLimit)
+}
