Time and count requests by team and service

Waiting, service and completion times and refusals are measured by filters of the entry's chain; link bytes, broken links and dropped answers are added from the link counters every second.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -14,6 +14,7 @@
 	"wagtailhoist/io/conf"
 	"wagtailhoist/io/front"
 	"wagtailhoist/io/link"
+	"wagtailhoist/io/meter"
 	"wagtailhoist/io/peers"
 	"wagtailhoist/io/queue"
 )
@@ -96,13 +97,15 @@
 	Gate     *queue.Gate
 	Phase    *phase
 	Conf     *conf.Manager
+	Meter    *meter.Meter
 }
 
 func startEntry(life fx.Lifecycle, c *entryCmd, e entryParts, log *slog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	self, d := e.Self, e.Dispatch
 	handle := front.Chain(
-		front.Claiming(claimer(e.Claims), d.Do, d.Next), front.Stopping(e.Phase.stopping.Load), front.Admitting(e.Gate),
+		front.Claiming(claimer(e.Claims), d.Do, d.Next), counting(e.Meter), front.Stopping(e.Phase.stopping.Load),
+		front.Admitting(timedGate{e.Gate, e.Meter}), timing(e.Meter),
 	)
 	callers := &http.Server{
 		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody, Closing: e.Phase.draining.Load},
@@ -116,6 +119,7 @@
 				"admin", self.admin.Addr().String())
 			go serveHTTP(callers, self.callers, log)
 			go serveHTTP(links, link.Listen(self.links, link.Guests), log)
+			go every(ctx, figuresInterval, countLinks(e.Meter, self.settings.Counters, d.Pool))
 			go every(ctx, sweepEvery, d.Pool.Sweep)
 			go every(ctx, resizeEvery, func(now time.Time) { e.Gate.Resize(places(now, e.Members, e.Peers)) })
 			go func() {
--- /dev/null
+++ b/cmds/figures.go
@@ -0,0 +1,90 @@
+package cmds
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/tries"
+	"wagtailhoist/io/front"
+	"wagtailhoist/io/link"
+	"wagtailhoist/io/meter"
+)
+
+// figuresInterval is how often counts of the links are added to the metrics.
+const figuresInterval = time.Second
+
+// counting counts refused and unknown calls, and times those that were answered.
+func counting(m *meter.Meter) front.Filter {
+	return func(next front.Handler) front.Handler {
+		return func(ctx context.Context, c front.Call) front.Reply {
+			start := time.Now()
+			r := next(ctx, c)
+			// The part before a colon is one of the program's own texts.
+			reason, _, _ := strings.Cut(r.Reason, ":")
+			switch r.Outcome {
+			case tries.OutcomeAnswered:
+				m.Completion(c.Team, c.Service, time.Since(start))
+			case tries.OutcomeNotRun, tries.OutcomeDuplicate:
+				m.Refusal(reason)
+			case tries.OutcomeUnknown:
+				m.Unknown(reason)
+			}
+			return r
+		}
+	}
+}
+
+// timing times answered calls from their admission on.
+func timing(m *meter.Meter) front.Filter {
+	return func(next front.Handler) front.Handler {
+		return func(ctx context.Context, c front.Call) front.Reply {
+			start := time.Now()
+			r := next(ctx, c)
+			if r.Outcome == tries.OutcomeAnswered {
+				m.Service(c.Team, c.Service, time.Since(start))
+			}
+			return r
+		}
+	}
+}
+
+// timedGate times the wait for admission.
+type timedGate struct {
+	gate  front.Admission
+	meter *meter.Meter
+}
+
+// Enter waits for the team's turn.
+func (g timedGate) Enter(ctx context.Context, now time.Time, team model.Team, deadline time.Time) (func(), error) {
+	release, err := g.gate.Enter(ctx, now, team, deadline)
+	if err == nil {
+		g.meter.Waiting(team, "", time.Since(now))
+	}
+	return release, err
+}
+
+// countLinks adds what the links have counted since the last call to the metrics.
+func countLinks(m *meter.Meter, links *link.Counters, pool *front.Pool) func(time.Time) {
+	type source struct {
+		counter            *atomic.Uint64
+		name, label, value string
+		last               uint64
+	}
+	sources := []*source{
+		{counter: &links.Sent, name: "link_bytes", label: "direction", value: "sent"},
+		{counter: &links.Received, name: "link_bytes", label: "direction", value: "received"},
+		{counter: &links.Malformed, name: "broken_links", label: "cause", value: "malformed"},
+		{counter: &links.Silent, name: "broken_links", label: "cause", value: "silent"},
+		{counter: &pool.Dropped, name: "late_answers", label: "kind", value: "dropped"},
+	}
+	return func(time.Time) {
+		for _, s := range sources {
+			now := s.counter.Load()
+			m.Count(s.name, s.label, s.value, int64(now-s.last))
+			s.last = now
+		}
+	}
+}
