--- a/cmds/sched.go
+++ b/cmds/sched.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -20,35 +19,6 @@
 // calls at a time.
 const worksConnections = 64
 
-// newConf returns the manager of the configuration of an entry.
-func newConf(life fx.Lifecycle, self entrySelf, s *store.Client, log *slog.Logger) *conf.Manager {
-	hello := self.settings.Self
-	o := conf.Options{ID: hello.Node, Region: hello.Region, Life: hello.Incarnation, Log: log}
-	if s != nil {
-		o.Store = s
-	}
-	m := conf.New(o)
-	background(life, m.Run)
-	return m
-}
-
-// background runs fn from the start of a process until its stop.
-func background(life fx.Lifecycle, fn func(context.Context)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var wait sync.WaitGroup
-	life.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			wait.Go(func() { fn(ctx) })
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			wait.Wait()
-			return nil
-		},
-	})
-}
-
 // newSched returns the controller of the cells, nil for an entry without a store or a worker service.
 func newSched(c *entryCmd, s *store.Client, m *conf.Manager, log *slog.Logger) *sched.Sched {
 	if s == nil || c.Works == "" {
