Add the replay of job streams and two baselines

Cause: the policy has to be measured against first fit and best fit with backfill. The first run didn't end: a job under a guarantee that failed on the same two workers was started for ever. Jobs are now refused after six failures too, and a claim avoids workers that it failed on.

--- a/core/plan/blame.go
+++ b/core/plan/blame.go
@@ -13,6 +13,9 @@
 	suspectAfter = 3
 	// hopelessAfter is the number of different workers that a job has to fail on before it is refused.
 	hopelessAfter = 3
+	// repeatsAfter is the number of failures after which a job is refused even if they were on
+	// fewer workers: a job under a guarantee may have no other workers to go to.
+	repeatsAfter = 6
 	// asideFirst is the time for which a worker is put aside; it doubles with each trial that fails.
 	asideFirst = 10 * time.Minute
 	// asideMost bounds the time for which a worker is put aside.
@@ -30,9 +33,7 @@
 		return
 	}
 	id := workers[0]
-	if !slices.Contains(j.Failed, id) {
-		j = s.change(now, j, func(c *Job) { c.Failed = append(slices.Clone(c.Failed), id) })
-	}
+	j = s.change(now, j, func(c *Job) { c.Failed = append(slices.Clone(c.Failed), id) })
 	h, known := s.Hosts[id]
 	if known && !slices.Contains(h.Failed, j.Spec.ID) {
 		h.Failed = append(slices.Clone(h.Failed), j.Spec.ID)
@@ -44,18 +45,34 @@
 		s.putAside(now, h)
 		j = s.Jobs[j.Spec.ID]
 	}
-	if len(j.Failed) >= hopelessAfter {
+	if hopeless(j) {
 		s.refuse(now, j)
 	}
 }
 
+// hopeless reports whether the failures of a job are its own.
+func hopeless(j *Job) bool {
+	return len(j.Failed) >= repeatsAfter || distinct(j.Failed) >= hopelessAfter
+}
+
+// distinct counts the different workers of a list.
+func distinct(ids []model.WorkerID) int {
+	n := 0
+	for i, id := range ids {
+		if !slices.Contains(ids[:i], id) {
+			n++
+		}
+	}
+	return n
+}
+
 // suspect reports whether failures of enough different jobs count against the worker. On trial,
 // after it was put aside, one is enough.
 func (s *State) suspect(h Host) bool {
 	n := 0
 	for _, id := range h.Failed {
 		j := s.Jobs[id]
-		if j == nil || (j.Phase != Refused && len(j.Failed) < hopelessAfter) {
+		if j == nil || (j.Phase != Refused && !hopeless(j)) {
 			n++
 		}
 	}
@@ -70,7 +87,7 @@
 		if j := s.Jobs[job]; j != nil {
 			s.change(now, j, func(c *Job) {
 				c.Failed = slices.DeleteFunc(slices.Clone(c.Failed), func(w model.WorkerID) bool { return w == id })
-				if c.Phase == Refused && len(c.Failed) < hopelessAfter {
+				if c.Phase == Refused && !hopeless(c) {
 					c.Phase, c.Refusal = Queued, Reason{}
 				}
 			})
@@ -87,7 +104,7 @@
 func (s *State) refuse(now time.Time, j *Job) {
 	s.change(now, j, func(c *Job) {
 		c.Phase = Refused
-		c.Refusal = Reason{Code: FailsEverywhere, Need: hopelessAfter, Have: len(c.Failed)}
+		c.Refusal = Reason{Code: FailsEverywhere, Need: hopelessAfter, Have: distinct(c.Failed)}
 	})
 	for _, id := range j.Failed {
 		h := s.Hosts[id]
--- a/core/plan/claim.go
+++ b/core/plan/claim.go
@@ -32,6 +32,10 @@
 		p.waits[j.Spec.ID] = Reason{Code: InUse, Guarantee: name}
 		return
 	}
+	failed := slices.ContainsFunc(at, func(s spot) bool { return slices.Contains(j.Failed, p.nodes[s.node].id) })
+	if failed && p.moveAnchor(j, i) {
+		return
+	}
 	if p.freeAt(j, at) {
 		p.start(j, at, true)
 		return
--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -50,11 +50,7 @@
 // Decide works out what to start, stop and move at now, and why each other job waits. It leaves
 // the State unchanged.
 func Decide(now time.Time, s *State) Decision {
-	p := &pass{
-		view: s.scratch(now), misses: map[missKey]bool{}, ending: map[model.JobID]bool{},
-		started: map[model.JobID]bool{}, waits: map[model.JobID]Reason{},
-		moved: map[int]*Anchor{}, promises: map[promiseKey]Amount{}, idle: -1,
-	}
+	p := newPass(now, s)
 	p.endCancelled()
 	p.restoreGuarantees()
 	claims, urgent, promised, rest := p.sortQueue()
@@ -72,6 +68,15 @@
 	return p.d
 }
 
+// newPass returns a pass over a scratch copy of the State.
+func newPass(now time.Time, s *State) *pass {
+	return &pass{
+		view: s.scratch(now), misses: map[missKey]bool{}, ending: map[model.JobID]bool{},
+		started: map[model.JobID]bool{}, waits: map[model.JobID]Reason{},
+		moved: map[int]*Anchor{}, promises: map[promiseKey]Amount{}, idle: -1,
+	}
+}
+
 // endCancelled stops cancelled jobs that still run.
 func (p *pass) endCancelled() {
 	for _, j := range sortedJobs(p.doomed) {
--- /dev/null
+++ b/core/plan/replay_test.go
@@ -0,0 +1,367 @@
+package plan
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+// event of a replay.
+type happening struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type agenda []happening
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, k int) bool {
+	return cmp.Or(a[i].at.Compare(a[k].at), cmp.Compare(a[i].order, a[k].order)) < 0
+}
+func (a agenda) Swap(i, k int) { a[i], a[k] = a[k], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// truth is what a replay knows of a job.
+type truth struct {
+	arrival
+	done     time.Duration
+	began    time.Time
+	run      int
+	finished time.Time
+	// claimable is since when a claim could have started.
+	claimable time.Time
+}
+
+// replay feeds a stream through a policy; it has no processes and no network.
+type replay struct {
+	s       State
+	now     time.Time
+	agenda  agenda
+	order   int
+	jobs    map[model.JobID]*truth
+	decide  func(time.Time, *State) Decision
+	horizon time.Time
+	// bad fails every task between two times.
+	bad         model.WorkerID
+	wake        time.Time
+	lostWork    float64
+	used        float64
+	frag        float64
+	span        float64
+	lateClaim   time.Duration
+	lateUrgent  time.Duration
+	preemptions int
+	trace       bool
+}
+
+func (r *replay) at(t time.Time, do func()) {
+	r.order++
+	heap.Push(&r.agenda, happening{t, r.order, do})
+}
+
+func (r *replay) apply(e ...Event) { r.s.Apply(r.now, e...) }
+
+func newReplay(s site, seed uint64, decide func(time.Time, *State) Decision, d model.Declaration) *replay {
+	r := &replay{now: epoch, decide: decide, jobs: map[model.JobID]*truth{}, horizon: epoch.Add(time.Duration(s.hours) * time.Hour), bad: "w00005"}
+	workers := fleet(10, 3)
+	for i := range workers {
+		r.apply(Event{Kind: WorkerSeen, Worker: &workers[i]})
+	}
+	r.apply(Event{Kind: Declared, Declaration: &d})
+	for _, a := range s.stream(seed, len(workers)) {
+		t := &truth{arrival: a}
+		r.jobs[a.spec.ID] = t
+		r.at(epoch.Add(a.at), func() { r.apply(Event{Kind: Submitted, Job: &t.spec}) })
+		if a.cancelled > 0 {
+			r.at(epoch.Add(a.cancelled), func() { r.apply(Event{Kind: Cancelled, Jobs: []model.JobID{t.spec.ID}}) })
+		}
+	}
+	// One worker is lost for three hours.
+	r.at(epoch.Add(20*time.Hour), func() {
+		for _, j := range r.s.Jobs {
+			for _, sl := range j.Slots {
+				if sl.Worker == "w00008" {
+					r.lose(j, r.now.Sub(r.jobs[j.Spec.ID].began))
+				}
+			}
+		}
+		r.apply(Event{Kind: WorkerLost, Workers: []model.WorkerID{"w00008"}})
+	})
+	r.at(epoch.Add(23*time.Hour), func() { r.apply(Event{Kind: WorkerSeen, Worker: &workers[8]}) })
+	return r
+}
+
+// lose counts work of a job that has to be done again.
+func (r *replay) lose(j *Job, ran time.Duration) {
+	r.lostWork += ran.Hours() * float64(j.Spec.Shape.Size())
+	r.jobs[j.Spec.ID].run = 0
+}
+
+func (r *replay) play() {
+	for len(r.agenda) > 0 {
+		h := heap.Pop(&r.agenda).(happening)
+		r.measure(h.at)
+		if h.at.Sub(r.horizon) > 60*24*time.Hour {
+			panic(fmt.Sprintf("jobs still wait: %+v", r.decide(r.now, &r.s)))
+		}
+		r.now = h.at
+		h.do()
+		for len(r.agenda) > 0 && r.agenda[0].at.Equal(r.now) {
+			heap.Pop(&r.agenda).(happening).do()
+		}
+		d := r.decide(r.now, &r.s)
+		r.carryOut(r.s.Accept(r.now, d.Actions))
+		for _, w := range d.Waiting {
+			if c := w.Reason.Code; c == InUse || c == Short {
+				r.jobs[w.Job].claimable = r.now
+			}
+		}
+		if !d.Wake.IsZero() && d.Wake.After(r.now) && len(r.s.Jobs) > 0 && (!r.wake.After(r.now) || d.Wake.Before(r.wake)) {
+			r.wake = d.Wake
+			r.at(d.Wake, func() { r.apply() })
+		}
+	}
+}
+
+func (r *replay) carryOut(actions []Action) {
+	for _, a := range actions {
+		if r.trace && a.Verb != Reserve {
+			fmt.Println(r.now.Sub(epoch), a.Verb, a.Job, a.Slots, a.For)
+		}
+		j := r.s.Jobs[a.Job]
+		switch a.Verb {
+		case Start:
+			r.begin(j)
+		case Checkpoint, Stop, Move:
+			r.end(j, a)
+		}
+	}
+}
+
+func (r *replay) begin(j *Job) {
+	t := r.jobs[j.Spec.ID]
+	t.began, t.run = r.now, j.Run
+	r.apply(Event{Kind: Started, Jobs: []model.JobID{j.Spec.ID}})
+	wait := r.now.Sub(epoch.Add(t.at))
+	if j.Anchored && j.Run == 1 {
+		if !t.claimable.IsZero() {
+			wait = r.now.Sub(t.claimable)
+		}
+		r.lateClaim = max(r.lateClaim, wait)
+	} else if t.spec.Guarantee != "" && j.Run == 1 {
+		r.lateClaim = max(r.lateClaim, wait)
+	}
+	if t.spec.Urgent && j.Run == 1 {
+		r.lateUrgent = max(r.lateUrgent, wait)
+	}
+	left := t.arrival.run - t.done
+	if j.Saved > 0 {
+		left += restart
+	}
+	fail := model.WorkerID("")
+	since := r.now.Sub(epoch)
+	for _, sl := range j.Slots {
+		if sl.Worker == r.bad && since > 10*time.Hour && since < 16*time.Hour {
+			fail, left = sl.Worker, 20*time.Second
+		}
+	}
+	if t.hopeless || (t.fails > 0 && j.Run == 1) {
+		fail = j.Slots[j.Run%len(j.Slots)].Worker
+		left = min(left, max(time.Duration(t.fails*float64(left)), 20*time.Second))
+	}
+	run := j.Run
+	r.at(r.now.Add(left), func() { r.complete(t, run, fail) })
+}
+
+// complete ends a run, unless the job was stopped before.
+func (r *replay) complete(t *truth, run int, fail model.WorkerID) {
+	j := r.s.Jobs[t.spec.ID]
+	if t.run != run || j == nil {
+		return
+	}
+	t.run = 0
+	if fail != "" {
+		r.apply(Event{Kind: Failed, Jobs: []model.JobID{t.spec.ID}, Workers: []model.WorkerID{fail}})
+		return
+	}
+	t.finished = r.now
+	r.apply(Event{Kind: Finished, Jobs: []model.JobID{t.spec.ID}})
+}
+
+func (r *replay) end(j *Job, a Action) {
+	t := r.jobs[j.Spec.ID]
+	t.run = 0
+	if !j.Cancelled {
+		r.preemptions++
+		if a.Verb == Stop {
+			r.lose(j, r.now.Sub(t.began))
+		} else {
+			t.done += max(r.now.Sub(t.began)-restart*time.Duration(min(len(a.Slots)+j.Run-1, 1)), 0)
+			r.lostWork += (j.Spec.Grace + restart).Hours() * float64(j.Spec.Shape.Size())
+		}
+	}
+	r.at(a.By, func() { r.apply(Event{Kind: Stopped, Jobs: []model.JobID{j.Spec.ID}, Saved: a.Verb != Stop}) })
+}
+
+// measure adds the time until next to the averages over the arrival period.
+func (r *replay) measure(next time.Time) {
+	if next.After(r.horizon) {
+		next = r.horizon
+	}
+	dt := next.Sub(r.now).Seconds()
+	if dt <= 0 {
+		return
+	}
+	x := r.s.ready(r.now)
+	most, total := 0, 0
+	for _, b := range x.racks {
+		sum := 0
+		for i := b.lo; i < b.hi; i++ {
+			n := &x.nodes[i]
+			if !n.ok {
+				continue
+			}
+			sum += n.cap.GPUs - n.used.GPUs
+			for _, u := range n.uses {
+				if s := u.job.Spec; s.Guarantee == "" && s.Checkpoint && leaves(u.job, time.Minute) {
+					sum += u.amount.GPUs
+				}
+			}
+		}
+		most, total = max(most, sum), total+sum
+	}
+	r.span += dt
+	for i := range x.nodes {
+		r.used += dt * float64(x.nodes[i].used.GPUs)
+	}
+	if total > 0 {
+		r.frag += dt * (1 - float64(most)/float64(min(total, 24)))
+	}
+}
+
+// result holds the figures of one replay or the mean of several.
+type result struct {
+	mean, p95, largeWait, frag, util, lost, claim, urgent float64
+	class                                                 map[string]float64
+}
+
+func (r *replay) result() result {
+	var all, large []float64
+	by := map[string][]float64{}
+	for _, t := range r.jobs {
+		if t.finished.IsZero() {
+			continue
+		}
+		c := t.finished.Sub(epoch.Add(t.at)).Minutes()
+		all = append(all, c)
+		by[t.kind] = append(by[t.kind], c)
+		if t.spec.Shape.Size() >= 24 && t.spec.Guarantee == "" {
+			large = append(large, c-t.arrival.run.Minutes())
+		}
+	}
+	slices.Sort(all)
+	out := result{
+		mean: average(all), p95: all[len(all)*95/100], largeWait: average(large), frag: r.frag / r.span,
+		util: r.used / (80 * r.span), lost: r.lostWork,
+		claim: r.lateClaim.Seconds(), urgent: r.lateUrgent.Seconds(), class: map[string]float64{},
+	}
+	for k, v := range by {
+		out.class[k] = average(v)
+	}
+	return out
+}
+
+func average(v []float64) float64 {
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(max(len(v), 1))
+}
+
+// contender is a policy in the comparison.
+type contender struct {
+	name   string
+	decide func(time.Time, *State) Decision
+	// guarded policies know the guarantees.
+	guarded bool
+	compact float64
+}
+
+func contenders() []contender {
+	return []contender{
+		{name: "first fit", decide: firstFit},
+		{name: "best fit, backfill", decide: bestFit},
+		{name: "policy, compact 0", decide: Decide, guarded: true},
+		{name: "policy, compact 1", decide: Decide, guarded: true, compact: 1},
+	}
+}
+
+var seeds = []uint64{1, 2, 3, 4, 5, 6}
+
+// compare replays a site with all seeds under one policy and returns the means, and the longest
+// waits of claims and urgent jobs.
+func compare(s site, c contender) result {
+	out := result{class: map[string]float64{}}
+	n := float64(len(seeds))
+	for _, seed := range seeds {
+		d := model.Declaration{Policy: model.Policy{Compact: c.compact}, Teams: slices.Clone(s.teams)}
+		if !c.guarded {
+			for i := range d.Teams {
+				d.Teams[i].Guarantees = nil
+			}
+		}
+		p := newReplay(s, seed, c.decide, d)
+		p.trace = os.Getenv("PLAN_TRACE") == fmt.Sprint(s.name, "/", c.compact, "/", seed) && c.guarded
+		p.play()
+		r := p.result()
+		out.mean += r.mean / n
+		out.p95 += r.p95 / n
+		out.largeWait += r.largeWait / n
+		out.frag += r.frag / n
+		out.util += r.util / n
+		out.lost += r.lost / n
+		out.claim, out.urgent = max(out.claim, r.claim), max(out.urgent, r.urgent)
+		for k, v := range r.class {
+			out.class[k] += v / n
+		}
+	}
+	return out
+}
+
+// A policy that leaves a job of a stream waiting for good panics here. With -v it prints the
+// tables of docs/POLICY.md.
+func TestReplay(t *testing.T) {
+	for _, s := range sites {
+		var lines []string
+		names := make([]string, 0, len(s.mix))
+		for _, c := range s.mix {
+			names = append(names, c.name)
+		}
+		lines = append(lines, "| "+s.name+" | mean min | p95 min | largest wait min | fragmentation | utilisation | GPU h lost | claim s | urgent s | "+
+			strings.Join(names, " | ")+" |", "|"+strings.Repeat(" --- |", 9+len(names)))
+		for _, c := range contenders() {
+			r := compare(s, c)
+			line := fmt.Sprintf("| %s | %.1f | %.1f | %.1f | %.3f | %.3f | %.1f | %.0f | %.1f |", c.name, r.mean, r.p95, r.largeWait, r.frag, r.util, r.lost, r.claim, r.urgent)
+			for _, n := range names {
+				line += fmt.Sprintf(" %.1f |", r.class[n])
+			}
+			lines = append(lines, line)
+		}
+		t.Log("\n" + strings.Join(lines, "\n"))
+	}
+}
--- a/core/plan/state.go
+++ b/core/plan/state.go
@@ -76,10 +76,11 @@
 	// Cancelled jobs are stopped and never started again.
 	Cancelled bool `cbor:"14,keyasint,omitempty" json:"cancelled,omitempty"`
 	// Gone is the time by which a stopping job has to have left.
-	Gone     time.Time        `cbor:"15,keyasint" json:"gone,omitzero"`
-	Observed []Usage          `cbor:"16,keyasint,omitempty" json:"observed,omitempty"`
-	Failed   []model.WorkerID `cbor:"17,keyasint,omitempty" json:"failed,omitempty"`
-	Refusal  Reason           `cbor:"18,keyasint" json:"refusal,omitzero"`
+	Gone     time.Time `cbor:"15,keyasint" json:"gone,omitzero"`
+	Observed []Usage   `cbor:"16,keyasint,omitempty" json:"observed,omitempty"`
+	// Failed names the worker of each failure that counts against the job.
+	Failed  []model.WorkerID `cbor:"17,keyasint,omitempty" json:"failed,omitempty"`
+	Refusal Reason           `cbor:"18,keyasint" json:"refusal,omitzero"`
 	// Stops counts the preemptions.
 	Stops int `cbor:"19,keyasint,omitempty" json:"stops,omitempty"`
 }
