Order by response ratio, move and preempt checkpointable work

Cause: traces showed jobs that had outlived their estimate started again and again in front of a reservation with one minute expected, large jobs stopped by one claim after the other, and urgent jobs waiting for their team's quota. Change: jobs are ordered by the response ratio of accelerator time; a job that has outlived its estimate is expected to run half as long again; declared times count as far as they matched; work that can't be moved keeps together and off the anchors; claims move unused anchors to where least is lost; moves and preemption of checkpointable work; urgent jobs displace their own team's work at the quota.

--- a/core/plan/blame.go
+++ b/core/plan/blame.go
@@ -20,8 +20,6 @@
 	asideFirst = 10 * time.Minute
 	// asideMost bounds the time for which a worker is put aside.
 	asideMost = 4 * time.Hour
-	// historySize is the number of run times kept for each class.
-	historySize = 32
 )
 
 // blame records a failure of a job on a worker and puts the job back into the queue. A job that
@@ -123,49 +121,3 @@
 		}
 	}
 }
-
-// pastKey is the key of the history of a job's team and class.
-func pastKey(spec model.JobSpec) string { return string(spec.Team) + "/" + spec.Class }
-
-// learn adds the run time of a finished job to the history.
-func (s *State) learn(now time.Time, j *Job) {
-	ran := j.Saved + now.Sub(j.Started)
-	p := s.History[pastKey(j.Spec)]
-	ratio := 0.0
-	if j.Spec.Estimate > 0 {
-		ratio = float64(ran) / float64(j.Spec.Estimate)
-	}
-	p.Runs = append(slices.Clone(p.Runs), ran)
-	p.Ratios = append(slices.Clone(p.Ratios), ratio)
-	if over := len(p.Runs) - historySize; over > 0 {
-		p.Runs, p.Ratios = p.Runs[over:], p.Ratios[over:]
-	}
-	s.History[pastKey(j.Spec)] = p
-}
-
-const (
-	// unknownRun is the estimate for a job without declared time or history.
-	unknownRun = time.Hour
-	// enoughRuns is the number of runs from which the history alone counts.
-	enoughRuns = 4
-)
-
-// Estimate returns the expected run time of a new job: the median of the latest runs of its team
-// and class, or the declared time while there are too few.
-func (s *State) Estimate(spec model.JobSpec) time.Duration {
-	p := s.History[pastKey(spec)]
-	if len(p.Runs) >= enoughRuns {
-		runs := slices.Clone(p.Runs)
-		slices.Sort(runs)
-		return runs[len(runs)/2]
-	}
-	if spec.Estimate > 0 {
-		return spec.Estimate
-	}
-	return unknownRun
-}
-
-// remaining returns the expected time that a queued job still has to run.
-func (s *State) remaining(j *Job) time.Duration {
-	return max(s.Estimate(j.Spec)-j.Saved, time.Minute)
-}
--- a/core/plan/claim.go
+++ b/core/plan/claim.go
@@ -20,29 +20,28 @@
 		p.waits[j.Spec.ID] = Reason{Code: Short, Guarantee: name}
 		return
 	}
-	q := &search{v: p.view, shape: j.Spec.Shape, each: Each(j.Spec.Shape)}
-	q.room = func(k int) Amount {
-		if len(p.nodes[k].ties) == 0 {
-			return Amount{}
-		}
-		return p.unused(a, k).Minus(p.promised(a, k))
-	}
-	at := q.best()
+	at := p.claimSearch(a, j).best()
 	if at == nil {
 		p.waits[j.Spec.ID] = Reason{Code: InUse, Guarantee: name}
 		return
 	}
 	failed := slices.ContainsFunc(at, func(s spot) bool { return slices.Contains(j.Failed, p.nodes[s.node].id) })
-	if failed && p.moveAnchor(j, i) {
+	if !failed && p.freeAt(j, at) {
+		p.start(j, at, true)
 		return
 	}
-	if p.freeAt(j, at) {
-		p.start(j, at, true)
+	if p.moveAnchor(j, i, at, failed) {
 		return
 	}
-	if p.moveAnchor(j, i) {
+	if p.freeAt(j, at) {
+		p.start(j, at, true)
 		return
 	}
+	p.displace(a, j, at)
+}
+
+// displace stops the borrowers on the spots of a claim.
+func (p *pass) displace(a *Anchor, j *Job, at []spot) {
 	until := p.now
 	for _, s := range at {
 		need := Each(j.Spec.Shape).Times(s.tasks)
@@ -50,7 +49,7 @@
 	}
 	p.holdNow(j, at)
 	p.promise(a, j, at)
-	p.waits[j.Spec.ID] = Reason{Code: Reclaiming, Guarantee: name, Until: until}
+	p.waits[j.Spec.ID] = Reason{Code: Reclaiming, Guarantee: a.Guarantee.Name, Until: until}
 }
 
 func later(a, b time.Time) time.Time {
@@ -87,8 +86,9 @@
 	return p.promises[promiseKey{a.Team, a.Guarantee.Name, k}]
 }
 
-// moveAnchor moves a wholly unused anchor to free accelerators and starts the job there.
-func (p *pass) moveAnchor(j *Job, i int) bool {
+// moveAnchor moves a wholly unused anchor to where the least work is lost, if that is less than
+// at the spots, and starts the job there or stops the borrowers.
+func (p *pass) moveAnchor(j *Job, i int, here []spot, failed bool) bool {
 	a := p.anchorNow(i)
 	for key := range p.promises {
 		if key.team == a.Team && key.guarantee == a.Guarantee.Name {
@@ -98,16 +98,18 @@
 	if len(p.inUse(a)) > 0 {
 		return false
 	}
+	grace := a.Guarantee.Grace
 	q := p.anchorSearch(i, nil)
 	q.room = func(k int) Amount {
 		n := &p.nodes[k]
-		if !n.ok || len(n.holds) > 0 || slices.Contains(j.Failed, n.id) {
+		if !n.ok || slices.Contains(j.Failed, n.id) {
 			return Amount{}
 		}
-		return n.anchorable(a.Guarantee.Grace, i).smaller(n.free())
+		return n.anchorable(grace, i).smaller(p.cleared(k, grace, false))
 	}
+	q.cost = func(_ span, at []spot) float64 { return p.displaceCost(at, q.each, grace) }
 	at := q.best()
-	if at == nil {
+	if at == nil || (!failed && q.cost(span{}, at)+restart.Seconds() >= p.displaceCost(here, Each(j.Spec.Shape), grace)) {
 		return false
 	}
 	p.untie(i, a)
@@ -116,15 +118,34 @@
 	p.tie(i, &b)
 	p.moved[i] = &b
 	p.d.Actions = append(p.d.Actions, Action{Verb: Anchored, Team: a.Team, Guarantee: a.Guarantee.Name, Slots: b.Slots})
-	q = &search{v: p.view, shape: j.Spec.Shape, each: Each(j.Spec.Shape)}
+	at = p.claimSearch(&b, j).best()
+	if p.freeAt(j, at) {
+		p.start(j, at, true)
+	} else {
+		p.displace(&b, j, at)
+	}
+	return true
+}
+
+// claimSearch returns the search for the spots of a claim on the unused part of an anchor.
+func (p *pass) claimSearch(a *Anchor, j *Job) *search {
+	q := &search{v: p.view, shape: j.Spec.Shape, each: Each(j.Spec.Shape)}
 	q.room = func(k int) Amount {
 		if len(p.nodes[k].ties) == 0 {
 			return Amount{}
 		}
-		return p.unused(&b, k)
+		return p.unused(a, k).Minus(p.promised(a, k))
 	}
-	p.start(j, q.best(), true)
-	return true
+	return q
+}
+
+// displaceCost returns the accelerator seconds wasted by freeing the spots.
+func (p *pass) displaceCost(at []spot, each Amount, within time.Duration) float64 {
+	sum := 0.0
+	for _, s := range at {
+		sum += p.clearCost(s.node, each.Times(s.tasks), within)
+	}
+	return sum
 }
 
 // reclaim stops borrowers on a node until need is free, and returns when it will be.
@@ -207,7 +228,8 @@
 // hurry starts an urgent job, if need be by stopping work that can leave in time.
 func (p *pass) hurry(j *Job) {
 	id := j.Spec.ID
-	if r := p.overQuota(j); r.Code != 0 {
+	r := p.overQuota(j)
+	if r.Code != 0 && !p.yield(j) {
 		p.waits[id] = r
 		return
 	}
@@ -252,24 +274,70 @@
 	p.waits[id] = Reason{Code: Reclaiming, Until: until}
 }
 
-// clearable returns the room on a node once work that can leave within a time has left.
+// yield stops work of a team at its quota, so that an urgent job of the team stays within it.
+// It reports whether enough work leaves in time.
+func (p *pass) yield(j *Job) bool {
+	within := UrgentWithin - urgentMargin
+	over := p.used[j.Spec.Team] + j.Spec.Shape.Size() - p.st.Team(j.Spec.Team).Quota
+	seen := map[model.JobID]bool{}
+	var own []*Job
+	for i := range p.nodes {
+		for _, u := range p.nodes[i].uses {
+			o := u.job
+			if o.Spec.Team != j.Spec.Team || o.Anchored || o.Spec.Urgent || seen[o.Spec.ID] || p.started[o.Spec.ID] {
+				continue
+			}
+			seen[o.Spec.ID] = true
+			switch {
+			case p.leavingWithin(o, within):
+				over -= o.Spec.Shape.Size()
+			case !p.leaving(o) && leaves(o, within):
+				own = append(own, o)
+			}
+		}
+	}
+	slices.SortFunc(own, func(a, b *Job) int { return cmp.Or(cmp.Compare(p.loss(a), p.loss(b)), bySequence(a, b)) })
+	sum := 0
+	for _, o := range own {
+		sum += o.Spec.Shape.Size()
+	}
+	if sum < over {
+		return false
+	}
+	for _, o := range own {
+		if over <= 0 {
+			break
+		}
+		p.stop(o, j.Spec.ID)
+		over -= o.Spec.Shape.Size()
+	}
+	return true
+}
+
+// clearable returns the room for a job on a node once work that can leave within a time has left.
 func (p *pass) clearable(i int, j *Job, within time.Duration) Amount {
 	n := &p.nodes[i]
 	if !n.ok || slices.Contains(j.Failed, n.id) {
 		return Amount{}
 	}
+	return n.lend(p.cleared(i, within, true), j.Spec.Grace)
+}
+
+// cleared returns what is free on a node once work that can leave within a time has left.
+func (p *pass) cleared(i int, within time.Duration, spareUrgent bool) Amount {
+	n := &p.nodes[i]
 	r := n.free()
 	for _, u := range n.uses {
 		if p.leavingWithin(u.job, within) {
 			r = r.Plus(u.amount)
 		}
 	}
-	for _, u := range p.victims(i, within, true) {
+	for _, u := range p.victims(i, within, spareUrgent) {
 		if !p.leaving(u.job) {
 			r = r.Plus(u.amount)
 		}
 	}
-	return n.lend(r, j.Spec.Grace)
+	return r
 }
 
 // clearCost returns the accelerator seconds wasted by freeing need on a node.
--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,8 @@
 	reservations = 2
 	// depth is the number of queued jobs that one decision tries to place.
 	depth = 2000
+	// shareStrength is the weight of the teams' shares against response ratios.
+	shareStrength = 0.1
 )
 
 // pass works out one decision.
@@ -35,8 +38,12 @@
 	moved map[int]*Anchor
 	// promises holds the parts of anchors that claims wait for.
 	promises map[promiseKey]Amount
+	// tries counts the jobs that looked for work to displace.
+	tries int
 	// booked holds the jobs with a reservation.
 	booked []*Job
+	// size counts the usable accelerators.
+	size int
 	// idle counts the free accelerators; -1 until it is needed.
 	idle int
 }
@@ -70,11 +77,20 @@
 
 // newPass returns a pass over a scratch copy of the State.
 func newPass(now time.Time, s *State) *pass {
-	return &pass{
+	p := &pass{
 		view: s.scratch(now), misses: map[missKey]bool{}, ending: map[model.JobID]bool{},
 		started: map[model.JobID]bool{}, waits: map[model.JobID]Reason{},
 		moved: map[int]*Anchor{}, promises: map[promiseKey]Amount{}, idle: -1,
 	}
+	for i := range p.nodes {
+		if p.nodes[i].ok {
+			p.size += p.nodes[i].cap.GPUs
+		}
+	}
+	for _, j := range sortedJobs(p.moving) {
+		p.holdNow(j, p.targetSpots(j))
+	}
+	return p
 }
 
 // endCancelled stops cancelled jobs that still run.
@@ -183,10 +199,57 @@
 // jobSearch returns the search for a place of a job on free accelerators.
 func (p *pass) jobSearch(j *Job) *search {
 	run := p.st.remaining(j)
-	return &search{
+	q := &search{
 		v: p.view, shape: j.Spec.Shape, each: Each(j.Spec.Shape),
 		room: func(i int) Amount { return p.room(i, j, run) },
 	}
+	return q
+}
+
+// placeSearch returns jobSearch with the policy's preferences.
+func (p *pass) placeSearch(j *Job) *search {
+	q := p.jobSearch(j)
+	if q.shape.Adjacent != model.SameRack && q.shape.Tasks == 1 {
+		q.shape.Adjacent = model.SameWorker
+	}
+	q.rank = func(i int) float64 { return p.taste(i, j) }
+	q.cost = func(b span, at []spot) float64 {
+		sum := 0.0
+		for _, s := range at {
+			sum += p.taste(s.node, j) * float64(s.tasks)
+		}
+		return sum
+	}
+	return q
+}
+
+// Weights of the placement preferences, in accelerators left over on a worker.
+const (
+	tasteRack   = 0.5
+	tasteFixed  = 1.0
+	tasteAnchor = 4.0
+)
+
+// taste ranks a node for a job; lower is better. Work fills full workers and full racks first.
+// Work that can't be moved keeps together and off the anchors, where it would be stopped.
+func (p *pass) taste(i int, j *Job) float64 {
+	n := &p.nodes[i]
+	rack := p.racks[n.rack]
+	free, fixed, cap := 0, 0, 0
+	for k := rack.lo; k < rack.hi; k++ {
+		o := &p.nodes[k]
+		free += o.cap.GPUs - o.used.GPUs
+		fixed += o.fixed
+		cap += o.cap.GPUs
+	}
+	sum := float64(n.cap.GPUs-n.used.GPUs) + tasteRack*float64(free)
+	if !movable(j) {
+		sum -= tasteFixed * float64(fixed)
+		if len(n.ties) > 0 {
+			sum += tasteAnchor
+		}
+	}
+	return sum
 }
 
 // room returns what a job that runs for run may take on a node now.
@@ -301,14 +364,24 @@
 	return out
 }
 
-// score returns the rank of a job among spare work; higher is served first.
+// score returns the rank of a job among spare work; higher is served first. It is the response
+// ratio that the job would have if started now, of accelerator time instead of run time.
 func (p *pass) score(j *Job) float64 {
-	run := p.st.remaining(j).Seconds()
+	area := p.st.remaining(j).Seconds() * float64(j.Spec.Shape.Size()) / 8
 	wait := p.now.Sub(j.Submitted).Seconds()
-	ratio := (wait + run) / run
-	weight := 1.0
-	if t := p.st.Team(j.Spec.Team); t != nil && t.Weight > 0 {
-		weight = float64(t.Weight)
+	return (wait + area) / area * p.share(j)
+}
+
+// share returns the preference of a job's team: its weight against its use.
+func (p *pass) share(j *Job) float64 {
+	weight, total := 1.0, 0.0
+	for _, t := range p.st.Teams {
+		w := float64(max(t.Weight, 1))
+		total += w
+		if t.Name == j.Spec.Team {
+			weight = w
+		}
 	}
-	return ratio * weight / float64(8+p.used[j.Spec.Team])
+	fair := weight / max(total, 1) * float64(p.size)
+	return math.Pow((fair+8)/(float64(p.used[j.Spec.Team])+8), shareStrength)
 }
--- a/core/plan/index.go
+++ b/core/plan/index.go
@@ -46,11 +46,13 @@
 
 // node is the working form of a Host.
 type node struct {
-	id     model.WorkerID
-	rack   int
-	ok     bool
-	cap    Amount
-	used   Amount
+	id   model.WorkerID
+	rack int
+	ok   bool
+	cap  Amount
+	used Amount
+	// fixed counts the accelerators of work that can't be moved without loss.
+	fixed  int
 	held   Amount
 	uses   []use
 	ties   []tie
@@ -74,7 +76,9 @@
 	refused map[model.JobID]*Job
 	doomed  map[model.JobID]*Job
 	aside   map[int]bool
-	used    map[model.Team]int
+	// moving holds the stopping jobs that have slots to go to.
+	moving map[model.JobID]*Job
+	used   map[model.Team]int
 	// limits caches the largest number of tasks of a shape that any block holds.
 	limits map[model.Shape]int
 	// loose is set when anchors may have become infeasible.
@@ -95,7 +99,7 @@
 	}
 	x := &index{
 		byID:    make(map[model.WorkerID]int, len(s.Hosts)),
-		refused: map[model.JobID]*Job{}, doomed: map[model.JobID]*Job{}, aside: map[int]bool{},
+		refused: map[model.JobID]*Job{}, doomed: map[model.JobID]*Job{}, aside: map[int]bool{}, moving: map[model.JobID]*Job{},
 		used: map[model.Team]int{}, limits: map[model.Shape]int{}, loose: true,
 	}
 	hosts := make([]*model.Worker, 0, len(s.Hosts))
@@ -183,6 +187,9 @@
 		if j.Cancelled && j.Phase != Stopping {
 			x.doomed[j.Spec.ID] = j
 		}
+		if j.Phase == Stopping && len(j.Target) > 0 {
+			x.moving[j.Spec.ID] = j
+		}
 	}
 }
 
@@ -216,6 +223,7 @@
 	default:
 		x.take(j)
 		delete(x.doomed, j.Spec.ID)
+		delete(x.moving, j.Spec.ID)
 	}
 }
 
@@ -263,9 +271,12 @@
 
 // recalc sums up the uses and levels of a node.
 func (n *node) recalc() {
-	n.used = Amount{}
+	n.used, n.fixed = Amount{}, 0
 	for _, u := range n.uses {
 		n.used = n.used.Plus(u.amount)
+		if u.job.Anchored || !movable(u.job) {
+			n.fixed += u.amount.GPUs
+		}
 	}
 	n.levels = nil
 	for _, t := range n.ties {
@@ -294,6 +305,9 @@
 	return sum
 }
 
+// movable reports whether a job can be checkpointed within a minute.
+func movable(j *Job) bool { return j.Spec.Checkpoint && leaves(j, time.Minute) }
+
 // leaves reports whether a job can be gone within grace.
 func leaves(j *Job, grace time.Duration) bool { return j.Spec.Grace+Reaction <= grace }
 
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -31,6 +31,9 @@
 	room func(i int) Amount
 	// cost ranks blocks; the lowest wins. nil ranks by the accelerators left over in the block.
 	cost func(b span, at []spot) float64
+	// rank orders the nodes of a block; the lowest are filled first. nil ranks by the
+	// accelerators left over on the node.
+	rank func(i int) float64
 	// min holds tasks that have to stay on their nodes; nil if none.
 	min map[int]int
 }
@@ -92,7 +95,10 @@
 // within places the shape inside a block on the fullest nodes that fit, and returns the
 // accelerators left over in the block.
 func (q *search) within(b span) ([]spot, int) {
-	type cand struct{ node, fit, left int }
+	type cand struct {
+		node, fit, left int
+		rank            float64
+	}
 	var buf [8]cand
 	cands := buf[:0]
 	total, left := 0, 0
@@ -105,13 +111,19 @@
 		left += max(r.GPUs, 0)
 		if fit > 0 {
 			total += fit
-			cands = append(cands, cand{i, fit, r.GPUs})
+			c := cand{node: i, fit: fit, left: r.GPUs}
+			if q.rank != nil {
+				c.rank = q.rank(i)
+			}
+			cands = append(cands, c)
 		}
 	}
 	if total < q.shape.Tasks {
 		return nil, 0
 	}
-	slices.SortFunc(cands, func(a, b cand) int { return cmp.Or(cmp.Compare(a.left, b.left), cmp.Compare(a.node, b.node)) })
+	slices.SortFunc(cands, func(a, b cand) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.left, b.left), cmp.Compare(a.node, b.node))
+	})
 	need := q.shape.Tasks
 	take := make(map[int]int, len(q.min))
 	for i, n := range q.min {
@@ -129,8 +141,11 @@
 			need = 0
 		}
 	}
-	for k := len(cands) - 1; k >= 0 && need > 0; k-- {
+	for k := 0; k < len(cands) && need > 0; k++ {
 		c := cands[k]
+		if q.rank == nil {
+			c = cands[len(cands)-1-k]
+		}
 		n := min(c.fit-take[c.node], need)
 		take[c.node] += n
 		need -= n
--- a/core/plan/queue.go
+++ b/core/plan/queue.go
@@ -83,11 +83,21 @@
 	p.try(j)
 }
 
-// fill starts jobs in order on free accelerators, and keeps room for the first large ones that
-// don't fit.
+// fill starts jobs in order on free accelerators. Jobs with a reservation come first; when there are
+// fewer than reservations, the large jobs that have waited longest get one.
 func (p *pass) fill(jobs []*Job) {
-	kept := 0
+	var blocked []*Job
+	for _, j := range jobs {
+		if len(j.Target) > 0 && !p.try(j) {
+			if code := p.waits[j.Spec.ID].Code; (code != NoRoom && code != Scattered) || !p.book(j) {
+				p.unreserve(j)
+			}
+		}
+	}
 	for k, j := range jobs {
+		if p.started[j.Spec.ID] || len(j.Target) > 0 {
+			continue
+		}
 		if k >= depth {
 			p.waits[j.Spec.ID] = Reason{Code: Behind, Job: jobs[0].Spec.ID}
 			continue
@@ -96,14 +106,21 @@
 			continue
 		}
 		code := p.waits[j.Spec.ID].Code
-		if kept < reservations && (code == NoRoom || code == Scattered) && p.book(j) {
-			kept++
-			continue
+		if (code == NoRoom || code == Scattered) && !p.preempt(j) && j.Spec.Shape.Size() >= largeSize {
+			blocked = append(blocked, j)
+		}
+	}
+	slices.SortStableFunc(blocked, bySequence)
+	for _, j := range blocked {
+		if len(p.booked) < reservations {
+			p.book(j)
 		}
-		p.unreserve(j)
 	}
 }
 
+// largeSize is the number of accelerators from which a job may hold a reservation.
+const largeSize = 8
+
 // try starts a job on free accelerators.
 func (p *pass) try(j *Job) bool {
 	id := j.Spec.ID
@@ -119,7 +136,7 @@
 		p.waits[id] = p.noRoom(j)
 		return false
 	}
-	at := p.jobSearch(j).best()
+	at := p.placeSearch(j).best()
 	if at == nil {
 		if len(j.Failed) == 0 {
 			p.misses[key] = true
--- a/core/plan/replay_test.go
+++ b/core/plan/replay_test.go
@@ -42,7 +42,9 @@
 	began    time.Time
 	run      int
 	finished time.Time
-	// claimable is since when a claim could have started.
+	// blocked is set while the reason is that the guarantee is in use or short; claimable is
+	// the time of the first event after that.
+	blocked   bool
 	claimable time.Time
 }
 
@@ -123,12 +125,16 @@
 		for len(r.agenda) > 0 && r.agenda[0].at.Equal(r.now) {
 			heap.Pop(&r.agenda).(happening).do()
 		}
+		for _, t := range r.jobs {
+			if t.blocked {
+				t.claimable = r.now
+			}
+		}
 		d := r.decide(r.now, &r.s)
 		r.carryOut(r.s.Accept(r.now, d.Actions))
 		for _, w := range d.Waiting {
-			if c := w.Reason.Code; c == InUse || c == Short {
-				r.jobs[w.Job].claimable = r.now
-			}
+			c := w.Reason.Code
+			r.jobs[w.Job].blocked = c == InUse || c == Short
 		}
 		if !d.Wake.IsZero() && d.Wake.After(r.now) && len(r.s.Jobs) > 0 && (!r.wake.After(r.now) || d.Wake.Before(r.wake)) {
 			r.wake = d.Wake
@@ -311,7 +317,19 @@
 	}
 }
 
-var seeds = []uint64{1, 2, 3, 4, 5, 6}
+var seeds = replaySeeds()
+
+func replaySeeds() []uint64 {
+	from, n := uint64(1), 8
+	if v := os.Getenv("PLAN_SEEDS"); v != "" {
+		fmt.Sscan(v, &from, &n)
+	}
+	out := make([]uint64, n)
+	for i := range out {
+		out[i] = from + uint64(i)
+	}
+	return out
+}
 
 // compare replays a site with all seeds under one policy and returns the means, and the longest
 // waits of claims and urgent jobs.
--- a/core/plan/reserve.go
+++ b/core/plan/reserve.go
@@ -5,19 +5,16 @@
 	"time"
 )
 
-// overdue is the shortest further time expected of a job that has outlived its estimate.
-const overdue = 5 * time.Minute
-
 // end returns when a placed job is expected to leave.
 func (p *pass) end(j *Job) time.Time {
 	if p.leaving(j) {
 		return gone(p.now, j)
 	}
-	at := j.Started.Add(j.Expected)
-	if at.After(p.now) {
-		return at
+	ran := p.now.Sub(j.Started)
+	if ran < j.Expected {
+		return j.Started.Add(j.Expected)
 	}
-	return p.now.Add(max(p.now.Sub(j.Started)/2, overdue))
+	return p.now.Add(left(j.Expected, ran))
 }
 
 // book reserves the place where a job can start first, and stops backfill there that has outlived
@@ -32,21 +29,31 @@
 			at, due = old, t
 		}
 	}
-	p.reserve(j, at, due)
-	p.waits[j.Spec.ID] = Reason{Code: Reserving, Until: due}
-	p.booked = append(p.booked, j)
+	if p.makeRoom(j, due) {
+		return true
+	}
 	for _, s := range at {
-		n := &p.nodes[s.node]
-		for _, u := range n.uses {
+		for _, u := range p.nodes[s.node].uses {
 			if u.job.Ahead == j.Spec.ID && p.now.Sub(u.job.Started) > u.job.Expected {
 				p.stop(u.job, j.Spec.ID)
 			}
 		}
+	}
+	p.occupy(j, at, due)
+	return true
+}
+
+// occupy reserves the spots for a job from due on.
+func (p *pass) occupy(j *Job, at []spot, due time.Time) {
+	p.reserve(j, at, due)
+	p.waits[j.Spec.ID] = Reason{Code: Reserving, Until: due}
+	p.booked = append(p.booked, j)
+	for _, s := range at {
+		n := &p.nodes[s.node]
 		spare := p.roomAt(s.node, j, due).Minus(Each(j.Spec.Shape).Times(s.tasks)).floor()
 		n.holds = append(n.holds[:len(n.holds):len(n.holds)], hold{job: j, from: due, spare: spare})
 	}
 	p.d.wake(due)
-	return true
 }
 
 // roomAt returns what a job may take on a node at a later time, by the estimates.
--- a/core/plan/state.go
+++ b/core/plan/state.go
@@ -114,14 +114,6 @@
 	Short *Shortfall `cbor:"4,keyasint,omitempty" json:"short,omitempty"`
 }
 
-// Past is the run-time history of one class of jobs of a team.
-type Past struct {
-	// Runs holds the latest run times, oldest first.
-	Runs []time.Duration `cbor:"1,keyasint" json:"runs"`
-	// Ratios holds run time divided by declared time of the same jobs; 0 if none was declared.
-	Ratios []float64 `cbor:"2,keyasint" json:"ratios"`
-}
-
 // State is all that decisions of one cell depend on; the zero value is an empty cell.
 type State struct {
 	Cell    model.CellID            `cbor:"1,keyasint" json:"cell"`
