--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -151,8 +151,8 @@
 	return l.results
 }
 
-// count sums up results by outcome; broken connections count as broken.
-func count(results []result) map[string]int {
+// outcomes sums up results by outcome; broken connections count as broken.
+func outcomes(results []result) map[string]int {
 	out := map[string]int{}
 	for _, r := range results {
 		switch {
--- a/proof/p3_test.go
+++ b/proof/p3_test.go
@@ -109,11 +109,11 @@
 				f.entries = f.entries[1:]
 			}
 			f.settle()
-			t.Logf("%d requests: %v", len(results), count(results))
+			t.Logf("%d requests: %v", len(results), outcomes(results))
 			checkWhole(t, results, tc.breaks)
 			checkRuns(t, results, f.ran())
 			// Refusals are quick, so their share says little; a fleet that refuses everything answers none.
-			if got := count(results)["answered"]; got < leastAnswered {
+			if got := outcomes(results)["answered"]; got < leastAnswered {
 				t.Errorf("answered: got %d, want at least %d", got, leastAnswered)
 			}
 		})
--- a/proof/p4_test.go
+++ b/proof/p4_test.go
@@ -66,7 +66,7 @@
 			// A request that was reported too early would run within its deadline.
 			time.Sleep(3 * time.Second)
 			f.settle()
-			got := count(results)
+			got := outcomes(results)
 			t.Logf("%d requests: %v", len(results), got)
 			checkWhole(t, results, false)
 			checkRuns(t, results, f.ran())
--- a/proof/p6_test.go
+++ b/proof/p6_test.go
@@ -42,7 +42,7 @@
 			for _, e := range executions(t, f.minions[0]) {
 				last = max(last, e.Time.Sub(left))
 			}
-			t.Logf("%d requests: %v; agent ended after %v, last work began %v after it began to leave", len(results), count(results), lived, last)
+			t.Logf("%d requests: %v; agent ended after %v, last work began %v after it began to leave", len(results), outcomes(results), lived, last)
 			if last > leaveLimit {
 				t.Errorf("last work after %v, want within %v", last, leaveLimit)
 			}
@@ -54,7 +54,7 @@
 			}
 			checkWhole(t, results, false)
 			checkRuns(t, results, f.ran())
-			if got := count(results); got["answered"] != len(results) {
+			if got := outcomes(results); got["answered"] != len(results) {
 				t.Errorf("outcomes: got %v, want all of %d answered", got, len(results))
 			}
 		})
--- a/proof/p7_test.go
+++ b/proof/p7_test.go
@@ -86,7 +86,7 @@
 
 func checkAllAnswered(t *testing.T, f *fleet, results []result) {
 	t.Helper()
-	t.Logf("%d requests: %v", len(results), count(results))
+	t.Logf("%d requests: %v", len(results), outcomes(results))
 	checkWhole(t, results, false)
 	checkRuns(t, results, f.ran())
 	for _, r := range results {
