Send Accept only for requests that take over 10 ms

Cause: each request cost an Accept frame right before its answer.

Change: the agent sends Accept 10 ms after Begin unless the result is there first; the answer implies it. The entry's limit for a sign of life stays 1 s.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -47,11 +47,17 @@
 type task struct {
 	begin link.Begin
 	body  *link.Body
+	// accept sends the Accepted frame, unless the result comes first.
+	accept *time.Timer
 	// owner is the link that gets the answer: that of the Begin or the last Attach.
 	owner  *link.Link
 	result *Result
 }
 
+// acceptDelay is the time after which an attempt without a result is reported as accepted.
+// Most requests are answered earlier, and the answer implies that the attempt was accepted.
+const acceptDelay = 10 * time.Millisecond
+
 // New returns an agent that announces record and runs attempts with runner.
 func New(record model.Record, runner Runner, log *slog.Logger) *Agent {
 	return &Agent{
@@ -110,6 +116,7 @@
 			reason = ledger.Late
 		} else {
 			a.tasks[b.Attempt] = t
+			t.accept = time.AfterFunc(acceptDelay, func() { a.acceptLate(l, t) })
 		}
 		if reason == ledger.Accepted && body.Whole() {
 			go a.run(t)
@@ -118,13 +125,25 @@
 	load := a.book.Load()
 	a.mu.Unlock()
 	switch {
-	case reason == ledger.Accepted || reason == ledger.Duplicate:
+	case reason == ledger.Accepted:
+	case reason == ledger.Duplicate:
 		_ = l.Send(link.Accepted{Attempt: b.Attempt, Load: load})
 	default:
 		_ = l.Send(link.Refuse{Attempt: b.Attempt, Reason: string(reason), Load: load})
 	}
 }
 
+// acceptLate reports an attempt as accepted if it still holds its slot.
+func (a *Agent) acceptLate(l *link.Link, t *task) {
+	a.mu.Lock()
+	held := a.tasks[t.begin.Attempt] == t && t.result == nil
+	load := a.book.Load()
+	a.mu.Unlock()
+	if held {
+		_ = l.Send(link.Accepted{Attempt: t.begin.Attempt, Load: load})
+	}
+}
+
 func (a *Agent) data(l *link.Link, d link.Data) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -164,6 +183,7 @@
 		a.forget(old)
 	}
 	t.result = &res
+	t.accept.Stop()
 	owner, load := t.owner, a.book.Load()
 	a.mu.Unlock()
 	reply(owner, t.begin.Attempt, &res, load)
