--- a/stand/minion/minion.go
+++ b/stand/minion/minion.go
@@ -40,6 +40,8 @@
 	// Overflow counts requests above the slots; Over counts connections above the limit.
 	Overflow int   `json:"overflow"`
 	Over     int64 `json:"over"`
+	// Open counts the open connections.
+	Open int64 `json:"open"`
 	// Broken counts requests whose body could not be read to its end.
 	Broken int `json:"broken"`
 }
@@ -98,7 +100,7 @@
 	r.HandleFunc("/counts", func(w http.ResponseWriter, _ *http.Request) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		m.counts.Over = m.gate.Over.Load()
+		m.counts.Over, m.counts.Open = m.gate.Over.Load(), m.gate.Open()
 		serve.JSON(w, http.StatusOK, m.counts)
 	}).Methods(http.MethodGet)
 	return r
--- a/stand/serve/gate.go
+++ b/stand/serve/gate.go
@@ -28,6 +28,9 @@
 	return &Gate{Limit: limit, addr: l.Addr(), inner: l, change: make(chan struct{})}
 }
 
+// Open returns the number of open connections.
+func (g *Gate) Open() int64 { return g.open.Load() }
+
 // Addr returns the address, also while the gate is shut.
 func (g *Gate) Addr() net.Addr { return g.addr }
 
