Add the demonstration, and show and carry out 'aside'

Cause: make demo had no recipe, and the operators' command 'aside' was refused for lack of a call in the controller. 'aside' and 'back' reach Sched.Aside; the failures and pauses of workers appear in queries. The root, cmds and TestGang tests pass.

--- a/Makefile
+++ b/Makefile
@@ -12,3 +12,6 @@
 
 test:
 	go test -race ./...
+
+demo:
+	scripts/demo.sh
--- a/cmds/jobs.go
+++ b/cmds/jobs.go
@@ -33,9 +33,9 @@
 	return schedFailure(j.sched.Cancel(ctx, ids))
 }
 
-// Aside is refused: the controller has no command for it yet.
-func (j jobs) Aside(context.Context, model.WorkerID, bool) error {
-	return &admin.Failure{Kind: admin.KindUnavailable, Text: "the scheduler can't put workers aside by command yet"}
+// Aside takes a worker out of use, or returns it.
+func (j jobs) Aside(ctx context.Context, worker model.WorkerID, aside bool) error {
+	return schedFailure(j.sched.Aside(ctx, worker, aside))
 }
 
 // schedFailure gives an error of the controller its kind.
@@ -46,13 +46,14 @@
 		unknown *sched.UnknownJobsError
 		full    *sched.FullError
 		noCell  *sched.NoCellError
+		worker  *sched.UnknownWorkerError
 	)
 	switch {
 	case errors.As(err, &pending):
 		return &admin.Failure{Kind: admin.KindUnknown, Text: err.Error()}
 	case errors.As(err, &invalid):
 		return &admin.Failure{Kind: admin.KindInvalid, Text: err.Error()}
-	case errors.As(err, &unknown):
+	case errors.As(err, &unknown), errors.As(err, &worker):
 		return &admin.Failure{Kind: admin.KindMissing, Text: err.Error()}
 	case errors.As(err, &full), errors.As(err, &noCell):
 		return &admin.Failure{Kind: admin.KindUnavailable, Text: err.Error()}
@@ -95,7 +96,9 @@
 		History: map[string]plan.Past{}, Cancelled: map[model.JobID]time.Time{},
 	}
 	for _, w := range c.Workers {
-		s.Hosts[w.ID] = plan.Host{Worker: w}
+		host := c.Hosts[w.ID]
+		host.Worker = w
+		s.Hosts[w.ID] = host
 	}
 	for _, r := range c.Running {
 		job := &plan.Job{Spec: r.Spec, Phase: phasesOf[r.Phase], Started: r.Since, Submitted: r.Since, Run: r.Placement, Anchored: r.Anchored}
--- a/io/sched/control.go
+++ b/io/sched/control.go
@@ -275,6 +275,8 @@
 	Waiting    []plan.Waiting
 	Shortfalls []plan.Shortfall
 	Held       []Hold
+	// Hosts holds the workers with the failures attributed to them.
+	Hosts map[model.WorkerID]plan.Host
 }
 
 // Decider decides what a cell starts and stops.
--- a/io/sched/driver.go
+++ b/io/sched/driver.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -48,7 +49,7 @@
 			out.Actions = append(out.Actions, action)
 		}
 	}
-	out.Held = d.held()
+	out.Held, out.Hosts = d.held(), maps.Clone(d.state.Hosts)
 	out.Note = d.learned(now)
 	return out
 }
--- a/io/sched/snapshot.go
+++ b/io/sched/snapshot.go
@@ -63,14 +63,16 @@
 	Owner model.NodeID `json:"owner"`
 	Epoch model.Epoch  `json:"epoch"`
 	// Owned says that this process is the owner; the views of others lag behind.
-	Owned      bool             `json:"owned"`
-	Revision   uint64           `json:"revision"`
-	Workers    []model.Worker   `json:"workers"`
-	Running    []Run            `json:"running"`
-	Held       []Hold           `json:"held"`
-	Waiting    []Wait           `json:"waiting"`
-	Shortfalls []plan.Shortfall `json:"shortfalls"`
-	Ended      []cell.Ended     `json:"ended"`
+	Owned    bool           `json:"owned"`
+	Revision uint64         `json:"revision"`
+	Workers  []model.Worker `json:"workers"`
+	// Hosts holds the workers with what keeps work off them, as of the last decision.
+	Hosts      map[model.WorkerID]plan.Host `json:"hosts"`
+	Running    []Run                        `json:"running"`
+	Held       []Hold                       `json:"held"`
+	Waiting    []Wait                       `json:"waiting"`
+	Shortfalls []plan.Shortfall             `json:"shortfalls"`
+	Ended      []cell.Ended                 `json:"ended"`
 }
 
 // Snapshot is what a process knows of all cells, in the order of their names.
@@ -113,7 +115,7 @@
 	}
 	out := CellView{
 		Cell: c.id, Owner: v.plan.Owner, Epoch: v.plan.Epoch, Owned: v.owned, Revision: v.plan.Revision,
-		Workers: workers, Held: decision.Held, Shortfalls: decision.Shortfalls, Ended: v.plan.Ended,
+		Workers: workers, Hosts: decision.Hosts, Held: decision.Held, Shortfalls: decision.Shortfalls, Ended: v.plan.Ended,
 	}
 	reasons := make(map[model.JobID]plan.Reason, len(decision.Waiting))
 	for _, w := range decision.Waiting {
