--- a/proof/gang_test.go
+++ b/proof/gang_test.go
@@ -149,8 +149,8 @@
 	g.fault(map[string]any{"mode": "lose", "worker": g.log()[0].Worker})
 }
 
-// placements replays the log and returns, for each placement, the tasks in each state at its end.
-func placements(events []gangEvent) map[string]map[string]string {
+// gangPlacements replays the log and returns, for each placement, the tasks in each state at its end.
+func gangPlacements(events []gangEvent) map[string]map[string]string {
 	out := map[string]map[string]string{}
 	for _, e := range events {
 		name := e.Task[:strings.LastIndex(e.Task, ".")]
@@ -229,7 +229,7 @@
 			g.t.Errorf("%s was started %d times, want once", task, n)
 		}
 	}
-	g.t.Logf("longest time in part: %v; %d events; placements %d", longest, len(events), len(placements(events)))
+	g.t.Logf("longest time in part: %v; %d events; placements %d", longest, len(events), len(gangPlacements(events)))
 }
 
 // clock returns the time on the clock of the log.
@@ -267,7 +267,7 @@
 	eventually(g.t, gangWait, "the gang runs as a whole again", func() bool { return g.whole(not...) })
 	time.Sleep(2 * gangBound)
 	if !g.whole(not...) {
-		g.t.Errorf("the gang does not go on running: %v", placements(g.log()))
+		g.t.Errorf("the gang does not go on running: %v", gangPlacements(g.log()))
 	}
 	g.check(g.clock())
 }
