--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -21,12 +21,13 @@
 
 type entryCmd struct {
 	nodeFlags
-	Listen string        `default:"127.0.0.1:0" help:"Address of the callers' listener."`
-	Link   string        `default:"127.0.0.1:0" help:"Address of the link listener."`
-	Admin  string        `default:"127.0.0.1:0" help:"Address of the operators' listener."`
-	Store  string        `help:"URL of the platform's store. Without it, requests with a key are refused and there is no configuration."`
-	Works  string        `help:"URL of the platform's worker service. Without it, the entry schedules nothing."`
-	Drain  time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
+	Listen    string        `default:"127.0.0.1:0" help:"Address of the callers' listener."`
+	Link      string        `default:"127.0.0.1:0" help:"Address of the link listener."`
+	Advertise string        `help:"Address that other processes dial, if it differs from that of --link."`
+	Admin     string        `default:"127.0.0.1:0" help:"Address of the operators' listener."`
+	Store     string        `help:"URL of the platform's store. Without it, requests with a key are refused and there is no configuration."`
+	Works     string        `help:"URL of the platform's worker service. Without it, the entry schedules nothing."`
+	Drain     time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
 }
 
 func (c *entryCmd) check(k *checks) {
@@ -34,6 +35,9 @@
 	k.listen("listen", c.Listen)
 	k.listen("link", c.Link)
 	k.listen("admin", c.Admin)
+	if c.Advertise != "" {
+		k.listen("advertise", c.Advertise)
+	}
 	k.distinct("listen", c.Listen, "link", c.Link, "admin", c.Admin)
 	if c.Store != "" {
 		k.url("store", c.Store)
@@ -69,9 +73,13 @@
 		return entrySelf{}, err
 	}
 	callers, links, admin := open[0], open[1], open[2]
+	address := links.Addr().String()
+	if c.Advertise != "" {
+		address = c.Advertise
+	}
 	hello := link.Hello{
 		Node: model.NodeID(c.ID), Incarnation: model.NewIncarnation(time.Now()), Role: link.RoleEntry,
-		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: links.Addr().String(),
+		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: address,
 	}
 	return entrySelf{callers, links, admin, link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}}, nil
 }
--- /dev/null
+++ b/proof/partition_test.go
@@ -0,0 +1,68 @@
+package proof
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// relayed starts a relay before a target and returns its address and a function that sets its faults.
+func relayed(t *testing.T, target string) (string, func(mode string)) {
+	t.Helper()
+	relay := start(t, "stand", "relay", "--target", target)
+	return relay.addr("listen"), func(mode string) {
+		t.Helper()
+		if status, answer := post(t, relay.url("control")+"/faults", map[string]any{"mode": mode}); status >= 300 {
+			t.Fatalf("setting a fault of the relay: got %d %s", status, answer)
+		}
+	}
+}
+
+// Guards against a region that reverts, or takes anything for confirmed, while it is cut off, and
+// against one that does not catch up in time afterwards.
+func TestPartitionedRegionKeepsItsRevisionAndCatchesUp(t *testing.T) {
+	f := startProcesses(t, "e1", "a1")
+	storeAddress, storeFault := relayed(t, f.platform.addr("listen"))
+	// The relay before the entry's links needs the entry's address, and the entry that of the relay.
+	linkAddress := freeAddress(t)
+	linkRelay, linkFault := relayed(t, linkAddress)
+	f.entries["e3"] = start(t, "wagtailhoist", "entry", "--id", "e3", "--region", "east", "--centre", "east-a",
+		"--store", "http://"+storeAddress, "--token", operatorToken, "--link", linkAddress, "--advertise", linkRelay).ready("link")
+	f.agents["a2"] = start(t, "wagtailhoist", "agent", "--id", "a2", "--region", "east", "--centre", "east-a",
+		"--minion", f.minion.url("listen"), "--token", operatorToken, "--join", linkAddress).ready("link")
+	f.within(startTimeout, "all processes", func() bool { return len(f.status("e1")) == 4 })
+	f.everywhere(f.apply("e1", "before"), 1, "e1", "e3", "a1", "a2")
+
+	storeFault("hold")
+	linkFault("hold")
+	code, out := f.run("e1", "apply", "--wait", "--limit", "5s", f.file("during"))
+	if code != 4 || !strings.Contains(out, "e3 (") || !strings.Contains(out, "a2 (") || strings.Contains(out, "a1 (") {
+		t.Errorf("apply --wait during the partition: got exit code %d, want 4 with e3 and a2\n%s", code, out)
+	}
+	if got := f.self("e3"); got.Revision != 1 {
+		t.Errorf("entry behind the partition: got %+v, want revision 1", got)
+	}
+	// A process that starts there has neither the store nor the other region.
+	f.agents["a2"].kill()
+	f.agents["a2"] = start(t, "wagtailhoist", "agent", "--id", "a2", "--region", "east", "--centre", "east-a",
+		"--minion", f.minion.url("listen"), "--token", operatorToken, "--join", linkAddress).ready("link")
+	f.within(everywhere, "a2 has revision 1 unconfirmed", func() bool {
+		p := f.status("e3")["a2"]
+		return p.Revision == 1 && p.Config == "unconfirmed"
+	})
+	storeFault("clear")
+	linkFault("clear")
+	f.everywhere(time.Now(), 2, "e1", "e3", "a1", "a2")
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
