--- /dev/null
+++ b/cmds/sched.go
@@ -0,0 +1,49 @@
+package cmds
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"go.uber.org/fx"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/conf"
+	"wagtailhoist/io/sched"
+	"wagtailhoist/io/store"
+	"wagtailhoist/io/works"
+)
+
+// worksConnections is the number of connections to the worker service that are kept; a cell sends up to 64
+// calls at a time.
+const worksConnections = 64
+
+// newSched returns the controller of the cells, nil for an entry without a store or a worker service.
+func newSched(c *entryCmd, s *store.Client, m *conf.Manager, log *slog.Logger) *sched.Sched {
+	if s == nil || c.Works == "" {
+		return nil
+	}
+	return &sched.Sched{
+		Self: model.NodeID(c.ID), Region: model.Region(c.Region), Store: s, Log: log,
+		Works: &works.Client{URL: c.Works, HTTP: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: worksConnections, IdleConnTimeout: time.Minute,
+		}}},
+		Declaration: func() (model.Declaration, bool) {
+			_, d, ok := m.Force()
+			return d, ok
+		},
+	}
+}
+
+// startSched controls cells until the process stops, and hands them over then.
+func startSched(life fx.Lifecycle, s *sched.Sched) {
+	if s == nil {
+		return
+	}
+	background(life, s.Run)
+	life.Append(fx.Hook{OnStop: func(stop context.Context) error {
+		s.Drain(stop)
+		return nil
+	}})
+}
--- a/core/plan/state.go
+++ b/core/plan/state.go
@@ -76,10 +76,11 @@
 	// Cancelled jobs are stopped and never started again.
 	Cancelled bool `cbor:"14,keyasint,omitempty" json:"cancelled,omitempty"`
 	// Gone is the time by which a stopping job has to have left.
-	Gone     time.Time        `cbor:"15,keyasint" json:"gone,omitzero"`
-	Observed []Usage          `cbor:"16,keyasint,omitempty" json:"observed,omitempty"`
-	Failed   []model.WorkerID `cbor:"17,keyasint,omitempty" json:"failed,omitempty"`
-	Refusal  Reason           `cbor:"18,keyasint" json:"refusal,omitzero"`
+	Gone     time.Time `cbor:"15,keyasint" json:"gone,omitzero"`
+	Observed []Usage   `cbor:"16,keyasint,omitempty" json:"observed,omitempty"`
+	// Failed names the worker of each failure that counts against the job.
+	Failed  []model.WorkerID `cbor:"17,keyasint,omitempty" json:"failed,omitempty"`
+	Refusal Reason           `cbor:"18,keyasint" json:"refusal,omitzero"`
 	// Stops counts the preemptions.
 	Stops int `cbor:"19,keyasint,omitempty" json:"stops,omitempty"`
 }
@@ -113,14 +114,6 @@
 	Short *Shortfall `cbor:"4,keyasint,omitempty" json:"short,omitempty"`
 }
 
-// Past is the run-time history of one class of jobs of a team.
-type Past struct {
-	// Runs holds the latest run times, oldest first.
-	Runs []time.Duration `cbor:"1,keyasint" json:"runs"`
-	// Ratios holds run time divided by declared time of the same jobs; 0 if none was declared.
-	Ratios []float64 `cbor:"2,keyasint" json:"ratios"`
-}
-
 // State is all that decisions of one cell depend on; the zero value is an empty cell.
 type State struct {
 	Cell    model.CellID            `cbor:"1,keyasint" json:"cell"`
--- a/io/sched/snapshot.go
+++ b/io/sched/snapshot.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"wagtailhoist/core/cell"
 	"wagtailhoist/core/model"
 	"wagtailhoist/core/plan"
@@ -29,24 +31,28 @@
 
 // Run is a job that holds workers.
 type Run struct {
-	Job       model.JobID `json:"job"`
-	Team      model.Team  `json:"team"`
-	Placement int         `json:"placement"`
-	Phase     cell.Phase  `json:"phase"`
+	Spec      model.JobSpec `json:"spec"`
+	Job       model.JobID   `json:"job"`
+	Team      model.Team    `json:"team"`
+	Placement int           `json:"placement"`
+	Phase     cell.Phase    `json:"phase"`
 	// Workers has the worker of each task; each task uses GPUs of it.
 	Workers []model.WorkerID `json:"workers"`
 	GPUs    int              `json:"gpus"`
 	Since   time.Time        `json:"since"`
+	// Anchored says that the job runs on the anchors of its guarantee.
+	Anchored bool `json:"anchored,omitempty"`
 	// Cause says why a job that is stopping is stopped.
 	Cause cell.Cause `json:"cause,omitempty"`
 }
 
 // Wait is a job that waits, with the reason.
 type Wait struct {
-	Job    model.JobID `json:"job"`
-	Team   model.Team  `json:"team"`
-	Since  time.Time   `json:"since"`
-	Reason plan.Reason `json:"reason"`
+	Spec   model.JobSpec `json:"spec"`
+	Job    model.JobID   `json:"job"`
+	Team   model.Team    `json:"team"`
+	Since  time.Time     `json:"since"`
+	Reason plan.Reason   `json:"reason"`
 	// Last says why the last placement of the job ended, if it had one.
 	Last cell.Cause `json:"last,omitempty"`
 }
@@ -97,9 +103,9 @@
 
 func (c *control) show(now time.Time) CellView {
 	v := c.view.Load()
-	workers, declaration := c.sched.inputs(c.id)
+	workers, declaration, ok := c.sched.inputs(c.id)
 	decision := v.decision
-	if !v.owned && workers != nil {
+	if !v.owned && ok {
 		// Another process decides; the same decision on the plan as known here gives the reasons.
 		decision = c.sched.newDecider().Decide(now, Input{
 			Cell: c.id, Plan: v.plan, Workers: workers, Declaration: declaration,
@@ -116,13 +122,17 @@
 	for _, j := range sorted(v.plan) {
 		if j.Phase == cell.Waiting {
 			out.Waiting = append(out.Waiting, Wait{
-				Job: j.Spec.ID, Team: j.Spec.Team, Since: time.UnixMilli(j.Submitted),
+				Spec: j.Spec, Job: j.Spec.ID, Team: j.Spec.Team, Since: time.UnixMilli(j.Submitted),
 				Reason: reasons[j.Spec.ID], Last: j.Cause,
 			})
 			continue
 		}
+		var note placed
+		if cbor.Unmarshal(j.Note, &note) != nil {
+			note = placed{}
+		}
 		out.Running = append(out.Running, Run{
-			Job: j.Spec.ID, Team: j.Spec.Team, Placement: j.Placement, Phase: j.Phase,
+			Spec: j.Spec, Anchored: note.Anchored, Job: j.Spec.ID, Team: j.Spec.Team, Placement: j.Placement, Phase: j.Phase,
 			Workers: slices.Clone(j.Workers), GPUs: j.Spec.Shape.GPUs, Since: time.UnixMilli(j.Since), Cause: j.Cause,
 		})
 	}
