Keep requests at their minion's host and free what agents hold too long

Cause, by review: a request target such as 'GET http:@other.example/' reached the agent as a path that changes the host of the minion's URL, so a caller could make an agent send requests to any address. A minion's status below 100 made the entry break the caller's connection, and a header over 4 MiB made the answer unsendable. A request's body stayed in memory until its answer was acknowledged, a Done for a running attempt dropped its answer, and a Fail that nobody waited for kept a draining agent for 10 s.

Change: entry and agent refuse targets that do not begin with /; statuses outside 200-599 and headers over 1 MiB count as a failure after a run; bodies are freed when the attempt starts; Done applies to results only; late Fails are acknowledged.

Trial without these checks: TestMinionClientKeepsItsHost counts a request at the other host, TestTargetsWithoutPath sees the path, and the cases of TestMinionClientRefusesTruncatedAnswers for status and header fail.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -46,7 +46,8 @@
 // task is an attempt that holds a slot or has an answer.
 type task struct {
 	begin link.Begin
-	body  *link.Body
+	// body collects the request's body; it is nil once the attempt runs.
+	body *link.Body
 	// accept sends the Accepted frame, unless the result comes first.
 	accept *time.Timer
 	// owner is the link that gets the answer: that of the Begin or the last Attach.
@@ -93,10 +94,7 @@
 				a.Config.Asked(l, f)
 			}
 		case link.Done:
-			a.mu.Lock()
-			a.book.Done(f.Attempt)
-			a.forget(f.Attempt)
-			a.mu.Unlock()
+			a.done(f.Attempt)
 		}
 	}
 }
@@ -119,7 +117,7 @@
 			t.accept = time.AfterFunc(acceptDelay, func() { a.acceptLate(l, t) })
 		}
 		if reason == ledger.Accepted && body.Whole() {
-			go a.run(t)
+			a.start(t)
 		}
 	}
 	load := a.book.Load()
@@ -148,7 +146,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t, ok := a.tasks[d.Attempt]
-	if !ok || t.body.Whole() || t.owner != l {
+	if !ok || t.body == nil || t.owner != l {
 		return
 	}
 	if err := t.body.Add(d); err != nil {
@@ -163,7 +161,14 @@
 		a.abandon(l, d.Attempt)
 		return
 	}
-	go a.run(t)
+	a.start(t)
+}
+
+// start runs an attempt whose body is whole; the caller holds the lock.
+func (a *Agent) start(t *task) {
+	body := t.body.Bytes()
+	t.body = nil // the request's body must not stay in memory as long as the answer
+	go a.run(t, body)
 }
 
 // abandon gives up an attempt whose body did not become whole in time; the caller holds the lock.
@@ -174,9 +179,9 @@
 	go l.Send(link.Refuse{Attempt: at, Reason: "body", Load: load}) //nolint:errcheck
 }
 
-func (a *Agent) run(t *task) {
+func (a *Agent) run(t *task, body []byte) {
 	ctx, cancel := context.WithDeadline(context.Background(), t.begin.Deadline)
-	res := a.runner.Do(ctx, t.begin, t.body.Bytes())
+	res := a.runner.Do(ctx, t.begin, body)
 	cancel()
 	a.mu.Lock()
 	for _, old := range a.book.Finish(t.begin.Attempt, len(res.Body)) {
@@ -233,13 +238,23 @@
 	}
 }
 
+// done frees the answer of an attempt; an attempt that still runs keeps its place.
+func (a *Agent) done(at model.Attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t, ok := a.tasks[at]; ok && t.result != nil {
+		a.book.Done(at)
+		a.forget(at)
+	}
+}
+
 // leave fences the attempts whose body was still arriving over a closed link.
 func (a *Agent) leave(l *link.Link) {
 	l.Close()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for at, t := range a.tasks {
-		if t.owner == l && !t.body.Whole() {
+		if t.owner == l && t.body != nil {
 			a.book.Abandon(at)
 			a.forget(at)
 		}
--- a/io/agent/minion.go
+++ b/io/agent/minion.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,10 @@
 	dialLimit = time.Second
 	// idleLimit closes connections that a minion with a longer limit has not closed itself.
 	idleLimit = 15 * time.Second
+	// maxStatus is the highest status that is passed on; net/http panics on some others.
+	maxStatus = 599
+	// maxHeader is the largest header of an answer in bytes; it has to fit a frame.
+	maxHeader = 1 << 20
 )
 
 // Result is the minion's answer, or a failure.
@@ -59,6 +64,8 @@
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleLimit,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeader,
 	}}, nil
 }
 
@@ -96,6 +103,10 @@
 	}
 	defer resp.Body.Close()
 	res = Result{Status: resp.StatusCode, Header: resp.Header, Ran: true}
+	if res.Status < http.StatusOK || res.Status > maxStatus {
+		res.Err = fmt.Errorf("minion: status %d is not between 200 and %d", res.Status, maxStatus)
+		return res, false
+	}
 	res.Body, res.Err = readBody(resp)
 	return res, false
 }
@@ -105,6 +116,10 @@
 // only for bodies that it can rewind. A body of a type of its own, without GetBody, is
 // set even for empty bodies, because it rules the replay out.
 func (m *Minion) request(ctx context.Context, b link.Begin, body []byte) (*http.Request, error) {
+	// A path that is not rooted could change the host when it is appended to the minion's.
+	if !strings.HasPrefix(b.Path, "/") {
+		return nil, fmt.Errorf("request to minion: path %q does not begin with /", b.Path)
+	}
 	req, err := http.NewRequestWithContext(ctx, b.Method, m.base.Scheme+"://"+m.base.Host+b.Path, onceBody{bytes.NewReader(body)})
 	if err != nil {
 		return nil, errors.Wrap(err, "request to minion")
--- a/io/agent/minion_test.go
+++ b/io/agent/minion_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -162,12 +163,28 @@
 	}
 }
 
+// A request target without a leading slash could otherwise name another host.
+func TestMinionClientKeepsItsHost(t *testing.T) {
+	other, runs := rawMinion(t, okAnswer)
+	url, _ := rawMinion(t, okAnswer)
+	path := "@" + strings.TrimPrefix(other, "http://") + "/"
+	res := newMinion(t, url).Do(context.Background(), link.Begin{Method: "GET", Path: path}, nil)
+	if res.Err == nil || res.Ran {
+		t.Errorf("got error %v, ran %v; want an error, not run", res.Err, res.Ran)
+	}
+	if got := runs.Load(); got != 0 {
+		t.Errorf("requests at the other host: got %d, want 0", got)
+	}
+}
+
 // A broken connection must not turn a part of an answer into a whole one.
 func TestMinionClientRefusesTruncatedAnswers(t *testing.T) {
 	for _, tc := range []struct{ name, answer string }{
 		{"short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart"},
 		{"missing last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
 		{"ended by closing", "HTTP/1.0 200 OK\r\n\r\npart"},
+		{"status that cannot be passed on", "HTTP/1.1 099 x\r\nContent-Length: 4\r\n\r\npart"},
+		{"long header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxHeader+1<<13) + "\r\nContent-Length: 4\r\n\r\npart"},
 		{"too long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", link.MaxBody+1)},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/io/front/http.go
+++ b/io/front/http.go
@@ -74,6 +74,11 @@
 
 // read returns the call that r makes, or the status that refuses it.
 func (s *Server) read(now time.Time, r *http.Request) (Call, int, error) {
+	// An absolute or opaque target, * and CONNECT have no path that a minion could serve.
+	path := r.URL.RequestURI()
+	if !strings.HasPrefix(path, "/") || r.Method == http.MethodConnect {
+		return Call{}, http.StatusBadRequest, fmt.Errorf("request target %q is not a path", path)
+	}
 	timeout := defaultTimeout
 	if v := r.Header.Get(HeaderTimeout); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
@@ -106,7 +111,7 @@
 		Idempotent: key == "" && idempotent(r.Method),
 		Deadline:   now.Add(timeout),
 		Method:     r.Method,
-		Path:       r.URL.RequestURI(),
+		Path:       path,
 		Host:       r.Host,
 		Header:     forwarded(r.Header),
 		Body:       body,
--- a/io/front/http_test.go
+++ b/io/front/http_test.go
@@ -1,10 +1,13 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -68,6 +71,32 @@
 	}
 }
 
+// Targets without a path must not reach a minion, where they could name another host.
+func TestTargetsWithoutPath(t *testing.T) {
+	server := httptest.NewServer(&Server{MaxBody: 100, Handle: func(_ context.Context, c Call) Reply {
+		t.Errorf("call: got path %q, want none", c.Path)
+		return Reply{Outcome: tries.OutcomeNotRun}
+	}})
+	defer server.Close()
+	for _, line := range []string{"GET http:@other.example/ HTTP/1.1", "OPTIONS * HTTP/1.1", "CONNECT other.example:80 HTTP/1.1"} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "%s\r\nHost: x\r\nContent-Length: 0\r\n\r\n", line)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", line, err)
+		}
+		resp.Body.Close()
+		c.Close()
+		// net/http itself answers OPTIONS * with 200 and an empty body.
+		if resp.StatusCode != http.StatusBadRequest && !strings.HasPrefix(line, "OPTIONS") {
+			t.Errorf("%s: got status %d, want %d", line, resp.StatusCode, http.StatusBadRequest)
+		}
+	}
+}
+
 // The minion's answer has to reach the caller unchanged, and with a length and a checksum by
 // which the caller can tell that it is whole.
 func TestAnswerOverHTTP(t *testing.T) {
--- a/io/front/pool.go
+++ b/io/front/pool.go
@@ -180,12 +180,15 @@
 	}
 }
 
-// drop counts a frame nobody waits for. The answer of an attempt that was given up is
+// drop counts a frame nobody waits for. The result of an attempt that was given up is
 // acknowledged, so that the agent does not keep it.
 func (w *wire) drop(f link.Frame) {
 	w.pool.Dropped.Add(1)
-	if a, ok := f.(link.Answer); ok {
-		_ = w.Send(link.Done{Attempt: a.Attempt})
+	switch f := f.(type) {
+	case link.Answer:
+		_ = w.Send(link.Done{Attempt: f.Attempt})
+	case link.Fail:
+		_ = w.Send(link.Done{Attempt: f.Attempt})
 	}
 }
 
