Bound request bodies in memory and the time callers take to read

Cause, by review: bodies are read before requests queue, so many callers with 16 MiB each could take all memory of a thin entry; a caller that stopped reading its answer held a graceful shutdown until the stop limit of 11 min; idle caller connections were kept for ever; two entries that start in the same nanosecond would number their attempts alike.

Change: at most 256 MiB of request bodies at a time, more are refused as not run; an answer has to be taken within 60 s; idle connections close after 2 min; the low 20 bits of an entry's incarnation are random.

Not covered by a test: the 60 s and the 2 min, which would make tests as long.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -78,18 +79,28 @@
 		address = c.Advertise
 	}
 	hello := link.Hello{
-		Node: model.NodeID(c.ID), Incarnation: model.NewIncarnation(time.Now()), Role: link.RoleEntry,
+		Node: model.NodeID(c.ID), Incarnation: entryIncarnation(time.Now()), Role: link.RoleEntry,
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: address,
 	}
 	return entrySelf{callers, links, admin, link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}}, nil
 }
 
+// entryIncarnation returns an incarnation with 20 random low bits, about a millisecond. Attempts
+// are numbered by it, and two entries that start in the same instant must not number alike.
+func entryIncarnation(now time.Time) model.Incarnation {
+	const low = 1<<20 - 1
+	return model.NewIncarnation(now)&^low | model.Incarnation(rand.Uint64()&low)
+}
+
 func newEntryPool(self entrySelf) *front.Pool { return &front.Pool{Settings: self.settings} }
 
 func newEntryDispatcher(self entrySelf, m *peers.Members, p *front.Pool) *front.Dispatcher {
 	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: m, Pool: p}
 }
 
+// callersIdle is the time after which a caller's unused connection is closed.
+const callersIdle = 2 * time.Minute
+
 // sweepEvery is the interval at which an entry closes unused links.
 const sweepEvery = 10 * time.Second
 
@@ -118,6 +129,7 @@
 	callers := &http.Server{
 		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody, Closing: e.Phase.draining.Load},
 		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       callersIdle,
 	}
 	links := linkServer(self.settings, e.Peers.Serve, func() bool { return !e.Phase.draining.Load() && e.Conf.Ready() })
 	linked := make(chan struct{})
--- a/io/front/http.go
+++ b/io/front/http.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"wagtailhoist/core/model"
@@ -35,6 +36,8 @@
 	maxTimeout = 10 * time.Minute
 	// readLimit is the time in which a caller has to send its body.
 	readLimit = 30 * time.Second
+	// writeLimit is the time in which a caller has to take its answer: 16 MiB at 2.2 Mbit/s.
+	writeLimit = time.Minute
 	// retryAfter is the Retry-After of refusals, in seconds.
 	retryAfter = "1"
 )
@@ -46,6 +49,26 @@
 	MaxBody int64
 	// Closing returns true while callers have to be told to close their connections; nil means never.
 	Closing func() bool
+	// Buffer bounds the bytes of all request bodies at a time; 0 means DefaultBuffer.
+	Buffer int64
+
+	held atomic.Int64
+}
+
+// DefaultBuffer is the default bound of request bodies in memory, in bytes.
+const DefaultBuffer = 256 << 20
+
+// hold takes room for a body; bodies are read before requests queue, so the queues do not bound them.
+func (s *Server) hold(n int64) bool {
+	limit := s.Buffer
+	if limit == 0 {
+		limit = DefaultBuffer
+	}
+	if s.held.Add(n) > limit {
+		s.held.Add(-n)
+		return false
+	}
+	return true
 }
 
 // ServeHTTP runs the request and writes its answer or its outcome.
@@ -54,17 +77,29 @@
 	if s.Closing != nil && s.Closing() {
 		w.Header().Set("Connection", "close")
 	}
-	// A caller that stops sending must not hold up a graceful shutdown.
-	_ = http.NewResponseController(w).SetReadDeadline(now.Add(readLimit))
-	call, code, err := s.read(now, r)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	size := r.ContentLength
+	if size < 0 || size > s.MaxBody {
+		size = s.MaxBody
+	}
+	if !s.hold(size) {
+		writeOutcome(w, r, notRun("entry has no room for the body"))
+		return
+	}
+	defer s.held.Add(-size)
+	// A caller that stops sending or reading must not hold up a graceful shutdown.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(now.Add(readLimit))
+	call, code, err := s.read(now, w, r)
+	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
+		_ = control.SetWriteDeadline(time.Now().Add(writeLimit))
 		reply := notRun(err.Error())
 		reply.Code = code
 		writeOutcome(w, r, reply)
 		return
 	}
 	reply := s.Handle(r.Context(), call)
+	_ = control.SetWriteDeadline(time.Now().Add(writeLimit))
 	if reply.Outcome == tries.OutcomeAnswered {
 		writeAnswer(w, r, reply)
 		return
@@ -73,7 +108,7 @@
 }
 
 // read returns the call that r makes, or the status that refuses it.
-func (s *Server) read(now time.Time, r *http.Request) (Call, int, error) {
+func (s *Server) read(now time.Time, w http.ResponseWriter, r *http.Request) (Call, int, error) {
 	// An absolute or opaque target, * and CONNECT have no path that a minion could serve.
 	path := r.URL.RequestURI()
 	if !strings.HasPrefix(path, "/") || r.Method == http.MethodConnect {
@@ -87,7 +122,7 @@
 		}
 		timeout = time.Duration(ms) * time.Millisecond
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.MaxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBody))
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
--- a/io/front/http_test.go
+++ b/io/front/http_test.go
@@ -71,6 +71,40 @@
 	}
 }
 
+// Bodies are read before requests queue; without a bound, large ones could take all memory.
+func TestBodiesAreBounded(t *testing.T) {
+	begun, let := make(chan struct{}, 4), make(chan struct{})
+	s := &Server{MaxBody: 100, Buffer: 150, Handle: func(context.Context, Call) Reply {
+		begun <- struct{}{}
+		<-let
+		return Reply{Outcome: tries.OutcomeAnswered, Status: 200}
+	}}
+	server := httptest.NewServer(s)
+	defer server.Close()
+	post := func() int {
+		resp, err := http.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("x", 100)))
+		if err != nil {
+			t.Error(err)
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	first := make(chan int, 1)
+	go func() { first <- post() }()
+	<-begun
+	if got, want := post(), http.StatusServiceUnavailable; got != want {
+		t.Errorf("second body: got status %d, want %d", got, want)
+	}
+	close(let)
+	if got, want := <-first, http.StatusOK; got != want {
+		t.Errorf("first body: got status %d, want %d", got, want)
+	}
+	if got, want := post(), http.StatusOK; got != want {
+		t.Errorf("body after the first: got status %d, want %d", got, want)
+	}
+}
+
 // Targets without a path must not reach a minion, where they could name another host.
 func TestTargetsWithoutPath(t *testing.T) {
 	server := httptest.NewServer(&Server{MaxBody: 100, Handle: func(_ context.Context, c Call) Reply {
