--- /dev/null
+++ b/io/agent/leak_test.go
@@ -0,0 +1,10 @@
+package agent
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// Goroutines that outlive their links or requests would add up in a process that runs for months.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -231,6 +231,7 @@
 		t.Errorf("link after a guest left: %v", err)
 	} else {
 		l.Close()
+		(<-links).Close()
 	}
 }
 
