--- a/proof/gang_test.go
+++ b/proof/gang_test.go
@@ -63,7 +63,7 @@
 func (g *gangs) entry(id string) *process {
 	url := g.platform.url("listen")
 	return start(g.t, "wagtailhoist", "entry", "--id", id, "--region", "ch-west", "--centre", "lausanne",
-		"--store", url, "--works", url, "--token", testToken, "--drain", "0s")
+		"--token", "t", "--store", url, "--works", url, "--drain", "0s")
 }
 
 // plan reads the plan of the cell.
@@ -164,7 +164,7 @@
 	return out
 }
 
-func inState(tasks map[string]string, state string) int {
+func gangCount(tasks map[string]string, state string) int {
 	n := 0
 	for _, s := range tasks {
 		if s == state {
@@ -176,8 +176,8 @@
 
 // whole reports whether a placement other than those in not has all tasks running.
 func (g *gangs) whole(not ...string) bool {
-	for name, tasks := range placements(g.log()) {
-		if inState(tasks, "running") == gangSize && !strings.Contains(strings.Join(not, " "), name) {
+	for name, tasks := range gangPlacements(g.log()) {
+		if gangCount(tasks, "running") == gangSize && !strings.Contains(strings.Join(not, " "), name) {
 			return true
 		}
 	}
@@ -203,12 +203,12 @@
 			starts[e.Task]++
 		}
 		var running []string
-		for name, tasks := range placements(events[:i+1]) {
-			n := inState(tasks, "running")
+		for name, tasks := range gangPlacements(events[:i+1]) {
+			n := gangCount(tasks, "running")
 			if n > 0 {
 				running = append(running, name)
 			}
-			if n == 0 || n+inState(tasks, "done") == gangSize {
+			if n == 0 || n+gangCount(tasks, "done") == gangSize {
 				end(name, e.Time)
 			} else if _, ok := since[name]; !ok {
 				since[name] = e.Time
@@ -293,7 +293,7 @@
 	g.fault(map[string]any{"mode": "silent", "of": "works", "path": "/tasks/route.1.3/throttle"})
 	owner := g.entry("a")
 	g.submit()
-	eventually(t, gangWait, "a part of the gang runs", func() bool { return inState(placements(g.log())["route.1"], "running") > 0 })
+	eventually(t, gangWait, "a part of the gang runs", func() bool { return gangCount(gangPlacements(g.log())["route.1"], "running") > 0 })
 	owner.pause()
 	time.Sleep(2 * gangBound)
 	owner.resume()
