Take an answer that arrives together with the end of its link

Cause, by review: when an agent answered and ended at once, the entry chose at random between the answer and the broken link. By the link it found a restarted agent and told the caller unknown, with the answer in its hands. The same held for an answer right at the deadline.

Change: before it recovers or gives up, the entry looks at the events that have arrived.

TestAnswerBeforeEndOfLink fails without the change (agent restarted, within 40 tries) and passes with it.

Conclusion: go test -race ./io/front passes.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -110,6 +110,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			if e, ok := t.arrived(); ok {
+				return e
+			}
 			return ending{end: tries.Unknown, reason: "no answer before the deadline", failed: true}
 		case event := <-t.wait.events:
 			if _, ok := event.(accepted); ok {
@@ -126,12 +129,29 @@
 		case <-t.wire.Done():
 		}
 		limit.Stop()
+		if e, ok := t.arrived(); ok {
+			return e
+		}
 		if e, ok := t.recover(ctx); ok {
 			return e
 		}
 	}
 }
 
+// arrived returns the end of an attempt whose last event came together with the end of its link or its deadline.
+func (t *trial) arrived() (ending, bool) {
+	for {
+		select {
+		case event := <-t.wait.events:
+			if e, ok := t.settle(event); ok {
+				return e, true
+			}
+		default:
+			return ending{}, false
+		}
+	}
+}
+
 // settle returns the end that an event means, if any.
 func (t *trial) settle(event any) (ending, bool) {
 	switch e := event.(type) {
--- a/io/front/attempt_test.go
+++ b/io/front/attempt_test.go
@@ -228,6 +228,26 @@
 	}
 }
 
+// An agent may send an answer and end at once; the entry must not lose the answer that it holds.
+func TestAnswerBeforeEndOfLink(t *testing.T) {
+	s := &script{handle: func(int, *link.Link, link.Frame) {}}
+	rec := s.run(t, "a")
+	for range 40 { // select takes one of several ready channels at random
+		p := &Pool{Settings: link.Settings{Token: "t"}}
+		w, err := p.Get(context.Background(), rec.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		one := trial{pool: p, record: rec, begin: link.Begin{Attempt: model.Attempt{Sequence: 1}, Incarnation: 9}}
+		one.hold(w)
+		one.wait.take(answerTo(one.begin.Attempt, []byte("held")))
+		p.Close()
+		if got := one.follow(context.Background()); got.end != tries.Answered {
+			t.Fatalf("end: got %v (%s), want %v", got.end, got.reason, tries.Answered)
+		}
+	}
+}
+
 // A new process has announced itself while the link to its predecessor looks alive: a
 // request sent over that link would be lost, and its outcome unknown.
 func TestRestartedAgentGetsFreshLink(t *testing.T) {
