Turn away from an agent as soon as it refuses because it drains

The entry took the refusals of the draining agent for ordinary ones, went on choosing it until its record expired after 3 s, and spent the retry budget on it.

Ruled out: work at the leaving agent; it got none after it began to drain.

Change: a refusal because of draining is reported to the router as a stall, which ejects the agent at once; its next process starts anew.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -45,6 +45,8 @@
 	answer *answered
 	// failed says that the agent or its minion is at fault.
 	failed bool
+	// leaving says that the agent drains.
+	leaving bool
 }
 
 // result returns what the ending tells about the agent. A caller that leaves or asks for an
@@ -52,6 +54,11 @@
 func (e ending) result(ctx context.Context, took time.Duration) route.Result {
 	r := route.Result{Outcome: route.Refused, Load: e.load}
 	switch {
+	case e.leaving:
+		// An agent that drains refuses everything from now on, so it is ejected as one that has
+		// stalled; as a mere refusal, each further request would spend the retry budget on it
+		// until its announcement arrives.
+		r.Outcome = route.Stalled
 	case e.answer != nil:
 		r.Outcome, r.Bytes = route.Answered, len(e.answer.body)
 	case e.failed && ctx.Err() != nil && (errors.Is(ctx.Err(), context.Canceled) || took < acceptLimit):
@@ -159,7 +166,10 @@
 		_ = t.wire.Send(link.Done{Attempt: t.begin.Attempt})
 		return ending{end: tries.Answered, answer: &e, load: e.frame.Load}, true
 	case refused:
-		return ending{end: tries.NotRun, reason: "agent refused: " + e.frame.Reason, load: e.frame.Load}, true
+		return ending{
+			end: tries.NotRun, reason: "agent refused: " + e.frame.Reason, load: e.frame.Load,
+			leaving: e.frame.Reason == string(ledger.Draining),
+		}, true
 	case failed:
 		_ = t.wire.Send(link.Done{Attempt: t.begin.Attempt})
 		end := tries.NotRun
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -29,6 +30,8 @@
 	minions []*process
 	// relays are between the entries and the agent of the same index.
 	relays []*process
+	// join replaces the entries' own addresses for the agents that are started from now on.
+	join []string
 	// past holds the minions that were replaced.
 	past []*process
 	seq  int
@@ -39,8 +42,7 @@
 	t.Helper()
 	f := &fleet{t: t}
 	for n := range entries {
-		f.entries = append(f.entries, start(t, "wagtailhoist", "entry", "--id", fmt.Sprintf("entry-%d", n),
-			"--region", "west", "--centre", "one", "--token", testToken, "--drain", "1s"))
+		f.entries = append(f.entries, f.startEntry(n))
 	}
 	for n := range agents {
 		f.minions = append(f.minions, startMinion(t, "127.0.0.1:0"))
@@ -51,11 +53,37 @@
 	return f
 }
 
+func (f *fleet) startEntry(n int, more ...string) *process {
+	f.t.Helper()
+	args := []string{
+		"entry", "--id", fmt.Sprintf("entry-%d", n), "--region", "west", "--centre", "one",
+		"--token", testToken, "--drain", "1s",
+	}
+	return start(f.t, "wagtailhoist", append(args, more...)...)
+}
+
+// hide restarts entry 0 and agent n so that the agent can announce itself only by the
+// returned relay; the other agents still know the entry's own address.
+func (f *fleet) hide(n int) *process {
+	f.t.Helper()
+	link := f.entries[0].addr("link")
+	f.entries[0].kill()
+	f.agents[n].kill()
+	r := start(f.t, "stand", "relay", "--target", link)
+	f.entries[0] = f.startEntry(0, "--link", link, "--advertise", r.addr("listen"))
+	f.join = []string{r.addr("listen")}
+	f.restartAgent(n)
+	f.settle()
+	return r
+}
+
 func (f *fleet) startAgent(n int, more ...string) *process {
 	f.t.Helper()
-	join := make([]string, 0, len(f.entries))
-	for _, e := range f.entries {
-		join = append(join, e.addr("link"))
+	join := slices.Clone(f.join)
+	if len(join) == 0 {
+		for _, e := range f.entries {
+			join = append(join, e.addr("link"))
+		}
 	}
 	args := []string{
 		"agent", "--id", fmt.Sprintf("agent-%d", n), "--region", "west", "--centre", "one",
--- a/proof/p6_test.go
+++ b/proof/p6_test.go
@@ -13,12 +13,16 @@
 func TestLeavingAgentGetsNoWork(t *testing.T) {
 	for _, tc := range []struct {
 		name string
-		// deaf entries are paused while the agent announces that it drains.
-		deaf bool
-	}{{"announced", false}, {"entry paused meanwhile", true}} {
+		// hear is what the entry hears of the announcement.
+		hear string
+	}{{"announced", "all"}, {"entry paused meanwhile", "late"}, {"announcements lost", "nothing"}} {
 		t.Run(tc.name, func(t *testing.T) {
 			inLane(t)
 			f := newFleet(t, 1, 2)
+			var announcements *process
+			if tc.hear == "nothing" {
+				announcements = f.hide(0)
+			}
 			l := startLoad("load", 4, 8*time.Second, f.entries...)
 			// Long requests keep the agent alive, so that it could get new work.
 			var long []*load
@@ -26,12 +30,15 @@
 				long = append(long, longRequest(f, n, 6*time.Second))
 			}
 			time.Sleep(500 * time.Millisecond)
-			if tc.deaf {
+			switch tc.hear {
+			case "late":
 				f.entries[0].pause()
+			case "nothing":
+				post(t, announcements.url("control")+"/faults", map[string]any{"mode": "silent"})
 			}
 			left := time.Now()
 			f.agents[0].signal(syscall.SIGTERM)
-			if tc.deaf {
+			if tc.hear == "late" {
 				time.Sleep(time.Second)
 				f.entries[0].resume()
 			}
