--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -46,12 +46,19 @@
 // task is an attempt that holds a slot or has an answer.
 type task struct {
 	begin link.Begin
-	body  *link.Body
+	// body collects the request's body; it is nil once the attempt runs.
+	body *link.Body
+	// accept sends the Accepted frame, unless the result comes first.
+	accept *time.Timer
 	// owner is the link that gets the answer: that of the Begin or the last Attach.
 	owner  *link.Link
 	result *Result
 }
 
+// acceptDelay is the time after which an attempt without a result is reported as accepted.
+// Most requests are answered earlier, and the answer implies that the attempt was accepted.
+const acceptDelay = 10 * time.Millisecond
+
 // New returns an agent that announces record and runs attempts with runner.
 func New(record model.Record, runner Runner, log *slog.Logger) *Agent {
 	return &Agent{
@@ -87,10 +94,7 @@
 				a.Config.Asked(l, f)
 			}
 		case link.Done:
-			a.mu.Lock()
-			a.book.Done(f.Attempt)
-			a.forget(f.Attempt)
-			a.mu.Unlock()
+			a.done(f.Attempt)
 		}
 	}
 }
@@ -110,26 +114,39 @@
 			reason = ledger.Late
 		} else {
 			a.tasks[b.Attempt] = t
+			t.accept = time.AfterFunc(acceptDelay, func() { a.acceptLate(l, t) })
 		}
 		if reason == ledger.Accepted && body.Whole() {
-			go a.run(t)
+			a.start(t)
 		}
 	}
 	load := a.book.Load()
 	a.mu.Unlock()
 	switch {
-	case reason == ledger.Accepted || reason == ledger.Duplicate:
+	case reason == ledger.Accepted:
+	case reason == ledger.Duplicate:
 		_ = l.Send(link.Accepted{Attempt: b.Attempt, Load: load})
 	default:
 		_ = l.Send(link.Refuse{Attempt: b.Attempt, Reason: string(reason), Load: load})
 	}
 }
 
+// acceptLate reports an attempt as accepted if it still holds its slot.
+func (a *Agent) acceptLate(l *link.Link, t *task) {
+	a.mu.Lock()
+	held := a.tasks[t.begin.Attempt] == t && t.result == nil
+	load := a.book.Load()
+	a.mu.Unlock()
+	if held {
+		_ = l.Send(link.Accepted{Attempt: t.begin.Attempt, Load: load})
+	}
+}
+
 func (a *Agent) data(l *link.Link, d link.Data) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t, ok := a.tasks[d.Attempt]
-	if !ok || t.body.Whole() || t.owner != l {
+	if !ok || t.body == nil || t.owner != l {
 		return
 	}
 	if err := t.body.Add(d); err != nil {
@@ -144,7 +161,14 @@
 		a.abandon(l, d.Attempt)
 		return
 	}
-	go a.run(t)
+	a.start(t)
+}
+
+// start runs an attempt whose body is whole; the caller holds the lock.
+func (a *Agent) start(t *task) {
+	body := t.body.Bytes()
+	t.body = nil // the request's body must not stay in memory as long as the answer
+	go a.run(t, body)
 }
 
 // abandon gives up an attempt whose body did not become whole in time; the caller holds the lock.
@@ -155,15 +179,16 @@
 	go l.Send(link.Refuse{Attempt: at, Reason: "body", Load: load}) //nolint:errcheck
 }
 
-func (a *Agent) run(t *task) {
+func (a *Agent) run(t *task, body []byte) {
 	ctx, cancel := context.WithDeadline(context.Background(), t.begin.Deadline)
-	res := a.runner.Do(ctx, t.begin, t.body.Bytes())
+	res := a.runner.Do(ctx, t.begin, body)
 	cancel()
 	a.mu.Lock()
 	for _, old := range a.book.Finish(t.begin.Attempt, len(res.Body)) {
 		a.forget(old)
 	}
 	t.result = &res
+	t.accept.Stop()
 	owner, load := t.owner, a.book.Load()
 	a.mu.Unlock()
 	reply(owner, t.begin.Attempt, &res, load)
@@ -213,13 +238,23 @@
 	}
 }
 
+// done frees the answer of an attempt; an attempt that still runs keeps its place.
+func (a *Agent) done(at model.Attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t, ok := a.tasks[at]; ok && t.result != nil {
+		a.book.Done(at)
+		a.forget(at)
+	}
+}
+
 // leave fences the attempts whose body was still arriving over a closed link.
 func (a *Agent) leave(l *link.Link) {
 	l.Close()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for at, t := range a.tasks {
-		if t.owner == l && !t.body.Whole() {
+		if t.owner == l && t.body != nil {
 			a.book.Abandon(at)
 			a.forget(at)
 		}
