Bound the faults of a declaration that are compared and listed

A file of another kind could hold 175,000 faults, and each was compared with each. Authors and change identifiers hold printable characters only, because conflicts show them on other operators' terminals.

--- a/core/decl/check.go
+++ b/core/decl/check.go
@@ -74,6 +74,9 @@
 type checker struct{ problems []Problem }
 
 func (c *checker) add(path, format string, args ...any) {
+	if len(c.problems) >= maxProblems {
+		return
+	}
 	c.problems = append(c.problems, Problem{Path: path, Text: fmt.Sprintf(format, args...)})
 }
 
--- a/core/decl/decl_test.go
+++ b/core/decl/decl_test.go
@@ -116,6 +116,21 @@
 	}
 }
 
+// A file of another kind has a fault in each line; listing them must stay fast and short.
+func TestLongListsOfFaultsAreCut(t *testing.T) {
+	for _, line := range []string{"- 1\n", "- {name: A}\n", "- {name: a, weight: 0}\n"} {
+		begin := time.Now()
+		_, err := Parse([]byte("teams:\n" + strings.Repeat(line, 600<<10/len(line))))
+		var problems *ProblemsError
+		if !errors.As(err, &problems) || len(problems.Problems) > maxProblems {
+			t.Errorf("%q: got %.100v, want at most %d problems", line, err, maxProblems)
+		}
+		if got := time.Since(begin); got > 30*time.Second {
+			t.Errorf("%q: took %v", line, got)
+		}
+	}
+}
+
 func TestDiffNamesEachChange(t *testing.T) {
 	old, err := Parse([]byte(good))
 	if err != nil {
--- a/core/decl/parse.go
+++ b/core/decl/parse.go
@@ -99,7 +99,12 @@
 	}
 }
 
+// add reports a fault, and drops those past the limit: comparing each value with each fault
+// would take minutes for a large file of another kind.
 func (w *walker) add(node ast.Node, path, text string) {
+	if len(w.problems) >= maxProblems {
+		return
+	}
 	p := Problem{Line: 1, Column: 1, Path: path, Text: text}
 	if node != nil && node.GetToken() != nil {
 		p.Line, p.Column = node.GetToken().Position.Line, node.GetToken().Position.Column
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -181,6 +181,10 @@
 			_, err := b.client.Apply(b.ctx, ApplyRequest{Author: strings.Repeat("a", 999), Document: doc})
 			return err
 		}(), KindInvalid, "at most 128 bytes"},
+		{"author with control characters", func() error {
+			_, err := b.client.Apply(b.ctx, ApplyRequest{Base: 1, Author: "a\x1b[2J", Document: doc})
+			return err
+		}(), KindInvalid, "printable"},
 		{"unknown field", b.client.call(b.ctx, http.MethodPost, "/query", map[string]int{"x": 1}, nil), KindInvalid, "unknown field"},
 		{"syntax", func() error { _, err := b.ask("show nothing"); return err }(), KindInvalid, "1:6: found"},
 		{"no such job", func() error { _, err := b.ask("why j"); return err }(), KindMissing, `no job "j"`},
--- a/io/admin/handle.go
+++ b/io/admin/handle.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
 
 	"wagtailhoist/core/config"
 	"wagtailhoist/core/decl"
@@ -60,6 +61,10 @@
 	if len(req.Author) > maxAuthor || len(req.Change) > maxAuthor {
 		return out, &Failure{Kind: KindInvalid, Text: fmt.Sprintf("author and change have at most %d bytes each", maxAuthor)}
 	}
+	if strings.ContainsFunc(req.Author+req.Change, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		// Conflicts show both on the terminals of other operators.
+		return out, &Failure{Kind: KindInvalid, Text: "author and change hold printable characters only"}
+	}
 	if req.Change == "" {
 		req.Change = conf.NewChange()
 	}
