--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -86,8 +86,9 @@
 
 func newEntryPool(self entrySelf) *front.Pool { return &front.Pool{Settings: self.settings} }
 
-func newEntryDispatcher(self entrySelf, m *peers.Members, p *front.Pool) *front.Dispatcher {
-	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: m, Pool: p}
+func newEntryDispatcher(self entrySelf, m *peers.Members, p *front.Pool, figures *meter.Meter) *front.Dispatcher {
+	router := &countingRouter{Router: m, meter: figures, own: self.settings.Self.Region}
+	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: router, Pool: p}
 }
 
 // sweepEvery is the interval at which an entry closes unused links.
--- a/cmds/figures.go
+++ b/cmds/figures.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/route"
 	"wagtailhoist/core/tries"
 	"wagtailhoist/io/front"
 	"wagtailhoist/io/link"
@@ -66,6 +68,39 @@
 	return release, err
 }
 
+// countingRouter counts repeated dispatches and the bytes of dispatches to other regions.
+type countingRouter struct {
+	front.Router
+	meter *meter.Meter
+	own   model.Region
+	// far maps agents of other regions that were picked to their region.
+	far sync.Map
+}
+
+// Pick returns an agent.
+func (r *countingRouter) Pick(now time.Time, q route.Request) (model.Record, error) {
+	rec, err := r.Router.Pick(now, q)
+	if err != nil {
+		return rec, err
+	}
+	if len(q.Tried) > 0 {
+		r.meter.Retry("next agent")
+	}
+	if rec.Region != r.own {
+		r.far.Store(rec.ID, rec.Region)
+		r.meter.Remote(rec.Region, int64(q.Bytes))
+	}
+	return rec, nil
+}
+
+// Report tells the end of an attempt at the agent id.
+func (r *countingRouter) Report(now time.Time, id model.NodeID, result route.Result) {
+	if region, ok := r.far.Load(id); ok {
+		r.meter.Remote(region.(model.Region), int64(result.Bytes))
+	}
+	r.Router.Report(now, id, result)
+}
+
 // countLinks adds what the links have counted since the last call to the metrics.
 func countLinks(m *meter.Meter, links *link.Counters, pool *front.Pool) func(time.Time) {
 	type source struct {
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -131,7 +131,7 @@
 // Late counts an answer that was dropped because it was late, duplicate or mismatched.
 func (m *Meter) Late(kind string) { m.count("late_answers", "kind", kind, 1) }
 
-// Remote counts bytes sent to another region.
+// Remote counts bytes of requests to and answers from another region.
 func (m *Meter) Remote(region model.Region, bytes int64) {
 	m.count("remote_bytes", "region", string(region), bytes)
 }
