--- a/io/conf/exchange.go
+++ b/io/conf/exchange.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// probeInterval is how often a process that waits for its peers looks for unlinked ones.
-	probeInterval = time.Second
+	// probeInterval is the pause between two looks at an unlinked process. With probeLimit it stays
+	// below config.ProbeTime, so that the last failure still counts when the next one is awaited.
+	probeInterval = 250 * time.Millisecond
 	// probeLimit bounds one look at a process.
 	probeLimit = 2 * time.Second
 	// probeTime is how long a link to an unlinked process is kept for its answer.
