--- a/cmds/config.go
+++ b/cmds/config.go
@@ -1,8 +1,10 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +19,10 @@
 	"wagtailhoist/io/store"
 )
 
+// askedAgents is the number of unlinked agents that a new entry asks for their revision, those with
+// the highest one in their records first: the records say that the others have no higher one.
+const askedAgents = 16
+
 // phase is the drain state of a process.
 type phase struct{ draining, stopping atomic.Bool }
 
@@ -93,7 +99,9 @@
 	background(life, func(ctx context.Context) {
 		x.Probe(ctx, self.settings, func() map[model.NodeID]conf.Target {
 			out := map[model.NodeID]conf.Target{}
-			for _, r := range m.Records(time.Now()) {
+			records := m.Records(time.Now())
+			slices.SortFunc(records, func(a, b model.Record) int { return cmp.Compare(b.Revision, a.Revision) })
+			for _, r := range records[:min(len(records), askedAgents)] {
 				out[r.ID] = conf.Target{Address: r.Address, Ask: true}
 			}
 			for _, e := range x.Known() {
