Restore the headroom for urgent work after losses

Change: when the headroom is used up, the slow job whose loss is least is stopped; the wait at compact 1 is 1.5 h.

--- a/core/plan/clean.go
+++ b/core/plan/clean.go
@@ -7,7 +7,7 @@
 	// if only completion time counts.
 	patienceLeast = 30 * time.Minute
 	// patienceMost is how much longer it waits if only fragmentation counts.
-	patienceMost = 2 * time.Hour
+	patienceMost = time.Hour
 )
 
 // patience returns how long a job keeps off the cleanest rack.
--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -66,6 +66,7 @@
 	p := newPass(now, s)
 	p.endCancelled()
 	p.restoreGuarantees()
+	p.restoreHeadroom()
 	claims, urgent, promised, rest := p.sortQueue()
 	for _, j := range claims {
 		p.claim(j)
--- a/core/plan/queue.go
+++ b/core/plan/queue.go
@@ -122,46 +122,6 @@
 // largeSize is the number of accelerators from which a job may hold a reservation.
 const largeSize = 8
 
-const (
-	// headroomShare is the part of the accelerators that is kept reclaimable for urgent work: one in
-	// twenty.
-	headroomShare = 20
-	// headroomLeast is the smallest headroom in accelerators.
-	headroomLeast = 4
-)
-
-// slowWait is the wait after which a job that the headroom blocks goes before other slow jobs.
-const slowWait = 24 * time.Hour
-
-// chooseSlow finds the job that has waited longest for the headroom; without it, small slow jobs
-// kept large ones from ever starting.
-func (p *pass) chooseSlow(jobs []*Job) {
-	for _, j := range jobs {
-		older := p.slowFirst == nil || j.Sequence < p.slowFirst.Sequence
-		if older && p.now.Sub(j.Submitted) > slowWait && p.overQuota(j).Code == 0 && p.crowdsAlone(j) {
-			p.slowFirst = j
-		}
-	}
-}
-
-// crowdsAlone reports whether the headroom blocks a job, leaving others that wait out of account.
-func (p *pass) crowdsAlone(j *Job) bool {
-	if brisk(j) || j.Spec.Urgent || p.slow == 0 {
-		return false
-	}
-	headroom := max(p.size/headroomShare, headroomLeast)
-	return p.tied+p.slow+j.Spec.Shape.Size() > p.size-headroom
-}
-
-// crowds reports whether a job that is slow to stop would leave too little for urgent work, if all
-// guarantees were claimed. A slow job may always run if no other does.
-func (p *pass) crowds(j *Job) bool {
-	if p.slowFirst != nil && p.slowFirst != j && !brisk(j) && !j.Spec.Urgent {
-		return true
-	}
-	return p.crowdsAlone(j)
-}
-
 // try starts a job on free accelerators.
 func (p *pass) try(j *Job) bool {
 	id := j.Spec.ID
