Prove with separate processes that a guaranteed shape is reclaimed within its grace

Ruled out: a single row without faults, which passes with any owner lease and with checkpoints of any length. Change: proof/reclaim_test.go. Six borrowers fill all workers (nothing may be idle), then a guaranteed gang of three whole workers in one rack claims its shape under ten fault rows: owner killed or paused, worker lost before or after, store and worker service answers lost, checkpoints that hang, and two of them together. The bound is the declared grace of 5 s. While the store is down no placement is written, so a claim made then waits for its end; that row is not proved.

--- /dev/null
+++ b/proof/reclaim_test.go
@@ -0,0 +1,156 @@
+package proof
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// reclaimGrace is the declared grace of the guarantee: from the claim until the guaranteed gang has its shape.
+	reclaimGrace = 5 * time.Second
+	// reclaimDocument guarantees three whole workers of one rack.
+	reclaimDocument = `teams:
+  - name: stock
+    weight: 1
+  - name: plans
+    weight: 1
+    guarantees:
+      - name: night
+        shape: {tasks: 3, gpus: 8, adjacent: rack}
+        centre: lausanne
+        grace: 5s
+`
+	// borrowers fill the six workers of two racks.
+	borrowers = 6
+)
+
+// command runs an operators' command against an entry and returns its output.
+func command(t *testing.T, entry *process, args ...string) (string, error) {
+	t.Helper()
+	args = append([]string{args[0], "--admin", entry.url("admin"), "--token", "t"}, args[1:]...)
+	out, err := exec.Command(filepath.Join(binDir, "wagtailhoist"), args...).CombinedOutput()
+	return string(out), err
+}
+
+// startReclaim starts the platform with two racks of three workers, two entries of which the first owns the
+// cell, and fills every accelerator with work of a team without a guarantee.
+func startReclaim(t *testing.T) (g *gangs, owner, other *process) {
+	t.Helper()
+	g = &gangs{t: t, platform: start(t, "stand", "platform", "--centres", "lausanne=6")}
+	owner = g.entry("a").ready("link")
+	file := filepath.Join(t.TempDir(), "teams.yaml")
+	if err := os.WriteFile(file, []byte(reclaimDocument), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := command(t, owner, "apply", file); err != nil {
+		t.Fatalf("apply: %v\n%s", err, out)
+	}
+	other = g.entry("b").ready("link")
+	for n := range borrowers {
+		job := fmt.Sprintf("job borrower-%d of stock 1x8 checkpoint grace 1s estimate 1h", n)
+		eventually(t, gangWait, "a borrower is submitted", func() bool {
+			_, err := command(t, other, append([]string{"query"}, strings.Fields(job)...)...)
+			return err == nil
+		})
+	}
+	// Nothing may be held idle for the guarantee.
+	eventually(t, gangWait, "the borrowers use every worker", func() bool { return g.running("borrower-") == borrowers })
+	return g, owner, other
+}
+
+// running counts the tasks of jobs whose names begin with prefix that run now.
+func (g *gangs) running(prefix string) int {
+	state := map[string]string{}
+	for _, e := range g.log() {
+		if strings.HasPrefix(e.Task, prefix) && e.Event != "saved" {
+			state[e.Task] = e.Event
+		}
+	}
+	return gangCount(state, "running")
+}
+
+// started returns when the last of n tasks of a job began to run on the clock of the log, and the workers.
+func (g *gangs) started(job string, n int) (time.Duration, []string) {
+	var last int64
+	var workers []string
+	for _, e := range g.log() {
+		if strings.HasPrefix(e.Task, job+".") && e.Event == "running" {
+			last = max(last, e.Time)
+			workers = append(workers, e.Worker)
+		}
+	}
+	if len(workers) < n {
+		return 0, nil
+	}
+	return time.Duration(last) * time.Microsecond, workers
+}
+
+// Guards against a guaranteed shape that comes late, or never, because something fails while its borrowers are
+// stopped: the claim has to be met within the declared grace all the same.
+func TestGuaranteeIsReclaimedWithinItsGrace(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// before and after run just before the claim and just after it was accepted.
+		before, after func(g *gangs, owner *process)
+	}{
+		{name: "no fault"},
+		{name: "owner killed", after: func(_ *gangs, owner *process) { owner.signal(syscall.SIGKILL) }},
+		{name: "owner paused", after: func(_ *gangs, owner *process) { owner.pause() }},
+		{name: "worker lost before", before: func(g *gangs, _ *process) { g.lose() }},
+		{name: "worker lost after", after: func(g *gangs, _ *process) { g.lose() }},
+		{name: "store answers lost", before: func(g *gangs, _ *process) {
+			g.fault(map[string]any{"mode": "lost", "of": "store", "method": "PUT", "path": "/kv/cells/lausanne/plan", "count": 3})
+		}},
+		{name: "worker service answers lost", before: func(g *gangs, _ *process) {
+			g.fault(map[string]any{"mode": "lost", "of": "works", "method": "DELETE", "count": 3})
+		}},
+		{name: "checkpoints hang", before: func(g *gangs, _ *process) {
+			for n := range borrowers {
+				path := fmt.Sprintf("/tasks/borrower-%d.1.0/checkpoint", n)
+				g.fault(map[string]any{"mode": "silent", "of": "works", "method": "POST", "path": path})
+			}
+		}},
+		{name: "owner killed while checkpoints hang", before: func(g *gangs, _ *process) {
+			for n := range borrowers {
+				path := fmt.Sprintf("/tasks/borrower-%d.1.0/checkpoint", n)
+				g.fault(map[string]any{"mode": "silent", "of": "works", "method": "POST", "path": path})
+			}
+		}, after: func(_ *gangs, owner *process) { owner.signal(syscall.SIGKILL) }},
+		{name: "owner killed and worker lost", after: func(g *gangs, owner *process) {
+			g.lose()
+			owner.signal(syscall.SIGKILL)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			g, owner, other := startReclaim(t)
+			if tc.before != nil {
+				tc.before(g, owner)
+			}
+			claimed := g.clock()
+			eventually(t, gangWait, "the claim is accepted", func() bool {
+				_, err := command(t, other, "query", "job", "timetable", "of", "plans", "3x8", "adjacent", "rack", "guarantee", "night")
+				return err == nil
+			})
+			if tc.after != nil {
+				tc.after(g, owner)
+			}
+			var at time.Duration
+			var workers []string
+			eventually(t, gangWait, "the guaranteed gang runs", func() bool {
+				at, workers = g.started("timetable", 3)
+				return workers != nil
+			})
+			t.Logf("the guaranteed gang runs %v after the claim on %v", at-claimed, workers)
+			if got := at - claimed; got > reclaimGrace {
+				t.Errorf("time from the claim to the running gang: got %v, want at most %v", got, reclaimGrace)
+			}
+		})
+	}
+}
