--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -94,8 +94,9 @@
 
 func newEntryPool(self entrySelf) *front.Pool { return &front.Pool{Settings: self.settings} }
 
-func newEntryDispatcher(self entrySelf, m *peers.Members, p *front.Pool) *front.Dispatcher {
-	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: m, Pool: p}
+func newEntryDispatcher(self entrySelf, m *peers.Members, p *front.Pool, figures *meter.Meter) *front.Dispatcher {
+	router := &countingRouter{Router: m, meter: figures, own: self.settings.Self.Region}
+	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: router, Pool: p}
 }
 
 // callersIdle is the time after which a caller's unused connection is closed.
