Keep an agent below 256 MB while all bodies are large

Cause: the new BenchmarkMemory (8 callers, bodies and answers of 16 MiB) showed 331 MiB at the agent; the requirement is 256 MB for a node.

Change: an agent takes at most 64 MiB of request bodies at a time (a single one always) and refuses more as full; it reads at most 64 MiB of answers at a time; answers of known length are read into a buffer of that size; the garbage collector gets a soft limit of 220 MiB. HEAD answers are passed on whatever length they tell.

--- a/cmds/agent.go
+++ b/cmds/agent.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -90,12 +92,19 @@
 	return agent.New(self.record, m, log)
 }
 
+// agentMemory is the soft limit of an agent's memory in bytes; above it the garbage collector
+// runs more often. The requirement is 256 MB for a node.
+const agentMemory = 220 << 20
+
 // expireEvery is the interval at which an agent forgets old attempts.
 const expireEvery = 5 * time.Second
 
 func startAgent(life fx.Lifecycle, c *agentCmd, self agentSelf, a *agent.Agent, m *agent.Minion,
 	config *conf.Manager, log *slog.Logger,
 ) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(agentMemory)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	joined := make(chan struct{})
 	server := linkServer(self.settings, a.Serve, agentReady(a, config))
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	book  *ledger.Ledger
 	tasks map[model.Attempt]*task
+	// bodies is the sum of the lengths of the request bodies that arrive or run.
+	bodies int
 	// changed is closed and replaced when the announced state changes.
 	changed chan struct{}
 }
@@ -59,6 +61,9 @@
 // Most requests are answered earlier, and the answer implies that the attempt was accepted.
 const acceptDelay = 10 * time.Millisecond
 
+// bodyRoom is the limit of request bodies at a time, in bytes; a single body is always taken.
+const bodyRoom = 64 << 20
+
 // New returns an agent that announces record and runs attempts with runner.
 func New(record model.Record, runner Runner, log *slog.Logger) *Agent {
 	return &Agent{
@@ -103,9 +108,14 @@
 	body, err := link.NewBody(b.Attempt, b.Length, b.Sum, b.Body)
 	a.mu.Lock()
 	reason := a.book.Begin(time.Now(), b.Attempt, b.Incarnation, b.Deadline)
-	if reason == ledger.Accepted && err != nil {
+	switch {
+	case reason != ledger.Accepted:
+	case err != nil:
 		a.book.Abandon(b.Attempt)
 		reason = "body"
+	case a.bodies > 0 && a.bodies+b.Length > bodyRoom:
+		a.book.Abandon(b.Attempt)
+		reason = ledger.Full
 	}
 	if reason == ledger.Accepted {
 		b.Body = nil
@@ -114,6 +124,7 @@
 			reason = ledger.Late
 		} else {
 			a.tasks[b.Attempt] = t
+			a.bodies += b.Length
 			t.accept = time.AfterFunc(acceptDelay, func() { a.acceptLate(l, t) })
 		}
 		if reason == ledger.Accepted && body.Whole() {
@@ -188,6 +199,7 @@
 		a.forget(old)
 	}
 	t.result = &res
+	a.bodies -= t.begin.Length
 	t.accept.Stop()
 	owner, load := t.owner, a.book.Load()
 	a.mu.Unlock()
@@ -262,7 +274,12 @@
 }
 
 // forget drops the body and the answer of an attempt; the caller holds the lock.
-func (a *Agent) forget(at model.Attempt) { delete(a.tasks, at) }
+func (a *Agent) forget(at model.Attempt) {
+	if t, ok := a.tasks[at]; ok && t.body != nil {
+		a.bodies -= t.begin.Length // it will not run
+	}
+	delete(a.tasks, at)
+}
 
 // Expire forgets attempts that are long past their deadline.
 func (a *Agent) Expire(now time.Time) {
--- a/io/agent/agent_test.go
+++ b/io/agent/agent_test.go
@@ -223,6 +223,45 @@
 	t.Error("the slot of the broken body was not freed")
 }
 
+// Large bodies must not take more memory than an agent may use, and a refused one must leave its room.
+func TestBodiesAreBounded(t *testing.T) {
+	a, r, dial := start(t, 8)
+	l := dial()
+	large := func(n uint64) link.Begin {
+		b := begin(n, nil)
+		b.Length = link.MaxBody // only announced
+		return b
+	}
+	fits := uint64(bodyRoom / link.MaxBody)
+	for n := range fits {
+		send(t, l, large(n))
+		receive[link.Accepted](t, l)
+	}
+	send(t, l, large(fits))
+	if got, want := receive[link.Refuse](t, l).Reason, string(ledger.Full); got != want {
+		t.Errorf("reason: got %q, want %q", got, want)
+	}
+	send(t, l, fenceOf(large(0)))
+	receive[link.Fenced](t, l)
+	send(t, l, large(fits+1))
+	receive[link.Accepted](t, l)
+	l.Close()
+	for range 200 {
+		a.mu.Lock()
+		left := a.bodies
+		a.mu.Unlock()
+		if left == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.bodies != 0 || r.runs.Load() != 0 {
+		t.Errorf("after the link closed: %d bytes held, %d runs; want 0, 0", a.bodies, r.runs.Load())
+	}
+}
+
 // A stopping agent must finish what it accepted and refuse the rest.
 func TestDrainFinishesAccepted(t *testing.T) {
 	a, r, dial := start(t, 2)
--- a/io/agent/minion.go
+++ b/io/agent/minion.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 
 	"wagtailhoist/io/link"
 )
@@ -23,6 +24,9 @@
 	dialLimit = time.Second
 	// idleLimit closes connections that a minion with a longer limit has not closed itself.
 	idleLimit = 15 * time.Second
+	// answerRoom is the limit of answers that are being read, in bytes. With the limits of
+	// request bodies (64 MiB) and of kept answers (64 MiB) it holds an agent below 256 MB.
+	answerRoom = 64 << 20
 	// maxStatus is the highest status that is passed on; net/http panics on some others.
 	maxStatus = 599
 	// maxHeader is the largest header of an answer in bytes; it has to fit a frame.
@@ -43,6 +47,8 @@
 type Minion struct {
 	base   *url.URL
 	client *http.Transport
+	// room bounds the bytes of the answers that are being read.
+	room *semaphore.Weighted
 }
 
 // NewMinion returns a client of the minion at base that opens at most that many connections.
@@ -52,7 +58,7 @@
 		return nil, fmt.Errorf("minion address %q is not an http URL", base)
 	}
 	dialer := net.Dialer{Timeout: dialLimit}
-	return &Minion{base: u, client: &http.Transport{
+	return &Minion{base: u, room: semaphore.NewWeighted(answerRoom), client: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -107,6 +113,18 @@
 		res.Err = fmt.Errorf("minion: status %d is not between 200 and %d", res.Status, maxStatus)
 		return res, false
 	}
+	size := min(resp.ContentLength, link.MaxBody)
+	switch {
+	case b.Method == http.MethodHead: // the length is that of an answer to GET
+		return res, false
+	case size < 0:
+		size = link.MaxBody
+	}
+	if err := m.room.Acquire(ctx, size); err != nil {
+		res.Err = errors.Wrap(err, "minion: no room for the answer")
+		return res, false
+	}
+	defer m.room.Release(size)
 	res.Body, res.Err = readBody(resp)
 	return res, false
 }
@@ -143,14 +161,20 @@
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, errors.New("minion: answer has neither a length nor chunks")
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, link.MaxBody+1))
-	if err != nil {
+	if resp.ContentLength > link.MaxBody {
+		return nil, fmt.Errorf("minion: answer of %d bytes exceeds %d", resp.ContentLength, link.MaxBody)
+	}
+	var buf bytes.Buffer
+	if resp.ContentLength > 0 {
+		buf.Grow(int(resp.ContentLength) + bytes.MinRead) // growing step by step leaves twice as much garbage
+	}
+	if _, err := buf.ReadFrom(io.LimitReader(resp.Body, link.MaxBody+1)); err != nil {
 		return nil, errors.Wrap(err, "minion: read answer")
 	}
-	if len(body) > link.MaxBody {
+	if buf.Len() > link.MaxBody {
 		return nil, fmt.Errorf("minion: answer exceeds %d bytes", link.MaxBody)
 	}
-	return body, nil
+	return buf.Bytes(), nil
 }
 
 type onceBody struct{ io.Reader }
--- a/io/agent/minion_test.go
+++ b/io/agent/minion_test.go
@@ -117,6 +117,15 @@
 	}
 }
 
+// HEAD tells the length of an answer that is not sent, however long it would be.
+func TestMinionClientPassesHead(t *testing.T) {
+	url, _ := rawMinion(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 2*link.MaxBody))
+	res := newMinion(t, url).Do(context.Background(), link.Begin{Method: "HEAD", Path: "/"}, nil)
+	if got, want := res.Header.Get("Content-Length"), fmt.Sprint(2*link.MaxBody); res.Err != nil || got != want {
+		t.Errorf("got length %q, error %v; want %q", got, res.Err, want)
+	}
+}
+
 // Only a request of which no byte was written may be reported as not run.
 func TestMinionClientTellsWhetherItRan(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
--- a/proof/bench_test.go
+++ b/proof/bench_test.go
@@ -178,8 +178,53 @@
 	out2, in2 := relayBytes(b, p.join)
 	b.ReportMetric((out2-out)/wait.Seconds(), "announce-B/s")
 	b.ReportMetric((in2-in)/wait.Seconds(), "entry-B/s")
+	idle := cpu(b, p.agent)
 	work, back := relayBytes(b, p.work)
 	time.Sleep(wait)
 	work2, back2 := relayBytes(b, p.work)
 	b.ReportMetric((work2-work+back2-back)/wait.Seconds(), "work-link-B/s")
+	b.ReportMetric(100*(cpu(b, p.agent)-idle).Seconds()/wait.Seconds(), "agent-core-%")
+	b.ReportMetric(memory(b, p.agent, "VmRSS"), "agent-MiB")
+}
+
+// memory returns a memory figure of a process in MiB: VmRSS is the present one, VmHWM the highest so far.
+func memory(b *testing.B, p *process, name string) float64 {
+	b.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(data), name+":")
+	kib, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return kib / 1024
+}
+
+// BenchmarkMemory reports the highest memory of entry and agent while 8 callers send bodies
+// of 16 MiB and get as much back. The agent refuses what its memory does not hold.
+func BenchmarkMemory(b *testing.B) {
+	const workers, size = 8, 16 << 20
+	p := newBench(b, false)
+	var next, refused atomic.Int64
+	var wait sync.WaitGroup
+	for range workers {
+		wait.Go(func() {
+			for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+				r := send(p.entry.url("listen"), request{
+					id: fmt.Sprintf("m%d", n), method: http.MethodPost, body: size, size: size, timeout: time.Minute,
+				})
+				if r.outcome == "not-run" {
+					refused.Add(1)
+				} else if r.outcome != "answered" || r.wrong != "" {
+					b.Errorf("request: got %s %s %s %v, want an answer", r.outcome, r.reason, r.wrong, r.err)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	b.ReportMetric(float64(refused.Load()), "refused")
+	b.ReportMetric(memory(b, p.entry, "VmHWM"), "entry-MiB")
+	b.ReportMetric(memory(b, p.agent, "VmHWM"), "agent-MiB")
 }
