Measure agents and entries at rest

Cause: the limits per node (1.6% of a core, 256 MB) had no measurement of the processes themselves. Ruled out: benchmarks of the packages alone; they leave out the runtime, the links and the listeners. Change: BenchmarkAgentAtRest (1 to 12 entries) and BenchmarkEntryAtRest (8 to 128 agents) read processor time and resident memory of real processes for 20 s.

--- /dev/null
+++ b/proof/rest_test.go
@@ -0,0 +1,90 @@
+package proof
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// restTime is how long a process is watched at rest; the processor time is counted in ticks of 10 ms.
+const restTime = 20 * time.Second
+
+// resident returns the resident memory of a process in bytes.
+func resident(b *testing.B, p *process) float64 {
+	b.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			if err != nil {
+				b.Fatal(err)
+			}
+			return kb * 1024
+		}
+	}
+	b.Fatal("no VmRSS")
+	return 0
+}
+
+// BenchmarkAgentAtRest measures an agent without requests against the number of entries of its region.
+func BenchmarkAgentAtRest(b *testing.B) {
+	for _, entries := range []int{1, 3, 6, 12} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			agent := restFleet(b, entries, 1)[entries]
+			reportRest(b, agent)
+		})
+	}
+}
+
+// BenchmarkEntryAtRest measures an entry without requests against the number of agents that announce to it.
+func BenchmarkEntryAtRest(b *testing.B) {
+	for _, agents := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			entry := restFleet(b, 1, agents)[0]
+			reportRest(b, entry)
+		})
+	}
+}
+
+// restFleet starts a platform, entries and agents, and returns the entries followed by the agents.
+func restFleet(b *testing.B, entries, agents int) []*process {
+	b.Helper()
+	platform := start(b, "stand", "platform")
+	minion := start(b, "stand", "minion")
+	node := []string{"--region", "west", "--centre", "one", "--token", testToken}
+	var all []*process
+	var join []string
+	for n := range entries {
+		p := start(b, "wagtailhoist", append([]string{
+			"entry", "--id", fmt.Sprintf("entry-%d", n), "--store", platform.url("listen"), "--works", platform.url("listen"),
+		}, node...)...)
+		all = append(all, p.ready("link"))
+		join = append(join, p.addr("link"))
+	}
+	for n := range agents {
+		all = append(all, start(b, "wagtailhoist", append([]string{
+			"agent", "--id", fmt.Sprintf("agent-%d", n), "--minion", minion.url("listen"), "--join", strings.Join(join, ","),
+		}, node...)...))
+	}
+	for _, p := range all {
+		p.ready("link")
+	}
+	return all
+}
+
+func reportRest(b *testing.B, p *process) {
+	b.Helper()
+	time.Sleep(5 * time.Second) // links and first heartbeats
+	used := cpu(b, p)
+	time.Sleep(restTime)
+	used = cpu(b, p) - used
+	b.ReportMetric(100*used.Seconds()/restTime.Seconds(), "%core")
+	b.ReportMetric(resident(b, p)/(1<<20), "MiB")
+	b.ReportMetric(0, "ns/op")
+}
