Count claims and give refusals fixed reasons

The metrics count refusals by the text before the colon; the errors of routing, admission and claims had the service, team or key there, so each value of a caller made a series until the bound of 32 put the real reasons into the shared one (TestReasonsAreCountedWithoutValues). The entry now also counts the calls of claims to the store.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -127,7 +127,7 @@
 				"admin", self.admin.Addr().String())
 			go serveHTTP(callers, self.callers, log)
 			go serveHTTP(links, link.Listen(self.links, link.Guests), log)
-			go every(ctx, figuresInterval, countLinks(e.Meter, self.settings.Counters, d.Pool))
+			go every(ctx, figuresInterval, countLinks(e.Meter, self.settings.Counters, d.Pool, e.Claims))
 			go every(ctx, sweepEvery, d.Pool.Sweep)
 			go every(ctx, resizeEvery, func(now time.Time) {
 				e.Gate.Resize(places(now, e.Members, e.Peers))
--- a/cmds/figures.go
+++ b/cmds/figures.go
@@ -8,6 +8,7 @@
 
 	"wagtailhoist/core/model"
 	"wagtailhoist/core/tries"
+	"wagtailhoist/io/claims"
 	"wagtailhoist/io/front"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
@@ -66,8 +67,9 @@
 	return release, err
 }
 
-// countLinks adds what the links have counted since the last call to the metrics.
-func countLinks(m *meter.Meter, links *link.Counters, pool *front.Pool) func(time.Time) {
+// countLinks adds what the links and the writer of claims, which may be nil, have counted since
+// the last call to the metrics.
+func countLinks(m *meter.Meter, links *link.Counters, pool *front.Pool, w *claims.Writer) func(time.Time) {
 	type source struct {
 		counter            *atomic.Uint64
 		name, label, value string
@@ -80,6 +82,17 @@
 		{counter: &links.Silent, name: "broken_links", label: "cause", value: "silent"},
 		{counter: &pool.Dropped, name: "late_answers", label: "kind", value: "dropped"},
 	}
+	if w != nil {
+		c := &w.Counters
+		sources = append(sources,
+			&source{counter: &c.Claims, name: "claims", label: "outcome", value: "granted"},
+			&source{counter: &c.Reads, name: "claim_calls", label: "kind", value: "read"},
+			&source{counter: &c.Writes, name: "claim_calls", label: "kind", value: "write"},
+			&source{counter: &c.Conflicts, name: "claim_calls", label: "kind", value: "conflict"},
+			&source{counter: &c.Unanswered, name: "claim_calls", label: "kind", value: "unanswered"},
+			&source{counter: &c.Bytes, name: "claim_bytes", label: "direction", value: "written"},
+		)
+	}
 	return func(time.Time) {
 		for _, s := range sources {
 			now := s.counter.Load()
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -22,6 +22,8 @@
 	maxTeams = 1024
 )
 
+// Error texts begin with a fixed part up to a colon, by which refusals are counted.
+
 // FullError reports that the team's queue is full.
 type FullError struct {
 	Team  model.Team
@@ -30,7 +32,7 @@
 
 // Error describes the queue.
 func (e *FullError) Error() string {
-	return fmt.Sprintf("queue of team %q is full with %d waiting requests", e.Team, e.Bound)
+	return fmt.Sprintf("queue of the team is full: team %q has %d waiting requests", e.Team, e.Bound)
 }
 
 // Full tells the error from refusals that are not due to the team's own queue.
@@ -45,7 +47,7 @@
 
 // Error describes the times.
 func (e *LateError) Error() string {
-	return fmt.Sprintf("request of team %q needs about %v and its deadline is in %v", e.Team, e.Need, e.Left)
+	return fmt.Sprintf("deadline can't be met: a request of team %q needs about %v and has %v left", e.Team, e.Need, e.Left)
 }
 
 // Ticket is a request that waits or runs.
--- a/core/claim/errors.go
+++ b/core/claim/errors.go
@@ -18,7 +18,7 @@
 
 // Error names the holder.
 func (e *DuplicateError) Error() string {
-	return fmt.Sprintf("key %q of team %q is held by attempt %v since %v", e.Key, e.Team, e.Holder, e.Since.UTC().Format(time.RFC3339))
+	return fmt.Sprintf("key is held by another attempt: key %q of team %q, attempt %v since %v", e.Key, e.Team, e.Holder, e.Since.UTC().Format(time.RFC3339))
 }
 
 // UnavailableError reports a key that could not be claimed in time; the request was not run.
@@ -29,7 +29,7 @@
 
 // Error describes the cause.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("key %q can't be claimed: %v", e.Key, e.Cause)
+	return fmt.Sprintf("key is not claimed: key %q: %v", e.Key, e.Cause)
 }
 
 // Unwrap returns the cause.
--- a/core/route/errors.go
+++ b/core/route/errors.go
@@ -5,6 +5,8 @@
 	"time"
 )
 
+// Error texts begin with a fixed part up to a colon, by which refusals are counted.
+
 // NoCandidateError reports that no agent can take the request now.
 type NoCandidateError struct {
 	Service string
@@ -14,7 +16,7 @@
 
 // Error describes the service without candidates.
 func (e *NoCandidateError) Error() string {
-	return fmt.Sprintf("service %q has no candidate among %d known agents", e.Service, e.Known)
+	return fmt.Sprintf("no agent can take the request: service %q has %d known agents", e.Service, e.Known)
 }
 
 // BytesError reports that only another region has candidates and that the byte budget between
@@ -28,7 +30,7 @@
 
 // Error describes the budget.
 func (e *BytesError) Error() string {
-	return fmt.Sprintf("service %q is in another region only and the byte budget does not cover %d bytes", e.Service, e.Bytes)
+	return fmt.Sprintf("byte budget between regions is spent: service %q is in another region only and the request has %d bytes", e.Service, e.Bytes)
 }
 
 // RetryError reports that the retry budget is spent.
@@ -36,5 +38,5 @@
 
 // Error describes the budget.
 func (e *RetryError) Error() string {
-	return fmt.Sprintf("retry budget is spent for service %q", e.Service)
+	return fmt.Sprintf("retry budget is spent: service %q", e.Service)
 }
