Remember lost records of other regions for a minute

Cause: a record of another region is seldom heard of, so a loss report deleted its row at the next tick, and a copy from an entry that had not noticed the loss yet brought the agent back as a candidate. The time now counts from the report (TestForgets covers the late copy).

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -49,7 +49,9 @@
 	Lost bool
 
 	loss Loss
-	slot slot
+	// since is when a report of another region said that the record is lost.
+	since time.Time
+	slot  slot
 }
 
 // slot is the place of a row in the index by service and nearness.
@@ -137,12 +139,12 @@
 
 // Report takes a loss report of an entry of the region; reports about records of the own
 // region are ignored, because the own table hears those records itself.
-func (t *Table) Report(region model.Region, loss Loss) {
+func (t *Table) Report(now time.Time, region model.Region, loss Loss) {
 	row, ok := t.rows[loss.ID]
 	if !ok || region == t.Region || row.Record.Region != region || !loss.covers(&row.Record) {
 		return
 	}
-	row.Lost, row.loss = true, loss
+	row.Lost, row.loss, row.since = true, loss, now
 }
 
 // Live reports whether the row is a candidate at now.
@@ -224,7 +226,7 @@
 		quiet := now.Sub(t.heard(row))
 		own := row.Record.Region == t.Region
 		switch {
-		case quiet > forgetAfter, !own && (row.Lost || row.Record.State == model.Gone) && now.Sub(row.Heard) > forgetAfter:
+		case quiet > forgetAfter, !own && t.ended(now, row):
 			t.unindex(row)
 			delete(t.rows, id)
 		case own && settled && !row.Lost && quiet > t.silence():
@@ -238,6 +240,17 @@
 	return lost
 }
 
+// ended reports whether a record of another region has been lost or gone for long.
+func (t *Table) ended(now time.Time, row *Row) bool {
+	switch {
+	case row.Lost:
+		return now.Sub(row.since) > forgetAfter
+	case row.Record.State == model.Gone:
+		return now.Sub(row.Heard) > forgetAfter
+	}
+	return false
+}
+
 func (t *Table) silence() time.Duration {
 	if t.Silence != 0 {
 		return t.Silence
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -97,11 +97,11 @@
 	tab.Heard(now, "e")
 	want(t, "vouched", ids(tab, now.Add(3*time.Second)), "b ")
 	want(t, "region silent", ids(tab, now.Add(3*time.Second+1)), "")
-	tab.Report("w", Loss{"b", 1, 7})
+	tab.Report(now, "w", Loss{"b", 1, 7})
 	want(t, "report of a foreign region", ids(tab, now), "b ")
-	tab.Report("e", Loss{"b", 1, 6})
+	tab.Report(now, "e", Loss{"b", 1, 6})
 	want(t, "report of an earlier record", ids(tab, now), "b ")
-	tab.Report("e", Loss{"b", 1, 90})
+	tab.Report(now, "e", Loss{"b", 1, 90})
 	want(t, "reported lost", ids(tab, now), "")
 	if tab.Merge(now, rec("b", "e", 80)) != Load {
 		t.Error("record older than the loss counted as material")
@@ -155,11 +155,18 @@
 	tab := &Table{Region: "w"}
 	tab.Merge(start, rec("a", "w", 1))
 	tab.Merge(start, rec("b", "e", 1))
-	for s := range 70 {
+	for s := range 260 {
 		now := start.Add(time.Duration(s) * time.Second)
 		tab.Heard(now, "e")
-		tab.Report("e", Loss{"b", 1, 1})
+		if s == 180 {
+			tab.Report(now, "e", Loss{"b", 1, 1})
+		}
 		tab.Expire(now)
+		// The lost record is remembered for a while: a copy that arrives late must not revive it.
+		if s == 200 {
+			tab.Merge(now, rec("b", "e", 1))
+			want(t, "late copy of a lost record", ids(tab, now), "")
+		}
 	}
 	if got := tab.Len(); got != 0 {
 		t.Errorf("rows left: got %d, want 0", got)
--- a/io/peers/members.go
+++ b/io/peers/members.go
@@ -75,7 +75,7 @@
 		}
 	}
 	for _, loss := range lost {
-		m.Table.Report(region, loss)
+		m.Table.Report(now, region, loss)
 	}
 }
 
