--- a/core/plan/queue.go
+++ b/core/plan/queue.go
@@ -87,6 +87,7 @@
 // fewer than reservations, the large jobs that have waited longest get one.
 func (p *pass) fill(jobs []*Job) {
 	var blocked []*Job
+	p.chooseSlow(jobs)
 	for _, j := range jobs {
 		if len(j.Target) > 0 && !p.try(j) {
 			if code := p.waits[j.Spec.ID].Code; (code != NoRoom && code != Scattered) || !p.book(j) {
@@ -128,7 +129,14 @@
 		p.waits[id] = r
 		return false
 	}
-	key := missKey{shape: j.Spec.Shape, grace: j.Spec.Grace}
+	if p.crowds(j) {
+		p.waits[id] = Reason{Code: Headroom, Need: j.Spec.Shape.Size(), Have: max(p.size-p.tied-p.slow, 0)}
+		return false
+	}
+	key := missKey{shape: j.Spec.Shape, grace: j.Spec.Grace, off: p.keptOff(j)}
+	if key.off {
+		p.d.wake(j.Submitted.Add(p.patience()))
+	}
 	if len(p.booked) > 0 {
 		key.run = p.st.remaining(j)
 	}
@@ -145,5 +153,8 @@
 		return false
 	}
 	p.start(j, at, false)
+	if !brisk(j) {
+		p.slow += j.Spec.Shape.Size()
+	}
 	return true
 }
