Prove with separate processes that the other region's agents are reached

The agent of one region serves requests of the other through its entries' word, stays a candidate at rest, and is none while no entry of its region is heard of, though it still runs.

--- /dev/null
+++ b/proof/region_test.go
@@ -0,0 +1,63 @@
+package proof
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Guards against a region that is cut off from the other one's agents: they are announced in
+// their own region only, have to be reached through its entries' word, and must stop being
+// candidates when no entry there is heard of, or when an entry there reports the agent as lost.
+func TestOtherRegionIsReached(t *testing.T) {
+	t.Parallel()
+	onceLanes <- struct{}{}
+	defer func() { <-onceLanes }()
+	platform, minion := start(t, "stand", "platform"), start(t, "stand", "minion")
+	entry := func(id, region, links string) *process {
+		return start(t, "wagtailhoist", "entry", "--id", id, "--region", region, "--centre", region+"-1",
+			"--link", links, "--token", "t", "--store", platform.url("listen"), "--drain", "100ms")
+	}
+	west, east := entry("e1", "ch-west", "127.0.0.1:0"), entry("e2", "ch-east", "127.0.0.1:0")
+	agent := func() *process {
+		return start(t, "wagtailhoist", "agent", "--id", "m1", "--region", "ch-east", "--centre", "ch-east-1",
+			"--minion", minion.url("listen"), "--join", east.addr("link"), "--token", "t")
+	}
+	m := agent()
+	n := 0
+	outcome := func() string {
+		n++
+		return onceSend(west.url("listen"), fmt.Sprint("far-", n), "0s", 2*time.Second)
+	}
+	within := func(limit time.Duration, what, want string) {
+		t.Helper()
+		begin := time.Now()
+		eventually(t, limit, what, func() bool { return outcome() == want })
+		t.Logf("%s: %v", what, time.Since(begin).Round(10*time.Millisecond))
+	}
+	within(15*time.Second, "the western entry answers through the eastern agent", "answered")
+	// Load is not told to the other region; the agent has to stay a candidate all the same.
+	for range 10 {
+		time.Sleep(500 * time.Millisecond)
+		if got := outcome(); got != "answered" {
+			t.Fatalf("request to the other region at rest: got %q, want answered", got)
+		}
+	}
+	m.kill()
+	within(10*time.Second, "requests are refused after the agent is killed", "not-run")
+	m = agent()
+	within(15*time.Second, "the replaced agent gets requests", "answered")
+	east.kill()
+	time.Sleep(7 * time.Second)
+	if got := outcome(); got != "not-run" {
+		t.Errorf("no entry of the other region is heard of: got %q, want not-run", got)
+	}
+	east = entry("e2", "ch-east", east.addr("link"))
+	within(20*time.Second, "the replaced entry vouches for the agent", "answered")
+	if code, body := post(t, west.url("listen")+"/price", "unkeyed"); code != http.StatusOK {
+		t.Errorf("unkeyed request: status %d: %s", code, body)
+	}
+	m.stop()
+	within(5*time.Second, "an agent that stopped gets no work", "not-run")
+}
