Drop configuration messages of processes without a link

A message over a replaced link, after the last one had ended, made the process count as linked for ever: as one of the two holders that stand in for the store, and as the holder of its region's watch, which no other process would then take. The test fails without the change.

--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -285,6 +285,20 @@
 	eventually(t, 8*time.Second, "revision 2 confirmed", fresh.has(2, true))
 }
 
+// A process that counted as linked for ever would be taken for the holder of its region's watch.
+func TestLateMessageDoesNotRevivePeer(t *testing.T) {
+	m := New(Options{ID: "e1", Region: "west"})
+	first := m.Up("e2", wire{"e1", m}, false)
+	second := m.Up("e2", wire{"e1", m}, false)
+	m.Hear("e2", config.Message{Watch: "west", Age: -1})
+	second()
+	m.Hear("e2", config.Message{Watch: "west", Age: -1})
+	first()
+	if _, peers := m.Status(); len(peers) != 0 || m.state.Watched("west") {
+		t.Errorf("peers after the last link ended: got %v, want none", peers)
+	}
+}
+
 // http returns a client whose connections end with the test.
 func (b *bench) http() *http.Client {
 	transport := &http.Transport{}
--- a/io/conf/manager.go
+++ b/io/conf/manager.go
@@ -237,9 +237,15 @@
 	return message
 }
 
-// Hear takes a message from a linked process.
+// Hear takes a message from a linked process. One that arrives over a replaced link after the end of
+// the last one is dropped: nothing would report the process as gone again.
 func (m *Manager) Hear(id model.NodeID, message config.Message) {
-	m.step(func(now time.Time) []config.Effect { return m.state.Hear(now, id, message) })
+	m.step(func(now time.Time) []config.Effect {
+		if m.boxes[id] == nil {
+			return nil
+		}
+		return m.state.Hear(now, id, message)
+	})
 }
 
 // step runs one decision and carries out its effects.
