--- a/io/conf/exchange.go
+++ b/io/conf/exchange.go
@@ -25,6 +25,8 @@
 	probeLimit = 2 * time.Second
 	// probeTime is how long a link to an unlinked process is kept for its answer.
 	probeTime = 5 * time.Second
+	// leftTime is how long a planned stop is remembered.
+	leftTime = 5 * time.Minute
 	// maxProbes bounds the processes that are looked at.
 	maxProbes = 64
 )
@@ -38,42 +40,69 @@
 	OnDrain func()
 	Log     *slog.Logger
 
+	last  zipped
 	mu    sync.Mutex
 	downs map[*link.Link]func()
 	peers map[model.NodeID]*link.Link
 	// known are the entries that others named.
 	known []link.Entry
+	// left are the processes whose last link ended while they were draining.
+	left map[model.NodeID]time.Time
 }
 
 // sender sends messages over a link.
-type sender struct{ link *link.Link }
+type sender struct {
+	link *link.Link
+	last *zipped
+}
+
+// zipped keeps the last compressed document: an entry sends it to thousands of agents.
+type zipped struct {
+	mu       sync.Mutex
+	document string
+	data     []byte
+}
+
+func (z *zipped) compress(document string) ([]byte, error) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.document == document {
+		return z.data, nil
+	}
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	if _, err := io.WriteString(w, document); err != nil {
+		return nil, fmt.Errorf("compressing the document: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compressing the document: %w", err)
+	}
+	z.document, z.data = document, buf.Bytes()
+	return z.data, nil
+}
 
 // Send compresses the document: 9,300 changes a day of 60 KB each would take 6.5 KB/s of a
 // node's 3 KB/s.
 func (s sender) Send(m config.Message) error {
-	f, err := pack(m)
+	f, err := pack(m, s.last)
 	if err != nil {
 		return err
 	}
 	return s.link.Send(f)
 }
 
-func pack(m config.Message) (link.Config, error) {
+func pack(m config.Message, last *zipped) (link.Config, error) {
 	f := link.Config{Message: m}
 	if m.Copy == nil || m.Copy.Document == "" {
 		return f, nil
 	}
-	var buf bytes.Buffer
-	w := gzip.NewWriter(&buf)
-	if _, err := io.WriteString(w, m.Copy.Document); err != nil {
-		return f, fmt.Errorf("compressing the document: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return f, fmt.Errorf("compressing the document: %w", err)
+	data, err := last.compress(m.Copy.Document)
+	if err != nil {
+		return f, err
 	}
 	c := *m.Copy
 	c.Document = ""
-	f.Message.Copy, f.Document = &c, buf.Bytes()
+	f.Message.Copy, f.Document = &c, data
 	return f, nil
 }
 
@@ -105,7 +134,7 @@
 	id := l.Peer().Node
 	// Links with an agent at an end are quiet; entries pass on how fresh their contact with the store is.
 	quiet := x.Agent || l.Peer().Role == link.RoleAgent
-	down := x.Manager.Up(id, sender{l}, quiet)
+	down := x.Manager.Up(id, sender{l, &x.last}, quiet)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.downs == nil {
@@ -116,11 +145,16 @@
 
 // Unlinked reports the end of a link.
 func (x *Exchange) Unlinked(l *link.Link) {
+	id := l.Peer().Node
+	_, peers := x.Manager.Status()
 	x.mu.Lock()
 	down := x.downs[l]
 	delete(x.downs, l)
-	if id := l.Peer().Node; x.peers[id] == l {
+	if x.peers[id] == l {
 		delete(x.peers, id)
+		if peers[id].State != model.Ready {
+			x.leaves(id)
+		}
 	}
 	x.mu.Unlock()
 	if down != nil {
@@ -128,6 +162,27 @@
 	}
 }
 
+// leaves notes a planned stop, and forgets old ones.
+func (x *Exchange) leaves(id model.NodeID) {
+	if x.left == nil {
+		x.left = map[model.NodeID]time.Time{}
+	}
+	for other, at := range x.left {
+		if time.Since(at) > leftTime {
+			delete(x.left, other)
+		}
+	}
+	x.left[id] = time.Now()
+}
+
+// Left reports whether a process was draining when its last link ended.
+func (x *Exchange) Left(id model.NodeID) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	at, ok := x.left[id]
+	return ok && x.peers[id] == nil && time.Since(at) <= leftTime
+}
+
 // Heard takes a frame of a link that Linked reported.
 func (x *Exchange) Heard(l *link.Link, f link.Frame) {
 	switch f := f.(type) {
@@ -156,7 +211,7 @@
 		return
 	}
 	// A failed send breaks the link, which its owner finds out.
-	_ = sender{l}.Send(x.Manager.Answer(f.Message))
+	_ = sender{l, &x.last}.Send(x.Manager.Answer(f.Message))
 }
 
 func (x *Exchange) drains(l *link.Link, f link.Config) bool {
