--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -27,7 +27,7 @@
 	*view
 	d Decision
 	// misses remembers shapes that found no room, so that equal jobs aren't tried again.
-	misses map[missKey]bool
+	misses map[missKey][]miss
 	// ending holds the jobs stopped by this decision.
 	ending map[model.JobID]bool
 	// started holds the jobs started by this decision.
@@ -55,11 +55,17 @@
 
 type missKey struct {
 	shape model.Shape
-	grace time.Duration
-	run   time.Duration
 	off   bool
 }
 
+// miss is a search that failed; a job that is slower to stop and runs longer fails too.
+type miss struct{ grace, run time.Duration }
+
+// missed reports whether a search for the job would fail like an earlier one.
+func (p *pass) missed(key missKey, m miss) bool {
+	return slices.ContainsFunc(p.misses[key], func(o miss) bool { return o.grace <= m.grace && o.run <= m.run })
+}
+
 // Decide works out what to start, stop and move at now, and why each other job waits. It leaves
 // the State unchanged.
 func Decide(now time.Time, s *State) Decision {
@@ -85,7 +91,7 @@
 // newPass returns a pass over a scratch copy of the State.
 func newPass(now time.Time, s *State) *pass {
 	p := &pass{
-		view: s.scratch(now), misses: map[missKey]bool{}, ending: map[model.JobID]bool{},
+		view: s.scratch(now), misses: map[missKey][]miss{}, ending: map[model.JobID]bool{},
 		started: map[model.JobID]bool{}, waits: map[model.JobID]Reason{},
 		moved: map[int]*Anchor{}, promises: map[promiseKey]Amount{}, idle: -1,
 	}
--- a/core/plan/index.go
+++ b/core/plan/index.go
@@ -74,6 +74,8 @@
 	byID    map[model.WorkerID]int
 	racks   []span
 	centres []span
+	// singles holds one span for each node.
+	singles []span
 	queue   []*Job
 	refused map[model.JobID]*Job
 	doomed  map[model.JobID]*Job
@@ -92,6 +94,8 @@
 	index
 	st  *State
 	now time.Time
+	// cands is a buffer of the searches.
+	cands []cand
 }
 
 // ready builds the index if it is missing.
@@ -112,9 +116,10 @@
 	slices.SortFunc(hosts, func(a, b *model.Worker) int {
 		return cmp.Or(cmp.Compare(a.Centre, b.Centre), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
 	})
-	x.nodes = make([]node, len(hosts))
+	x.nodes, x.singles = make([]node, len(hosts)), make([]span, len(hosts))
 	for i, w := range hosts {
 		x.byID[w.ID] = i
+		x.singles[i] = span{lo: i, hi: i + 1}
 		if i == 0 || hosts[i-1].Centre != w.Centre {
 			x.centres = append(x.centres, span{name: string(w.Centre), lo: i})
 		}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -44,11 +44,7 @@
 	case model.SameRack:
 		return v.racks
 	case model.SameWorker:
-		one := make([]span, len(v.nodes))
-		for i := range one {
-			one[i] = span{lo: i, hi: i + 1}
-		}
-		return one
+		return v.singles
 	}
 	return v.centres
 }
@@ -92,67 +88,86 @@
 	return out
 }
 
-// within places the shape inside a block on the fullest nodes that fit, and returns the
-// accelerators left over in the block.
-func (q *search) within(b span) ([]spot, int) {
-	type cand struct {
-		node, fit, left int
-		rank            float64
-	}
-	var buf [8]cand
-	cands := buf[:0]
+// cand is a node that can take some tasks of a shape.
+type cand struct {
+	node, fit, left, take int
+	rank                  float64
+}
+
+// candidates returns the nodes of a block that can take tasks, and the accelerators free there;
+// nil if the block can't hold the shape.
+func (q *search) candidates(b span, cands []cand) ([]cand, int) {
 	total, left := 0, 0
 	for i := b.lo; i < b.hi; i++ {
 		r := q.room(i)
 		fit := count(r, q.each, q.shape.Tasks)
-		if fit < q.min[i] {
+		if q.min != nil && fit < q.min[i] {
 			return nil, 0
 		}
 		left += max(r.GPUs, 0)
 		if fit > 0 {
 			total += fit
-			c := cand{node: i, fit: fit, left: r.GPUs}
-			if q.rank != nil {
-				c.rank = q.rank(i)
-			}
-			cands = append(cands, c)
+			cands = append(cands, cand{node: i, fit: fit, left: r.GPUs})
 		}
 	}
 	if total < q.shape.Tasks {
+		q.v.cands = cands
 		return nil, 0
 	}
-	slices.SortFunc(cands, func(a, b cand) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.left, b.left), cmp.Compare(a.node, b.node))
-	})
-	need := q.shape.Tasks
-	take := make(map[int]int, len(q.min))
+	if q.rank != nil && len(cands) > 1 {
+		for k := range cands {
+			cands[k].rank = q.rank(cands[k].node)
+		}
+	}
+	if len(cands) > 1 {
+		slices.SortFunc(cands, func(a, b cand) int {
+			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.left, b.left), cmp.Compare(a.node, b.node))
+		})
+	}
+	return cands, left
+}
+
+// within places the shape inside a block on the fullest nodes that fit, and returns the
+// accelerators left over in the block.
+func (q *search) within(b span) ([]spot, int) {
 	for i, n := range q.min {
 		if n > 0 && (i < b.lo || i >= b.hi) {
 			return nil, 0
 		}
-		take[i] = n
-		need -= n
 	}
-	var at []spot
-	// A single node that takes the rest exactly, or with the least left over, beats spreading.
-	for _, c := range cands {
-		if c.fit-take[c.node] >= need && need > 0 {
-			take[c.node] += need
+	cands, left := q.candidates(b, q.v.cands[:0])
+	if cands == nil {
+		return nil, 0
+	}
+	q.v.cands = cands
+	need := q.shape.Tasks
+	for k := range cands {
+		c := &cands[k]
+		if q.min != nil {
+			c.take = q.min[c.node]
+			need -= c.take
+		}
+	}
+	// A single node that takes the rest beats spreading.
+	for k := 0; k < len(cands) && need > 0; k++ {
+		if c := &cands[k]; c.fit-c.take >= need {
+			c.take += need
 			need = 0
 		}
 	}
 	for k := 0; k < len(cands) && need > 0; k++ {
-		c := cands[k]
+		c := &cands[k]
 		if q.rank == nil {
-			c = cands[len(cands)-1-k]
+			c = &cands[len(cands)-1-k]
 		}
-		n := min(c.fit-take[c.node], need)
-		take[c.node] += n
+		n := min(c.fit-c.take, need)
+		c.take += n
 		need -= n
 	}
+	at := make([]spot, 0, min(len(cands), q.shape.Tasks))
 	for _, c := range cands {
-		if take[c.node] > 0 {
-			at = append(at, spot{c.node, take[c.node]})
+		if c.take > 0 {
+			at = append(at, spot{c.node, c.take})
 		}
 	}
 	if need > 0 || len(at) == 0 {
--- a/core/plan/queue.go
+++ b/core/plan/queue.go
@@ -133,21 +133,19 @@
 		p.waits[id] = Reason{Code: Headroom, Need: j.Spec.Shape.Size(), Have: max(p.size-p.tied-p.slow, 0)}
 		return false
 	}
-	key := missKey{shape: j.Spec.Shape, grace: j.Spec.Grace, off: p.keptOff(j)}
+	key := missKey{shape: j.Spec.Shape, off: p.keptOff(j)}
 	if key.off {
 		p.d.wake(j.Submitted.Add(p.patience()))
 	}
-	if len(p.booked) > 0 {
-		key.run = p.st.remaining(j)
-	}
-	if len(j.Failed) == 0 && p.misses[key] {
+	own := miss{grace: j.Spec.Grace, run: p.st.remaining(j)}
+	if len(j.Failed) == 0 && p.missed(key, own) {
 		p.waits[id] = p.noRoom(j)
 		return false
 	}
 	at := p.placeSearch(j).best()
 	if at == nil {
 		if len(j.Failed) == 0 {
-			p.misses[key] = true
+			p.misses[key] = append(p.misses[key], own)
 		}
 		p.waits[id] = p.noRoom(j)
 		return false
