--- a/core/plan/action.go
+++ b/core/plan/action.go
@@ -100,6 +100,8 @@
 	Short
 	// Headroom means that too little would be left that urgent work can reclaim in time.
 	Headroom
+	// KeptOff means that only the rack has room that is kept free of work that can't be moved.
+	KeptOff
 	// Leaving means that the job is being stopped.
 	Leaving
 	// TooLarge means that no worker, rack or data centre can hold the shape.
@@ -122,7 +124,7 @@
 func (c Code) String() string {
 	names := [...]string{
 		"none", "no room", "scattered", "quota", "reserving", "reclaiming", "behind", "guarantee in use",
-		"shortfall", "headroom", "leaving", "too large", "over quota", "no guarantee", "not covered", "bad shape",
+		"shortfall", "headroom", "kept off the cleanest rack", "leaving", "too large", "over quota", "no guarantee", "not covered", "bad shape",
 		"no team", "fails everywhere",
 	}
 	if int(c) < len(names) {
--- a/core/plan/clean.go
+++ b/core/plan/clean.go
@@ -15,12 +15,12 @@
 	return patienceLeast + time.Duration(p.st.Policy.Compact*float64(patienceMost))
 }
 
-// cleanest returns the rack with the most accelerators that are free or hold movable work, or -1
-// if there is only one rack.
-func (p *pass) cleanest() int {
+// cleanest returns the rack with the most accelerators that are free or hold movable work and
+// their number, or -1 if there is only one rack.
+func (p *pass) cleanest() (rack, size int) {
 	best, most := -1, 0
 	if len(p.racks) < 2 {
-		return -1
+		return -1, 0
 	}
 	for r, b := range p.racks {
 		sum := 0
@@ -33,11 +33,13 @@
 			best, most = r, sum
 		}
 	}
-	return best
+	return best, most
 }
 
 // keptOff reports whether a job keeps off the cleanest rack for now: one rack stays free of work
-// that can't be moved, so that a large block can be had at any time.
+// that can't be moved, so that a large block can be had at any time. A job that is too large for
+// the other racks, or that has a reservation, isn't kept waiting.
 func (p *pass) keptOff(j *Job) bool {
-	return p.clean >= 0 && !movable(j) && !j.Spec.Urgent && p.now.Sub(j.Submitted) < p.patience()
+	return p.clean >= 0 && !movable(j) && !j.Spec.Urgent && p.now.Sub(j.Submitted) < p.patience() &&
+		len(j.Target) == 0 && j.Spec.Shape.Size() <= p.size-p.cleanSize
 }
--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -38,8 +38,9 @@
 	moved map[int]*Anchor
 	// promises holds the parts of anchors that claims wait for.
 	promises map[promiseKey]Amount
-	// clean is the rack that work that can't be moved keeps off; -1 if there is none.
-	clean int
+	// clean is the rack that work that can't be moved keeps off, -1 if there is none; cleanSize
+	// counts its free and movable accelerators.
+	clean, cleanSize int
 	// tries counts the jobs that looked for work to displace.
 	tries int
 	// booked holds the jobs with a reservation.
@@ -59,11 +60,21 @@
 }
 
 // miss is a search that failed; a job that is slower to stop and runs longer fails too.
-type miss struct{ grace, run time.Duration }
+type miss struct {
+	grace, run time.Duration
+	// kept is set if only the rack had room that the job keeps off.
+	kept bool
+}
 
-// missed reports whether a search for the job would fail like an earlier one.
-func (p *pass) missed(key missKey, m miss) bool {
-	return slices.ContainsFunc(p.misses[key], func(o miss) bool { return o.grace <= m.grace && o.run <= m.run })
+// missed returns an earlier search that failed and rules out the job, or nil.
+func (p *pass) missed(key missKey, m miss) *miss {
+	list := p.misses[key]
+	for i := range list {
+		if list[i].grace <= m.grace && list[i].run <= m.run {
+			return &list[i]
+		}
+	}
+	return nil
 }
 
 // Decide works out what to start, stop and move at now, and why each other job waits. It leaves
@@ -106,7 +117,7 @@
 			p.tied += t.amount.GPUs
 		}
 	}
-	p.clean = p.cleanest()
+	p.clean, p.cleanSize = p.cleanest()
 	for _, j := range sortedJobs(p.moving) {
 		p.holdNow(j, p.targetSpots(j))
 	}
--- a/core/plan/queue.go
+++ b/core/plan/queue.go
@@ -32,6 +32,29 @@
 	return r
 }
 
+// searched returns the reason of a job after a search without result.
+func (p *pass) searched(j *Job, kept bool) Reason {
+	if kept {
+		return Reason{Code: KeptOff, Until: j.Submitted.Add(p.patience())}
+	}
+	return p.noRoom(j)
+}
+
+// fitsClean reports whether a job fits if it doesn't keep off the cleanest rack.
+func (p *pass) fitsClean(j *Job) bool {
+	rack := p.clean
+	p.clean = -1
+	at := p.jobSearch(j).best()
+	p.clean = rack
+	return at != nil
+}
+
+// roomless reports whether the job waits for room, and not for its team or a rule.
+func (p *pass) roomless(j *Job) bool {
+	c := p.waits[j.Spec.ID].Code
+	return c == NoRoom || c == Scattered
+}
+
 // targetSpots returns the spots of a job's target, or nil if there is none or a worker is not usable.
 func (p *pass) targetSpots(j *Job) []spot {
 	var at []spot
@@ -90,7 +113,7 @@
 	p.chooseSlow(jobs)
 	for _, j := range jobs {
 		if len(j.Target) > 0 && !p.try(j) {
-			if code := p.waits[j.Spec.ID].Code; (code != NoRoom && code != Scattered) || !p.book(j) {
+			if !p.roomless(j) || !p.book(j) {
 				p.unreserve(j)
 			}
 		}
@@ -106,8 +129,7 @@
 		if p.try(j) {
 			continue
 		}
-		code := p.waits[j.Spec.ID].Code
-		if (code == NoRoom || code == Scattered) && !p.preempt(j) && j.Spec.Shape.Size() >= largeSize {
+		if p.roomless(j) && !p.preempt(j) && j.Spec.Shape.Size() >= largeSize {
 			blocked = append(blocked, j)
 		}
 	}
@@ -138,16 +160,17 @@
 		p.d.wake(j.Submitted.Add(p.patience()))
 	}
 	own := miss{grace: j.Spec.Grace, run: p.st.remaining(j)}
-	if len(j.Failed) == 0 && p.missed(key, own) {
-		p.waits[id] = p.noRoom(j)
+	if old := p.missed(key, own); old != nil && len(j.Failed) == 0 {
+		p.waits[id] = p.searched(j, old.kept)
 		return false
 	}
 	at := p.placeSearch(j).best()
 	if at == nil {
+		own.kept = key.off && p.fitsClean(j)
 		if len(j.Failed) == 0 {
 			p.misses[key] = append(p.misses[key], own)
 		}
-		p.waits[id] = p.noRoom(j)
+		p.waits[id] = p.searched(j, own.kept)
 		return false
 	}
 	p.start(j, at, false)
--- a/core/plan/replay_test.go
+++ b/core/plan/replay_test.go
@@ -317,8 +317,7 @@
 	}
 }
 
-var seeds = replaySeeds()
-
+// replaySeeds returns the seeds: 1 to 12, or first and number from PLAN_SEEDS.
 func replaySeeds() []uint64 {
 	from, n := uint64(1), 12
 	if v := os.Getenv("PLAN_SEEDS"); v != "" {
@@ -335,6 +334,7 @@
 // waits of claims and urgent jobs.
 func compare(s site, c contender) result {
 	out := result{class: map[string]float64{}}
+	seeds := replaySeeds()
 	n := float64(len(seeds))
 	for _, seed := range seeds {
 		d := model.Declaration{Policy: model.Policy{Compact: c.compact}, Teams: slices.Clone(s.teams)}
