--- /dev/null
+++ b/cmds/entry.go
@@ -0,0 +1,170 @@
+package cmds
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/fx"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/claims"
+	"wagtailhoist/io/conf"
+	"wagtailhoist/io/front"
+	"wagtailhoist/io/link"
+	"wagtailhoist/io/meter"
+	"wagtailhoist/io/peers"
+	"wagtailhoist/io/queue"
+)
+
+type entryCmd struct {
+	nodeFlags
+	Listen    string        `default:"127.0.0.1:0" help:"Address of the callers' listener."`
+	Link      string        `default:"127.0.0.1:0" help:"Address of the link listener."`
+	Advertise string        `help:"Address that other processes dial, if it differs from that of --link."`
+	Admin     string        `default:"127.0.0.1:0" help:"Address of the operators' listener."`
+	Store     string        `help:"URL of the platform's store. Without it, requests with a key are refused and there is no configuration."`
+	Works     string        `help:"URL of the platform's worker service. Without it, the entry schedules nothing."`
+	Drain     time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
+}
+
+func (c *entryCmd) check(k *checks) {
+	c.nodeFlags.check(k)
+	k.listen("listen", c.Listen)
+	k.listen("link", c.Link)
+	k.listen("admin", c.Admin)
+	if c.Advertise != "" {
+		k.listen("advertise", c.Advertise)
+	}
+	k.distinct("listen", c.Listen, "link", c.Link, "admin", c.Admin)
+	if c.Store != "" {
+		k.url("store", c.Store)
+	}
+	if c.Works != "" {
+		k.url("works", c.Works)
+		if c.Store == "" {
+			k.fail("works", c.Works, "nothing without --store, because the store keeps the plans")
+		}
+	}
+	k.duration("drain", c.Drain, 0, 10*time.Minute)
+}
+
+// Run serves until the process is told to stop.
+func (c *entryCmd) Run(s streams) error {
+	return serve(s, c.Level,
+		fx.Supply(c),
+		fx.Provide(newEntrySelf, newEntryPool, newEntryDispatcher, newStore, newMembers, newPeers, newClaims, newGate),
+		fx.Provide(newPhase, newConf, newExchange, newMeter, newFleet, newSched),
+		fx.Invoke(startConf, startSched, startAdmin, startEntry),
+	)
+}
+
+// entrySelf is the identity and the listeners of an entry.
+type entrySelf struct {
+	callers, links, admin net.Listener
+	settings              link.Settings
+}
+
+func newEntrySelf(c *entryCmd) (entrySelf, error) {
+	open, err := listenAll(c.Listen, c.Link, c.Admin)
+	if err != nil {
+		return entrySelf{}, err
+	}
+	callers, links, admin := open[0], open[1], open[2]
+	address := links.Addr().String()
+	if c.Advertise != "" {
+		address = c.Advertise
+	}
+	hello := link.Hello{
+		Node: model.NodeID(c.ID), Incarnation: entryIncarnation(time.Now()), Role: link.RoleEntry,
+		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: address,
+	}
+	return entrySelf{callers, links, admin, link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}}, nil
+}
+
+// entryIncarnation returns an incarnation with 20 random low bits, about a millisecond. Attempts
+// are numbered by it, and two entries that start in the same instant must not number alike.
+func entryIncarnation(now time.Time) model.Incarnation {
+	const low = 1<<20 - 1
+	return model.NewIncarnation(now)&^low | model.Incarnation(rand.Uint64()&low)
+}
+
+func newEntryPool(self entrySelf) *front.Pool { return &front.Pool{Settings: self.settings} }
+
+func newEntryDispatcher(self entrySelf, m *peers.Members, p *front.Pool, figures *meter.Meter) *front.Dispatcher {
+	router := &countingRouter{Router: m, meter: figures, own: self.settings.Self.Region}
+	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: router, Pool: p}
+}
+
+// callersIdle is the time after which a caller's unused connection is closed.
+const callersIdle = 2 * time.Minute
+
+// sweepEvery is the interval at which an entry closes unused links.
+const sweepEvery = 10 * time.Second
+
+// entryParts are the parts of an entry that startEntry runs.
+type entryParts struct {
+	fx.In
+
+	Self     entrySelf
+	Dispatch *front.Dispatcher
+	Members  *peers.Members
+	Peers    *peers.Peers
+	Claims   *claims.Writer
+	Gate     *queue.Gate
+	Phase    *phase
+	Conf     *conf.Manager
+	Meter    *meter.Meter
+}
+
+func startEntry(life fx.Lifecycle, c *entryCmd, e entryParts, log *slog.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	self, d := e.Self, e.Dispatch
+	handle := front.Chain(
+		front.Claiming(claimer(e.Claims), d.Do, d.Next), counting(e.Meter), front.Stopping(e.Phase.stopping.Load),
+		front.Admitting(timedGate{e.Gate, e.Meter}), timing(e.Meter),
+	)
+	callers := &http.Server{
+		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody, Closing: e.Phase.draining.Load},
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       callersIdle,
+	}
+	links := linkServer(self.settings, e.Peers.Serve, func() bool { return !e.Phase.draining.Load() && e.Conf.Ready() })
+	linked := make(chan struct{})
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			log.Info("listening", "listen", self.callers.Addr().String(), "link", self.links.Addr().String(),
+				"admin", self.admin.Addr().String())
+			go serveHTTP(callers, self.callers, log)
+			go serveHTTP(links, link.Listen(self.links, link.Guests), log)
+			go every(ctx, figuresInterval, countLinks(e.Meter, self.settings.Counters, d.Pool))
+			go every(ctx, sweepEvery, d.Pool.Sweep)
+			go every(ctx, resizeEvery, func(now time.Time) {
+				e.Gate.Resize(places(now, e.Members, e.Peers))
+				shareWrites(e.Claims, e.Peers)
+			})
+			go func() {
+				defer close(linked)
+				e.Peers.Run(ctx)
+			}()
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			log.Info("draining")
+			e.Phase.draining.Store(true)
+			time.Sleep(c.Drain)
+			e.Phase.stopping.Store(true)
+			err := callers.Shutdown(stop)
+			closeClaims(stop, e.Claims)
+			cancel()
+			<-linked
+			d.Pool.Close()
+			_ = links.Close()
+			log.Info("stopped")
+			return err
+		},
+	})
+}
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -15,6 +15,13 @@
 )
 
 type commands struct {
+	Entry   entryCmd   `cmd:"" help:"Run an entry."`
+	Agent   agentCmd   `cmd:"" help:"Run an agent."`
+	Check   checkCmd   `cmd:"" help:"Check a declaration."`
+	Apply   applyCmd   `cmd:"" help:"Apply a declaration."`
+	Query   queryCmd   `cmd:"" help:"Answer a query or carry out a change."`
+	Drain   drainCmd   `cmd:"" help:"Drain and stop a process."`
+	Status  statusCmd  `cmd:"" help:"Show the processes."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -32,13 +39,14 @@
 		kong.Name("wagtailhoist"),
 		kong.Description("Schedules multi-accelerator jobs under team guarantees and routes requests to minions."),
 		kong.Writers(stdout, stderr),
+		kong.DefaultEnvars(envPrefix),
 		kong.Exit(func(c int) { code = c }),
 	)
 	if err != nil {
 		fmt.Fprintln(stderr, "wagtailhoist:", err)
 		return exitFail
 	}
-	ctx, err := parser.Parse(args)
+	ctx, err := parse(parser, args, environ())
 	if code >= 0 {
 		return code
 	}
@@ -48,7 +56,7 @@
 	}
 	if err := ctx.Run(streams{out: stdout, err: stderr}); err != nil {
 		fmt.Fprintln(stderr, "wagtailhoist:", err)
-		return exitFail
+		return exitCode(err)
 	}
 	return exitOK
 }
