--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -27,7 +27,7 @@
 	*view
 	d Decision
 	// misses remembers shapes that found no room, so that equal jobs aren't tried again.
-	misses map[missKey]bool
+	misses map[missKey][]miss
 	// ending holds the jobs stopped by this decision.
 	ending map[model.JobID]bool
 	// started holds the jobs started by this decision.
@@ -38,8 +38,9 @@
 	moved map[int]*Anchor
 	// promises holds the parts of anchors that claims wait for.
 	promises map[promiseKey]Amount
-	// clean is the rack that work that can't be moved keeps off; -1 if there is none.
-	clean int
+	// clean is the rack that work that can't be moved keeps off, -1 if there is none; cleanSize
+	// counts its free and movable accelerators.
+	clean, cleanSize int
 	// tries counts the jobs that looked for work to displace.
 	tries int
 	// booked holds the jobs with a reservation.
@@ -55,11 +56,27 @@
 
 type missKey struct {
 	shape model.Shape
-	grace time.Duration
-	run   time.Duration
 	off   bool
 }
 
+// miss is a search that failed; a job that is slower to stop and runs longer fails too.
+type miss struct {
+	grace, run time.Duration
+	// kept is set if only the rack had room that the job keeps off.
+	kept bool
+}
+
+// missed returns an earlier search that failed and rules out the job, or nil.
+func (p *pass) missed(key missKey, m miss) *miss {
+	list := p.misses[key]
+	for i := range list {
+		if list[i].grace <= m.grace && list[i].run <= m.run {
+			return &list[i]
+		}
+	}
+	return nil
+}
+
 // Decide works out what to start, stop and move at now, and why each other job waits. It leaves
 // the State unchanged.
 func Decide(now time.Time, s *State) Decision {
@@ -85,7 +102,7 @@
 // newPass returns a pass over a scratch copy of the State.
 func newPass(now time.Time, s *State) *pass {
 	p := &pass{
-		view: s.scratch(now), misses: map[missKey]bool{}, ending: map[model.JobID]bool{},
+		view: s.scratch(now), misses: map[missKey][]miss{}, ending: map[model.JobID]bool{},
 		started: map[model.JobID]bool{}, waits: map[model.JobID]Reason{},
 		moved: map[int]*Anchor{}, promises: map[promiseKey]Amount{}, idle: -1,
 	}
@@ -100,7 +117,7 @@
 			p.tied += t.amount.GPUs
 		}
 	}
-	p.clean = p.cleanest()
+	p.clean, p.cleanSize = p.cleanest()
 	for _, j := range sortedJobs(p.moving) {
 		p.holdNow(j, p.targetSpots(j))
 	}
