--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -31,7 +31,7 @@
 	// Config is set before Join and Serve; nil means none.
 	Config Config
 
-	// Record is what the agent announces; Address, State, Load and Sequence are kept up to date.
+	// record is what the agent announces; its state, load, sequence and revision are kept up to date.
 	record model.Record
 	runner Runner
 	log    *slog.Logger
@@ -187,7 +187,7 @@
 	a.book.Abandon(at)
 	a.forget(at)
 	load := a.book.Load()
-	go l.Send(link.Refuse{Attempt: at, Reason: "body", Load: load}) //nolint:errcheck
+	go func() { _ = l.Send(link.Refuse{Attempt: at, Reason: "body", Load: load}) }()
 }
 
 func (a *Agent) run(t *task, body []byte) {
