--- a/core/config/state_test.go
+++ b/core/config/state_test.go
@@ -64,6 +64,10 @@
 			s.Hear(at(1), "a", deliver(5))
 			s.Tick(at(ProbeTime + SettleTime))
 		}, 0, false, false},
+		{"too early to know all peers", func(s *State) {
+			s.Hear(at(1), "a", deliver(5))
+			s.Tick(at(SettleTime - 1))
+		}, 0, false, false},
 		{"a peer without its answer yet", func(s *State) {
 			s.Up(at(0), "a")
 			s.Up(at(0), "b")
