--- a/core/plan/clean.go
+++ b/core/plan/clean.go
@@ -5,7 +5,7 @@
 const (
 	// patienceLeast is how long work that can't be moved waits for room outside the cleanest rack
 	// if only completion time counts.
-	patienceLeast = 30 * time.Minute
+	patienceLeast = 90 * time.Minute
 	// patienceMost is how much longer it waits if only fragmentation counts.
 	patienceMost = time.Hour
 )
