Measure the store's calls of entries at rest

Ruled out: counting in unit tests with fakes; they leave out the finding of entries and the watches of all cells. Change: BenchmarkStoreAtRest reads the counters of the platform's stand-in over 20 s at 1 to 8 entries and 1 to 8 cells.

--- a/proof/rest_test.go
+++ b/proof/rest_test.go
@@ -1,7 +1,9 @@
 package proof
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -88,3 +90,42 @@
 	b.ReportMetric(resident(b, p)/(1<<20), "MiB")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkStoreAtRest counts the calls of entries without requests, by kind, against the number of entries and cells.
+func BenchmarkStoreAtRest(b *testing.B) {
+	for _, tc := range []struct{ entries, cells int }{{1, 1}, {2, 1}, {4, 1}, {8, 1}, {4, 2}, {4, 4}, {4, 8}} {
+		b.Run(fmt.Sprintf("entries=%d/cells=%d", tc.entries, tc.cells), func(b *testing.B) {
+			var centres []string
+			for n := range tc.cells {
+				centres = append(centres, fmt.Sprintf("c%d=3", n))
+			}
+			platform := start(b, "stand", "platform", "--centres", strings.Join(centres, ","))
+			for n := range tc.entries {
+				start(b, "wagtailhoist", "entry", "--id", fmt.Sprintf("entry-%d", n), "--region", "west", "--centre", "c0",
+					"--store", platform.url("listen"), "--works", platform.url("listen"), "--token", testToken).ready("link")
+			}
+			time.Sleep(5 * time.Second)
+			before := storeCalls(b, platform)
+			time.Sleep(restTime)
+			for kind, n := range storeCalls(b, platform) {
+				b.ReportMetric((n-before[kind])/restTime.Seconds(), kind+"/s")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// storeCalls returns how often each kind of call was made to the store so far.
+func storeCalls(b *testing.B, platform *process) map[string]float64 {
+	b.Helper()
+	resp, err := http.Get(platform.url("listen") + "/stats")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	calls := map[string]float64{}
+	if err := json.NewDecoder(resp.Body).Decode(&calls); err != nil {
+		b.Fatal(err)
+	}
+	return calls
+}
