Avoid a worker that the service has refused until the next list

Cause: after the loss of a worker the proof with a paused owner showed up to five placements: the list of workers is a second old, or several at the target size, and the job was placed on the lost worker in each control interval. Change: a refusal for the worker takes it for lost until the next list. Ruled out: listing the workers more often, since the list of 30,000 is what made an idle entry costly.

--- a/io/sched/control.go
+++ b/io/sched/control.go
@@ -68,6 +68,7 @@
 		sched: s, id: id, cell: cell.New(settings, s.clock()), decider: s.newDecider(),
 		hands: hands{
 			id: id, self: s.Self, ttl: settings.OwnerTTL, keys: keysOf(id), store: s.Store, works: s.Works, now: s.clock,
+			missing: s.missing,
 		},
 		log:   s.logger().With("cell", string(id)),
 		inbox: make(chan cell.Event, 4*calls), slots: make(chan struct{}, calls),
--- a/io/sched/exec.go
+++ b/io/sched/exec.go
@@ -53,6 +53,8 @@
 	store KeyValue
 	works works.Works
 	now   func() time.Time
+	// missing takes workers that the worker service refused to use.
+	missing func(model.WorkerID)
 }
 
 // do carries out an effect and returns its answer. The time of sending is taken before the call, since leases
@@ -184,6 +186,10 @@
 			Command: h.command(e.Command), ID: e.Task.ID, Worker: e.Task.Worker, GPUs: e.Task.GPUs,
 			Job: e.Task.Job, Lease: e.Task.Grant,
 		})
+		var refused *works.RefusedError
+		if errors.As(err, &refused) && refused.Reason == works.NoWorker {
+			h.missing(e.Task.Worker)
+		}
 	case cell.ReleaseTask:
 		task, err = h.works.Throttle(ctx, e.Task, h.command(e.Command), 1)
 	case cell.SaveTask:
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -130,6 +130,20 @@
 	}
 }
 
+// missing takes a worker for lost until the next list of the workers, which may be some seconds old now. Without
+// this a job would be placed on it again in each control interval.
+func (s *Sched) missing(id model.WorkerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for cell, list := range s.workers {
+		if i := slices.IndexFunc(list, func(w model.Worker) bool { return w.ID == id }); i >= 0 {
+			list = slices.Clone(list)
+			list[i].Up = false
+			s.workers[cell], s.parts = list, nil
+		}
+	}
+}
+
 // inputs are what decisions on a cell depend on beside its plan.
 type inputs struct {
 	workers     []model.Worker
--- a/io/sched/sched_test.go
+++ b/io/sched/sched_test.go
@@ -229,6 +229,23 @@
 	}
 }
 
+// Guards against a job that is placed on a lost worker in every control interval until the next list of workers.
+func TestLostWorkerIsAvoided(t *testing.T) {
+	r := newRig(t, "chur=4")
+	s, _ := r.start("e1")
+	r.until("ownership", owns(s))
+	r.submit(s, gang("j", 2))
+	r.until("the gang runs", func() bool { return r.running("j") == 2 })
+	// The list of workers stays as old as it is.
+	r.Faults.Add(fault.Fault{Mode: fault.Down, Of: "works", Path: "/workers"})
+	r.Faults.Add(fault.Fault{Mode: fault.Lose, Worker: r.Tasks.Log(0)[0].Worker})
+	r.until("the gang ends", func() bool { return r.running("j") == 0 })
+	r.until("the gang runs again", func() bool { return r.running("j") == 2 })
+	if got := s.Snapshot().Cells[0].Running[0].Placement; got > 3 {
+		t.Errorf("placements: got %d, want at most one that is refused between the lost and the new one", got)
+	}
+}
+
 // Guards against a worker that operators took out of use and that gets work all the same, also from the next owner.
 func TestAside(t *testing.T) {
 	r := newRig(t, "chur=3")
--- a/io/works/errors.go
+++ b/io/works/errors.go
@@ -29,6 +29,9 @@
 // Error names the task.
 func (e *UnknownError) Error() string { return fmt.Sprintf("task %q is unknown", e.Task) }
 
+// NoWorker is the reason of a RefusedError for a worker that is lost or unknown.
+const NoWorker = "worker"
+
 // RefusedError reports a task that was not created and will not be by this call.
 type RefusedError struct {
 	Task string
