Count the answers around a fault instead of in a fixed time

Cause: TestWholeAnswerOrOutcome required 50 answers in a load that lasted as long as the fault and one second. On a busy machine (load 9 to 18) it got 12 to 47 in five runs of separate cases, with no wrong answer among them: the verdict depended on the speed of the machine. Ruled out: a lower number, which is weaker; a longer fixed time, which still depends on the machine; a fault of the request path: a trace of one case showed all callers waiting for links of 3 s silence, as designed. Change: the test waits for 25 answers before the fault and 25 to requests that were sent after its end, with a limit of a minute. This is stricter in one way: before, all answers could be from before the fault. Conclusion: the check no longer depends on speed.

--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -144,6 +144,19 @@
 	return l
 }
 
+// answered counts the requests sent after since that have been answered.
+func (l *load) answered(since time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.results {
+		if r.outcome == "answered" && r.sent.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
 // finish stops the callers and returns all results.
 func (l *load) finish() []result {
 	l.stop.Store(true)
--- a/proof/p3_test.go
+++ b/proof/p3_test.go
@@ -18,8 +18,12 @@
 // pauseTime is longer than the silence after which a link is given up (3 s).
 const pauseTime = 4 * time.Second
 
-// leastAnswered is about half a second of answers at the load of the tests.
-const leastAnswered = 50
+const (
+	// leastAnswered is how many requests have to be answered before a fault, and again after it.
+	leastAnswered = 25
+	// answeredLimit bounds the wait for them; it is no bound of the system.
+	answeredLimit = time.Minute
+)
 
 var faultCases = []faultCase{
 	{name: "agent killed and replaced", run: func(f *fleet) {
@@ -101,9 +105,13 @@
 				f.relay(0)
 			}
 			l := startLoad("load", 6, 8*time.Second, f.entries...)
-			time.Sleep(500 * time.Millisecond)
+			// A fleet that refuses everything answers none. The load is counted and not timed, so that the
+			// verdict does not depend on the speed of the machine.
+			began := time.Now()
+			eventually(t, answeredLimit, "requests are answered before the fault", func() bool { return l.answered(began) >= leastAnswered })
 			tc.run(f)
-			time.Sleep(500 * time.Millisecond)
+			ended := time.Now()
+			eventually(t, answeredLimit, "requests are answered after the fault", func() bool { return l.answered(ended) >= leastAnswered })
 			results := l.finish()
 			if tc.breaks {
 				f.entries = f.entries[1:]
@@ -112,10 +120,6 @@
 			t.Logf("%d requests: %v", len(results), outcomes(results))
 			checkWhole(t, results, tc.breaks)
 			checkRuns(t, results, f.ran())
-			// Refusals are quick, so their share says little; a fleet that refuses everything answers none.
-			if got := outcomes(results)["answered"]; got < leastAnswered {
-				t.Errorf("answered: got %d, want at least %d", got, leastAnswered)
-			}
 		})
 	}
 }
