Retry shortfalls when an anchor moves in Accept, and test Accept's checks

Cause: the property failed after 799 sequences: a claim moved its anchor, the room that it left could hold another guarantee, and that one was still reported short until the next event. Change: Accept retries shortfalls after it has moved an anchor.

--- a/core/plan/accept.go
+++ b/core/plan/accept.go
@@ -12,11 +12,17 @@
 	s.init()
 	s.ready(now)
 	var out []Action
+	moved := false
 	for _, a := range actions {
 		if s.accept(now, a) {
 			out = append(out, a)
+			moved = moved || a.Verb == Anchored
 		}
 	}
+	if moved {
+		// The place that an anchor has left may hold a guarantee with a shortfall.
+		s.retry(now)
+	}
 	return out
 }
 
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -261,6 +261,21 @@
 	}
 }
 
+// A start decided before a declaration must not pin accelerators that the declaration guarantees.
+func TestAcceptChecksNewGuarantees(t *testing.T) {
+	r := newRig(t, 1, teams(model.TeamSpec{Name: "a"}))
+	slow := job("slow", 1, 4)
+	slow.Grace = time.Hour
+	r.submit(slow)
+	d := Decide(r.now, r.State)
+	shape := model.Shape{Tasks: 1, GPUs: 8}
+	next := teams(model.TeamSpec{Name: "a", Guarantees: []model.Guarantee{{Name: "g", Grace: time.Minute, Shape: shape}}})
+	r.Apply(r.now, Event{Kind: Declared, Declaration: &next})
+	if got := r.Accept(r.now, d.Actions); len(d.Actions) != 1 || len(got) != 0 {
+		t.Errorf("accepted: got %+v of %+v, want none of one start", got, d.Actions)
+	}
+}
+
 // Usage above the declared amount counts at once; usage below it only when it is settled.
 func TestUsageIsTheLargerUntilSettled(t *testing.T) {
 	declared := Amount{GPUs: 2}
