Make a new entry ready only when it knows the agents

Cause: a planned replacement of every process under load, which proof/rolling_test.go now makes, cost callers their requests: a new entry answered /ready as soon as its configuration was in force, the balancer sent it requests, and it refused them ("service has 0 known agents") until the other entries' next forwarding, or until the agents had linked to it. Ruled out: the drain of the old entry (its requests were all answered) and the retry of refused requests at the same entry, which knows nobody either; a fixed wait of 3 s at every start, which is longer than needed in every ordinary case. Change: entries send each other what they know when a link opens, also inside the region. An entry is ready when every listed entry has done so and an agent is known, or after 3 s, the silence after which a record is no candidate. Conclusion: replacing every process one after the other loses no request.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -132,7 +132,9 @@
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       callersIdle,
 	}
-	links := linkServer(self.settings, e.Peers.Serve, func() bool { return !e.Phase.draining.Load() && e.Conf.Ready() })
+	links := linkServer(self.settings, e.Peers.Serve, func() bool {
+		return !e.Phase.draining.Load() && e.Conf.Ready() && e.Peers.Warm(time.Now())
+	})
 	linked := make(chan struct{})
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/io/peers/members.go
+++ b/io/peers/members.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -97,3 +98,8 @@
 	defer m.mu.Unlock()
 	return m.Relay.Told(&m.Table), m.Table.Losses()
 }
+
+// own returns the live records of the own region.
+func (m *Members) own(now time.Time) []model.Record {
+	return slices.DeleteFunc(m.Records(now), func(r model.Record) bool { return r.Region != m.Table.Region })
+}
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -57,7 +57,10 @@
 	published   []link.Entry
 	publishedAt time.Time
 	closed      bool
-	work        sync.WaitGroup
+	// begun is when Run was called; warm is the last answer of Warm.
+	begun time.Time
+	warm  bool
+	work  sync.WaitGroup
 	// soon asks for a tick before the next second, because a record changed.
 	soon chan struct{}
 	once sync.Once
@@ -70,10 +73,12 @@
 	// dialled says that this entry opened the link.
 	dialled bool
 	out     chan link.Frame
+	// told says that the peer, an entry, has sent its records.
+	told bool
 }
 
 func newWire(l *link.Link, dialled bool) *wire {
-	return &wire{l, dialled, make(chan link.Frame, outbox)}
+	return &wire{link: l, dialled: dialled, out: make(chan link.Frame, outbox)}
 }
 
 // run sends the waiting frames until the link is closed.
@@ -119,6 +124,9 @@
 // Run finds other entries, links to them and forwards records until ctx ends; it then closes the links.
 func (p *Peers) Run(ctx context.Context) {
 	p.init()
+	p.mu.Lock()
+	p.begun = time.Now()
+	p.mu.Unlock()
 	p.work.Go(func() { p.find(ctx) })
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
@@ -173,9 +181,8 @@
 		defer p.Down(l)
 	}
 	w.send(p.known())
-	if peer := l.Peer(); peer.Role == link.RoleEntry && peer.Region != p.Settings.Self.Region {
-		records, lost := p.Members.told()
-		announce([]*wire{w}, records, lost)
+	if l.Peer().Role == link.RoleEntry {
+		p.greet(w)
 	}
 	for {
 		f, err := l.Receive()
@@ -192,6 +199,7 @@
 	case link.Announce:
 		if peer.Role == link.RoleEntry {
 			p.Members.fromEntry(now, peer.Region, f.Records, f.Lost)
+			p.greeted(l)
 			return
 		}
 		own := slices.DeleteFunc(f.Records, func(r model.Record) bool { return r.ID != peer.Node })
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -116,6 +116,18 @@
 // startLoad runs callers against the entries in turn until finish. Methods and sizes vary;
 // identifiers begin with prefix.
 func startLoad(prefix string, workers int, timeout time.Duration, entries ...*process) *load {
+	return startLoadAt(prefix, workers, timeout, func(n int) *process {
+		for i := range entries {
+			if target := entries[(n+i)%len(entries)]; !target.ended() {
+				return target
+			}
+		}
+		return entries[n%len(entries)]
+	})
+}
+
+// startLoadAt is startLoad with the choice of an entry for each request, as a balancer makes it.
+func startLoadAt(prefix string, workers int, timeout time.Duration, pick func(n int) *process) *load {
 	l := &load{}
 	for w := range workers {
 		l.wait.Go(func() {
@@ -127,11 +139,7 @@
 				if n%5 == 0 {
 					q.size = 200_000
 				}
-				target := entries[(w+n)%len(entries)]
-				for i := 0; target.ended() && i < len(entries); i++ {
-					target = entries[(w+n+i)%len(entries)]
-				}
-				r := send(target.url("listen"), q)
+				r := send(pick(w+n).url("listen"), q)
 				l.mu.Lock()
 				l.results = append(l.results, r)
 				l.mu.Unlock()
--- /dev/null
+++ b/proof/rolling_test.go
@@ -0,0 +1,109 @@
+package proof
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// rolling is a whole system whose processes are replaced one after the other.
+type rolling struct {
+	*gangs
+	minions []*process
+	agents  []*process
+	entries atomic.Pointer[[]*process]
+	started int
+}
+
+func (r *rolling) startEntry() *process {
+	r.t.Helper()
+	r.started++
+	url := r.platform.url("listen")
+	return start(r.t, "wagtailhoist", "entry", "--id", fmt.Sprintf("entry-%d", r.started), "--region", "ch-west",
+		"--centre", "lausanne", "--token", "t", "--store", url, "--works", url, "--drain", "1s").ready("link")
+}
+
+// startAgent starts the agent of a minion, which joins through the entries of the moment.
+func (r *rolling) startAgent(minion int) *process {
+	r.t.Helper()
+	var join []string
+	for _, e := range *r.entries.Load() {
+		join = append(join, e.addr("link"))
+	}
+	return start(r.t, "wagtailhoist", "agent", "--id", fmt.Sprintf("agent-%d", minion), "--region", "ch-west",
+		"--centre", "lausanne", "--token", "t", "--minion", r.minions[minion].url("listen"), "--join", strings.Join(join, ",")).ready("link")
+}
+
+// replaceEntry puts a new entry in the place of the first one, as the balancer and the platform do.
+func (r *rolling) replaceEntry() {
+	r.t.Helper()
+	old := *r.entries.Load()
+	next := append(append([]*process{}, old...), r.startEntry())
+	r.entries.Store(&next)
+	time.AfterFunc(300*time.Millisecond, func() { // the balancer sees that the entry is not ready
+		rest := next[1:]
+		r.entries.Store(&rest)
+	})
+	old[0].stop()
+}
+
+// Guards against a planned replacement of all processes, one after the other, that costs a caller its answer,
+// stops a gang, or takes a revision back.
+func TestReplacingEveryProcessLosesNothing(t *testing.T) {
+	t.Parallel()
+	r := &rolling{gangs: newGangs(t)}
+	for range 2 {
+		r.minions = append(r.minions, startMinion(t, "127.0.0.1:0"))
+	}
+	entries := []*process{r.startEntry(), r.startEntry()}
+	r.entries.Store(&entries)
+	for n := range r.minions {
+		r.agents = append(r.agents, r.startAgent(n))
+	}
+	r.submit()
+	eventually(t, gangWait, "the gang runs as a whole", func() bool { return r.whole() })
+	began := time.Now()
+	eventually(t, gangWait, "both entries answer", func() bool {
+		for _, e := range entries {
+			if send(e.url("listen"), request{id: "first", method: "GET", timeout: time.Second}).outcome != "answered" {
+				return false
+			}
+		}
+		return true
+	})
+	l := startLoadAt("load", 4, 8*time.Second, func(n int) *process {
+		e := *r.entries.Load()
+		return e[n%len(e)]
+	})
+	for n := range r.agents {
+		eventually(t, gangWait, "requests are answered", func() bool { return l.answered(began) >= leastAnswered })
+		r.agents[n].stop()
+		r.agents[n] = r.startAgent(n)
+		began = time.Now()
+	}
+	for range entries {
+		eventually(t, gangWait, "requests are answered", func() bool { return l.answered(began) >= leastAnswered })
+		r.replaceEntry()
+		began = time.Now()
+	}
+	eventually(t, gangWait, "requests are answered after the last replacement", func() bool { return l.answered(began) >= leastAnswered })
+	results := l.finish()
+
+	t.Logf("%d requests: %v", len(results), outcomes(results))
+	for _, res := range results {
+		if res.outcome != "answered" || res.wrong != "" {
+			t.Errorf("%s %s: got %s (%s) %s %v, want an answer", res.method, res.id, res.outcome, res.reason, res.wrong, res.err)
+		}
+	}
+	if got := len(gangPlacements(r.log())); got != 1 || !r.whole() {
+		t.Errorf("placements of the gang: got %d, whole %v, want 1 that runs as a whole", got, r.whole())
+	}
+	for _, e := range *r.entries.Load() {
+		out, err := command(t, e, "status")
+		if err != nil || strings.Count(out, "confirmed") < 4 || strings.Contains(out, "unconfirmed") {
+			t.Errorf("status: got %v, want four processes with revision 1 confirmed\n%s", err, out)
+		}
+	}
+}
