Close the oldest guest when a listener is full, and bound headers

Cause: a link listener closed new connections once 512 had sent no Hello, and its HTTP server had no limit on idle connections. Request headers of 1 MiB were accepted on all listeners, and the callers' and operators' listeners had no bound on connections at all. A Hello could have 4 MiB.

Ruled out: a longer list of guests, which takes more memory and is filled as easily; a bound for each address, because callers and agents may come by way of one balancer.

Change: the oldest guest is closed for a new one, on all three listeners of an entry and on that of an agent. A connection of a caller or operator is a guest except while a request of its is served. Headers and the first frame of a link are bounded, requests to the link listener have read and write limits, and every refusal is counted: as metrics of an entry, as a log line of an agent.

Conclusion: an unknown sender has to open 512 connections within the handshake of an honest process to keep it out.

--- a/cmds/admin.go
+++ b/cmds/admin.go
@@ -154,7 +154,7 @@
 }
 
 func newFleet(
-	c *entryCmd, self entrySelf, p *phase, x *conf.Exchange, m *peers.Members, shutdown fx.Shutdowner, log *slog.Logger,
+	c *entryCmd, self *entrySelf, p *phase, x *conf.Exchange, m *peers.Members, shutdown fx.Shutdowner, log *slog.Logger,
 ) *fleet {
 	f := &fleet{self: self.settings.Self, phase: p, exchange: x, members: m, stop: stopper(shutdown, log)}
 	if c.Works != "" {
@@ -165,18 +165,21 @@
 
 // startAdmin serves the operators' API of an entry.
 func startAdmin(
-	life fx.Lifecycle, c *entryCmd, self entrySelf, f *fleet, m *conf.Manager, figures *meter.Meter,
+	life fx.Lifecycle, c *entryCmd, self *entrySelf, f *fleet, m *conf.Manager, figures *meter.Meter,
 	s *sched.Sched, log *slog.Logger,
 ) {
 	api := &admin.Server{ID: f.self.Node, Token: c.Token, Config: m, Fleet: f, Meter: figures, Log: log}
 	if s != nil {
 		api.Jobs = jobs{sched: s, conf: m}
 	}
-	server := &http.Server{Handler: api.Handler(), ReadTimeout: adminTime, WriteTimeout: adminTime}
+	server := &http.Server{
+		Handler: api.Handler(), ReadTimeout: adminTime, WriteTimeout: adminTime,
+		MaxHeaderBytes: admin.MaxHeader, ConnState: link.Serving,
+	}
 	background(life, func(ctx context.Context) { every(ctx, censusInterval, func(now time.Time) { f.census(now) }) })
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go serveHTTP(server, self.admin, log)
+			go serveHTTP(server, link.Listen(self.admin, admin.Guests, &self.adminGuests), log)
 			return nil
 		},
 		OnStop: func(context.Context) error { return server.Close() },
--- a/cmds/agent.go
+++ b/cmds/agent.go
@@ -111,12 +111,13 @@
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			log.Info("listening", "link", self.listener.Addr().String())
-			go serveHTTP(server, link.Listen(self.listener, link.Guests), log)
+			go serveHTTP(server, link.Listen(self.listener, link.Guests, &self.settings.Counters.Guests), log)
 			go func() {
 				defer close(joined)
 				a.Join(ctx, c.Join, self.settings)
 			}()
 			go every(ctx, expireEvery, a.Expire)
+			go every(ctx, refusalsEvery, logRefusals(self.settings.Counters, log))
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
@@ -132,6 +133,27 @@
 	})
 }
 
+// refusalsEvery is the least interval between log lines about refused senders.
+const refusalsEvery = 10 * time.Second
+
+// logRefusals logs the counts of refused senders when they have grown; agents serve no metrics.
+func logRefusals(c *link.Counters, log *slog.Logger) func(time.Time) {
+	var last uint64
+	return func(time.Time) {
+		evicted, unfinished, denied := c.Guests.Evicted.Load(), c.Guests.Unfinished.Load(), c.Denied.Load()
+		ungreeted, malformed := c.Ungreeted.Load(), c.Malformed.Load()
+		if sum := evicted + unfinished + denied + ungreeted + malformed; sum != last {
+			last = sum
+			log.Warn("senders refused", "evicted", evicted, "unfinished", unfinished, "denied", denied,
+				"ungreeted", ungreeted, "malformed", malformed)
+		}
+	}
+}
+
+// linkTime bounds the reading of a request at a link listener, its answer and the time between
+// requests of a connection. The upgrade to a link ends these limits.
+const linkTime = 5 * time.Second
+
 // linkServer returns the server of a process's link listener.
 func linkServer(s link.Settings, serve func(*link.Link), ready func() bool) *http.Server {
 	r := mux.NewRouter()
@@ -149,5 +171,8 @@
 		}
 		_, _ = io.WriteString(w, "ready\n")
 	})
-	return &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}
+	return &http.Server{
+		Handler: r, ReadTimeout: linkTime, WriteTimeout: linkTime,
+		MaxHeaderBytes: link.MaxHeader, ConnState: link.Spoke,
+	}
 }
--- a/cmds/config.go
+++ b/cmds/config.go
@@ -38,7 +38,7 @@
 
 // newConf returns the manager of the configuration of an entry. An entry without a store has no
 // configuration, and is ready at once.
-func newConf(life fx.Lifecycle, self entrySelf, s *store.Client, p *phase, log *slog.Logger) *conf.Manager {
+func newConf(life fx.Lifecycle, self *entrySelf, s *store.Client, p *phase, log *slog.Logger) *conf.Manager {
 	hello := self.settings.Self
 	o := conf.Options{ID: hello.Node, Region: hello.Region, Life: hello.Incarnation, State: p.state, Log: log}
 	if s != nil {
@@ -83,7 +83,7 @@
 }
 
 // startConf carries the configuration over the links of an entry.
-func startConf(life fx.Lifecycle, self entrySelf, x *conf.Exchange, p *peers.Peers, m *peers.Members, g *queue.Gate) {
+func startConf(life fx.Lifecycle, self *entrySelf, x *conf.Exchange, p *peers.Peers, m *peers.Members, g *queue.Gate) {
 	p.Up, p.Down, p.Other = x.Linked, x.Unlinked, x.Heard
 	p.Revision = func() model.Revision {
 		c, _, _ := x.Manager.Force()
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -66,12 +66,14 @@
 type entrySelf struct {
 	callers, links, admin net.Listener
 	settings              link.Settings
+	// callerGuests and adminGuests count the unproved connections of the callers' and operators' listeners.
+	callerGuests, adminGuests link.GuestCounters
 }
 
-func newEntrySelf(c *entryCmd) (entrySelf, error) {
+func newEntrySelf(c *entryCmd) (*entrySelf, error) {
 	open, err := listenAll(c.Listen, c.Link, c.Admin)
 	if err != nil {
-		return entrySelf{}, err
+		return nil, err
 	}
 	callers, links, admin := open[0], open[1], open[2]
 	address := links.Addr().String()
@@ -82,7 +84,8 @@
 		Node: model.NodeID(c.ID), Incarnation: entryIncarnation(time.Now()), Role: link.RoleEntry,
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: address,
 	}
-	return entrySelf{callers, links, admin, link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}}, nil
+	settings := link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}
+	return &entrySelf{callers: callers, links: links, admin: admin, settings: settings}, nil
 }
 
 // entryIncarnation returns an incarnation with 20 random low bits, about a millisecond. Attempts
@@ -92,9 +95,9 @@
 	return model.NewIncarnation(now)&^low | model.Incarnation(rand.Uint64()&low)
 }
 
-func newEntryPool(self entrySelf) *front.Pool { return &front.Pool{Settings: self.settings} }
+func newEntryPool(self *entrySelf) *front.Pool { return &front.Pool{Settings: self.settings} }
 
-func newEntryDispatcher(self entrySelf, m *peers.Members, p *front.Pool, figures *meter.Meter) *front.Dispatcher {
+func newEntryDispatcher(self *entrySelf, m *peers.Members, p *front.Pool, figures *meter.Meter) *front.Dispatcher {
 	router := &countingRouter{Router: m, meter: figures, own: self.settings.Self.Region}
 	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: router, Pool: p}
 }
@@ -109,7 +112,7 @@
 type entryParts struct {
 	fx.In
 
-	Self     entrySelf
+	Self     *entrySelf
 	Dispatch *front.Dispatcher
 	Members  *peers.Members
 	Peers    *peers.Peers
@@ -131,6 +134,8 @@
 		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody, Closing: e.Phase.draining.Load},
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       callersIdle,
+		MaxHeaderBytes:    front.MaxHeader,
+		ConnState:         link.Serving,
 	}
 	links := linkServer(self.settings, e.Peers.Serve, func() bool { return !e.Phase.draining.Load() && e.Conf.Ready() })
 	linked := make(chan struct{})
@@ -138,9 +143,9 @@
 		OnStart: func(context.Context) error {
 			log.Info("listening", "listen", self.callers.Addr().String(), "link", self.links.Addr().String(),
 				"admin", self.admin.Addr().String())
-			go serveHTTP(callers, self.callers, log)
-			go serveHTTP(links, link.Listen(self.links, link.Guests), log)
-			go every(ctx, figuresInterval, countLinks(e.Meter, self.settings.Counters, d.Pool, e.Claims))
+			go serveHTTP(callers, link.Listen(self.callers, front.Guests, &self.callerGuests), log)
+			go serveHTTP(links, link.Listen(self.links, link.Guests, &self.settings.Counters.Guests), log)
+			go every(ctx, figuresInterval, countLinks(e.Meter, self, d.Pool, e.Claims))
 			go every(ctx, sweepEvery, d.Pool.Sweep)
 			go every(ctx, resizeEvery, func(now time.Time) {
 				e.Gate.Resize(places(now, e.Members, e.Peers))
--- a/cmds/figures.go
+++ b/cmds/figures.go
@@ -12,7 +12,6 @@
 	"wagtailhoist/core/tries"
 	"wagtailhoist/io/claims"
 	"wagtailhoist/io/front"
-	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
 )
 
@@ -104,17 +103,27 @@
 
 // countLinks adds what the links and the writer of claims, which may be nil, have counted since
 // the last call to the metrics.
-func countLinks(m *meter.Meter, links *link.Counters, pool *front.Pool, w *claims.Writer) func(time.Time) {
+func countLinks(m *meter.Meter, self *entrySelf, pool *front.Pool, w *claims.Writer) func(time.Time) {
 	type source struct {
 		counter            *atomic.Uint64
 		name, label, value string
 		last               uint64
 	}
+	links := self.settings.Counters
 	sources := []*source{
 		{counter: &links.Sent, name: "link_bytes", label: "direction", value: "sent"},
 		{counter: &links.Received, name: "link_bytes", label: "direction", value: "received"},
 		{counter: &links.Malformed, name: "broken_links", label: "cause", value: "malformed"},
 		{counter: &links.Silent, name: "broken_links", label: "cause", value: "silent"},
+		{counter: &links.Denied, name: "broken_links", label: "cause", value: "denied"},
+		{counter: &links.Ungreeted, name: "broken_links", label: "cause", value: "no hello"},
+		{counter: &links.Records, name: "refused_records", label: "kind", value: "record"},
+		{counter: &links.Guests.Evicted, name: "refused_connections", label: "cause", value: "link evicted"},
+		{counter: &links.Guests.Unfinished, name: "refused_connections", label: "cause", value: "link unfinished"},
+		{counter: &self.callerGuests.Evicted, name: "refused_connections", label: "cause", value: "caller evicted"},
+		{counter: &self.callerGuests.Unfinished, name: "refused_connections", label: "cause", value: "caller unfinished"},
+		{counter: &self.adminGuests.Evicted, name: "refused_connections", label: "cause", value: "operator evicted"},
+		{counter: &self.adminGuests.Unfinished, name: "refused_connections", label: "cause", value: "operator unfinished"},
 		{counter: &pool.Dropped, name: "late_answers", label: "kind", value: "dropped"},
 	}
 	if w != nil {
--- a/cmds/route.go
+++ b/cmds/route.go
@@ -26,7 +26,7 @@
 	claimsLimit = 3 * time.Second
 )
 
-func newMembers(self entrySelf) *peers.Members {
+func newMembers(self *entrySelf) *peers.Members {
 	s := self.settings.Self
 	return &peers.Members{
 		Table: member.Table{Region: s.Region, Centre: s.Centre},
@@ -44,7 +44,7 @@
 	}}}
 }
 
-func newPeers(c *entryCmd, self entrySelf, m *peers.Members, s *store.Client, log *slog.Logger) *peers.Peers {
+func newPeers(c *entryCmd, self *entrySelf, m *peers.Members, s *store.Client, log *slog.Logger) *peers.Peers {
 	p := &peers.Peers{Settings: self.settings, Members: m, Join: c.Join, Log: log}
 	if s != nil {
 		p.Store = s
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -34,6 +34,10 @@
 	// deniedRate bounds the answers to calls without the token, so that it can't be guessed fast.
 	deniedRate  = 5
 	deniedBurst = 20
+	// Guests is the number of operators' connections that may be open without a call in progress.
+	Guests = 64
+	// MaxHeader is the largest header of a call in bytes.
+	MaxHeader = 16 << 10
 	// writeTime bounds a change; the store answers in milliseconds when it is healthy.
 	writeTime = 5 * time.Second
 )
@@ -82,9 +86,11 @@
 		}
 		switch {
 		case !limit.take(time.Now()):
+			s.refused("too many")
 			w.Header().Set("Retry-After", "1")
 			fail(w, &Failure{Kind: KindTooMany, Text: "too many calls; try again in a second"})
 		case !allowed:
+			s.refused("denied")
 			s.Log.Warn("operator's call denied", "path", r.URL.Path, "remote", r.RemoteAddr)
 			fail(w, &Failure{Kind: KindDenied, Text: "the token is missing or wrong"})
 		default:
@@ -94,6 +100,13 @@
 	})
 }
 
+// refused counts a call that was refused before it was read.
+func (s *Server) refused(cause string) {
+	if s.Meter != nil {
+		s.Meter.Count("refused_calls", "cause", cause, 1)
+	}
+}
+
 // read decodes the body of a request strictly.
 func read(r *http.Request, into any) error {
 	decoder := json.NewDecoder(r.Body)
--- a/io/admin/types.go
+++ b/io/admin/types.go
@@ -45,6 +45,7 @@
 type Meter interface {
 	Summaries() ([]meter.Summary, error)
 	Handler() http.Handler
+	Count(name, label, value string, n int64)
 }
 
 // Confirmation says whether the store has confirmed the revision of a process.
--- a/io/front/http.go
+++ b/io/front/http.go
@@ -42,6 +42,13 @@
 	retryAfter = "1"
 )
 
+const (
+	// Guests is the number of callers' connections that may be open without a request in progress.
+	Guests = 2048
+	// MaxHeader is the largest header of a caller's request in bytes.
+	MaxHeader = 32 << 10
+)
+
 // Server answers callers.
 type Server struct {
 	Handle Handler
--- a/io/link/guest.go
+++ b/io/link/guest.go
@@ -1,52 +1,132 @@
 package link
 
 import (
+	"container/list"
 	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
-// Guests is the number of connections that a link listener holds open before their Hello.
-// It covers the agents that turn to an entry at once when another entry fails.
-const Guests = 512
+const (
+	// Guests is the number of connections that a link listener holds open before their Hello.
+	// It covers the agents that turn to an entry at once when another entry fails.
+	Guests = 512
+	// MaxHeader is the largest header of a request to a link listener in bytes; a handshake has about 300.
+	MaxHeader = 8 << 10
+)
+
+// GuestCounters counts connections of a listener that were closed as guests.
+type GuestCounters struct {
+	// Evicted counts guests closed for newer ones, Unfinished those that ended without a whole request header.
+	Evicted, Unfinished atomic.Uint64
+}
 
-// Listen bounds the connections of l that have not completed their Hello; more are closed
-// at once. Links with the token do not count against the bound.
-func Listen(l net.Listener, guests int) net.Listener {
-	return &guestListener{Listener: l, free: make(chan struct{}, guests)}
+// Listen bounds the guests of l, the connections that have not proved themselves. When there
+// are more, the oldest is closed: an honest peer needs a round trip or two, so a sender that
+// holds connections open can't keep it out. On a link listener, connections are guests until
+// their Hello; Serving sets when they are guests on other listeners.
+func Listen(l net.Listener, guests int, c *GuestCounters) *GuestListener {
+	return &GuestListener{Listener: l, limit: guests, count: c}
 }
 
-type guestListener struct {
+// GuestListener is a listener with a bounded number of guests.
+type GuestListener struct {
 	net.Listener
-	free chan struct{}
+	limit int
+	count *GuestCounters
+
+	mu     sync.Mutex
+	guests list.List // of *guestConn, oldest first
 }
 
-// Accept returns the next connection within the bound.
-func (l *guestListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case l.free <- struct{}{}:
-			return &guestConn{Conn: c, free: l.free}, nil
-		default:
-			_ = c.Close()
-		}
+// Accept returns the next connection as a guest.
+func (l *GuestListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
+	g := &guestConn{Conn: c, home: l}
+	l.enter(g)
+	return g, nil
 }
 
+// enter makes a connection a guest and closes the oldest one past the bound.
+func (l *GuestListener) enter(c *guestConn) {
+	l.mu.Lock()
+	if c.place == nil && !c.closed {
+		c.place = l.guests.PushBack(c)
+	}
+	var oldest *guestConn
+	if l.guests.Len() > l.limit {
+		oldest = l.guests.Front().Value.(*guestConn)
+		oldest.leave()
+		oldest.evicted = true
+	}
+	l.mu.Unlock()
+	if oldest != nil {
+		l.count.Evicted.Add(1)
+		_ = oldest.Conn.Close()
+	}
+}
+
+// Spoke is an http.Server's ConnState hook that notes connections with a whole request header.
+func Spoke(c net.Conn, state http.ConnState) {
+	if g, ok := c.(*guestConn); ok && state == http.StateActive {
+		g.home.mu.Lock()
+		g.spoke = true
+		g.home.mu.Unlock()
+	}
+}
+
+// Serving is an http.Server's ConnState hook by which connections are guests except while a
+// request of theirs is served.
+func Serving(c net.Conn, state http.ConnState) {
+	Spoke(c, state)
+	g, ok := c.(*guestConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		g.admit()
+	case http.StateIdle:
+		g.home.enter(g)
+	}
+}
+
+// guestConn is a connection of a GuestListener, whose lock guards the fields.
 type guestConn struct {
 	net.Conn
-	free chan struct{}
-	once sync.Once
+	home *GuestListener
+	// place is nil unless the connection is a guest.
+	place                  *list.Element
+	spoke, evicted, closed bool
+}
+
+// leave ends the count of the connection as a guest; the lock is held.
+func (c *guestConn) leave() {
+	if c.place != nil {
+		c.home.guests.Remove(c.place)
+		c.place = nil
+	}
 }
 
 // admit ends the count of the connection as a guest.
-func (c *guestConn) admit() { c.once.Do(func() { <-c.free }) }
+func (c *guestConn) admit() {
+	c.home.mu.Lock()
+	defer c.home.mu.Unlock()
+	c.leave()
+}
 
 // Close closes the connection.
 func (c *guestConn) Close() error {
-	c.admit()
+	c.home.mu.Lock()
+	c.leave()
+	if !c.closed && !c.spoke && !c.evicted {
+		c.home.count.Unfinished.Add(1)
+	}
+	c.closed = true
+	c.home.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -29,6 +29,8 @@
 	handshake = 2 * time.Second
 	// limit is the largest frame in bytes: an Announce with the records of a region's agents.
 	limit = 4 << 20
+	// helloLimit is the largest first frame in bytes; a Hello has under 500.
+	helloLimit = 4 << 10
 )
 
 // ErrToken reports a peer that refused the link token.
@@ -38,6 +40,12 @@
 type Counters struct {
 	// Malformed counts frames that could not be decoded, Silent links given up without a received byte.
 	Malformed, Silent atomic.Uint64
+	// Denied counts requests for a link without the token, Records the records that were refused
+	// as invalid or because the sender may not announce them.
+	Denied, Records atomic.Uint64
+	// Ungreeted counts links with the token that ended before a valid Hello, Guests other connections.
+	Ungreeted atomic.Uint64
+	Guests    GuestCounters
 	// Sent and Received count the bytes of frames, without WebSocket and TCP headers.
 	Sent, Received atomic.Uint64
 }
@@ -94,6 +102,10 @@
 func Accept(w http.ResponseWriter, r *http.Request, s Settings) (*Link, error) {
 	want := "Bearer " + s.Token
 	if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
+		if s.Counters != nil {
+			s.Counters.Denied.Add(1)
+		}
+		w.Header().Set("Connection", "close")
 		http.Error(w, "link token refused", http.StatusUnauthorized)
 		return nil, ErrToken
 	}
@@ -116,7 +128,7 @@
 	if l.silence == 0 {
 		l.silence = Silence
 	}
-	ws.SetReadLimit(limit)
+	ws.SetReadLimit(helloLimit)
 	return l
 }
 
@@ -128,15 +140,18 @@
 	}
 	f, err := l.receive(handshake)
 	if err != nil {
+		l.count.Ungreeted.Add(1)
 		l.Close()
 		return err
 	}
 	hello, ok := f.(Hello)
 	if !ok || hello.Protocol != Protocol {
+		l.count.Ungreeted.Add(1)
 		l.Close()
 		return fmt.Errorf("got frame %d of protocol %d instead of a hello of protocol %d", f.Kind(), hello.Protocol, Protocol)
 	}
 	l.peer = hello
+	l.ws.SetReadLimit(limit)
 	if c, ok := l.ws.NetConn().(*guestConn); ok {
 		c.admit()
 	}
