Check records, and bound what a sender with the token can add

Cause: an agent's record was merged with any incarnation, address and load. A record with the highest incarnation could not be replaced by a restart of its agent, and huge slots overflow sums. The table, the list of entries that others name and the rate of announcements had no bounds.

Change: io/peers refuses such records with a RecordError and counts them. The link stays open after a refused record, because an entry forwards those of many agents.

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -277,4 +277,7 @@
 	last.slot.index = row.slot.index
 	pool[len(pool)-1] = nil
 	t.pools[key] = pool[:len(pool)-1]
+	if len(pool) == 1 {
+		delete(t.pools, key) // services are named by others, so empty pools could grow without bound
+	}
 }
--- a/io/peers/find.go
+++ b/io/peers/find.go
@@ -125,6 +125,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range entries {
+		_, old := p.hinted[e.ID]
+		if !address(e.Address) || len(e.ID) > maxName || len(e.Region) > maxName || !old && len(p.hinted) >= maxEntries {
+			continue
+		}
 		p.hinted[e.ID] = hint{e, now}
 	}
 }
--- a/io/peers/members.go
+++ b/io/peers/members.go
@@ -49,25 +49,35 @@
 	return m.Table.Slots(now)
 }
 
-// fromAgent takes records that an agent sent.
-func (m *Members) fromAgent(now time.Time, records []model.Record) (material bool) {
+// room reports whether the table may take a record of the node.
+func (m *Members) room(id model.NodeID) bool {
+	return m.Table.Len() < maxRecords || m.Table.Row(id) != nil
+}
+
+// fromAgent takes records that an agent sent, and counts those for which there is no room.
+func (m *Members) fromAgent(now time.Time, records []model.Record) (material bool, refused int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, rec := range records {
+		if !m.room(rec.ID) {
+			refused++
+			continue
+		}
 		material = m.Table.Merge(now, rec) == member.Material || material
 		m.Relay.Direct(now, rec.ID)
 	}
-	return material
+	return material, refused
 }
 
-// fromEntry takes records and losses that an entry of the region sent.
-func (m *Members) fromEntry(now time.Time, region model.Region, records []model.Record, lost []member.Loss) {
+// fromEntry takes records and losses that an entry of the region sent, and counts the records for which there is no room.
+func (m *Members) fromEntry(now time.Time, region model.Region, records []model.Record, lost []member.Loss) (refused int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.Table.Heard(now, region)
 	for _, rec := range records {
-		if rec.Region != region {
-			continue // entries vouch for the records of their own region only
+		if !m.room(rec.ID) {
+			refused++
+			continue
 		}
 		m.Table.Merge(now, rec)
 		if region == m.Table.Region {
@@ -77,6 +87,7 @@
 	for _, loss := range lost {
 		m.Table.Report(now, region, loss)
 	}
+	return refused
 }
 
 // tick expires records and returns what to send. others holds the addresses of the linked entries of the region.
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -177,25 +177,32 @@
 		records, lost := p.Members.told()
 		announce([]*wire{w}, records, lost)
 	}
+	var q quota
 	for {
 		f, err := l.Receive()
 		if err != nil {
 			return
 		}
-		p.receive(l, f)
+		p.receive(l, f, &q)
 	}
 }
 
-func (p *Peers) receive(l *link.Link, f link.Frame) {
+func (p *Peers) receive(l *link.Link, f link.Frame, q *quota) {
 	now, peer := time.Now(), l.Peer()
 	switch f := f.(type) {
 	case link.Announce:
+		full := &RecordError{Field: "table", Reason: "is full"}
 		if peer.Role == link.RoleEntry {
-			p.Members.fromEntry(now, peer.Region, f.Records, f.Lost)
+			p.refuse(peer, full, p.Members.fromEntry(now, peer.Region, p.sound(now, peer, f.Records), f.Lost))
 			return
 		}
-		own := slices.DeleteFunc(f.Records, func(r model.Record) bool { return r.ID != peer.Node })
-		if p.Members.fromAgent(now, own) {
+		if !q.take(now) {
+			p.refuse(peer, &RecordError{peer.Node, "announcement", "exceeds the rate"}, max(1, len(f.Records)))
+			return
+		}
+		material, refused := p.Members.fromAgent(now, p.sound(now, peer, f.Records))
+		p.refuse(peer, full, refused)
+		if material {
 			p.hurry()
 		}
 	case link.Known:
--- a/proof/rest_test.go
+++ b/proof/rest_test.go
@@ -13,7 +13,7 @@
 const restTime = 20 * time.Second
 
 // resident returns the resident memory of a process in bytes.
-func resident(b *testing.B, p *process) float64 {
+func resident(b testing.TB, p *process) float64 {
 	b.Helper()
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
