Count bodies as they arrive, and callers as guests until the whole request

Cause: room for a body was taken for its declared length before any of it arrived. Such connections also left the bound on guests with their header, so their number had no bound.

Ruled out: a shorter time for bodies, which refuses slow callers and leaves the fault to a sender that repeats it.

Change: room is taken as parts of the body arrive. A caller is a guest until the whole request is there, an operator until a call with the token.

TestBodiesAreBounded holds two bodies back and hung with the old code; it now also fails at once when the other body is refused. The case alone in TestHostileSenders with the old code: the probe got 503 not-run, and the evictions were not counted.

--- a/cmds/admin.go
+++ b/cmds/admin.go
@@ -174,7 +174,7 @@
 	}
 	server := &http.Server{
 		Handler: api.Handler(), ReadTimeout: adminTime, WriteTimeout: adminTime,
-		MaxHeaderBytes: admin.MaxHeader, ConnState: link.Serving,
+		MaxHeaderBytes: admin.MaxHeader, ConnState: link.Serving, ConnContext: link.WithConn,
 	}
 	background(life, func(ctx context.Context) { every(ctx, censusInterval, func(now time.Time) { f.census(now) }) })
 	life.Append(fx.Hook{
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -136,6 +136,7 @@
 		IdleTimeout:       callersIdle,
 		MaxHeaderBytes:    front.MaxHeader,
 		ConnState:         link.Serving,
+		ConnContext:       link.WithConn,
 	}
 	links := linkServer(self.settings, e.Peers.Serve, func() bool { return !e.Phase.draining.Load() && e.Conf.Ready() })
 	linked := make(chan struct{})
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -19,6 +19,7 @@
 	"wagtailhoist/core/plan"
 	"wagtailhoist/core/query"
 	"wagtailhoist/io/conf"
+	"wagtailhoist/io/link"
 	"wagtailhoist/io/store"
 )
 
@@ -94,6 +95,7 @@
 			s.Log.Warn("operator's call denied", "path", r.URL.Path, "remote", r.RemoteAddr)
 			fail(w, &Failure{Kind: KindDenied, Text: "the token is missing or wrong"})
 		default:
+			link.Admit(r.Context())
 			r.Body = http.MaxBytesReader(w, r.Body, maxBody)
 			next.ServeHTTP(w, r)
 		}
--- a/io/front/http.go
+++ b/io/front/http.go
@@ -78,26 +78,43 @@
 	return true
 }
 
+var errNoRoom = errors.New("entry has no room for the body")
+
+// heldBody takes room for a body as it arrives: room taken for its declared length could be
+// held by callers that send none of it.
+type heldBody struct {
+	io.ReadCloser
+	server *Server
+	size   int64
+}
+
+// Read reads a part for which there is room, or returns errNoRoom.
+func (b *heldBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		if !b.server.hold(int64(n)) {
+			return 0, errNoRoom
+		}
+		b.size += int64(n)
+	}
+	return n, err
+}
+
 // ServeHTTP runs the request and writes its answer or its outcome.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	if s.Closing != nil && s.Closing() {
 		w.Header().Set("Connection", "close")
 	}
-	size := r.ContentLength
-	if size < 0 || size > s.MaxBody {
-		size = s.MaxBody
-	}
-	if !s.hold(size) {
-		writeOutcome(w, r, notRun("entry has no room for the body"))
-		return
-	}
-	defer s.held.Add(-size)
+	body := &heldBody{ReadCloser: http.MaxBytesReader(w, r.Body, s.MaxBody), server: s}
+	r.Body = body
+	defer func() { s.held.Add(-body.size) }()
 	// A caller that stops sending or reading must not hold up a graceful shutdown.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(now.Add(readLimit))
-	call, code, err := s.read(now, w, r)
+	call, code, err := s.read(now, r)
 	_ = control.SetReadDeadline(time.Time{})
+	link.Admit(r.Context())
 	if err != nil {
 		_ = control.SetWriteDeadline(time.Now().Add(writeLimit))
 		reply := notRun(err.Error())
@@ -115,7 +132,7 @@
 }
 
 // read returns the call that r makes, or the status that refuses it.
-func (s *Server) read(now time.Time, w http.ResponseWriter, r *http.Request) (Call, int, error) {
+func (s *Server) read(now time.Time, r *http.Request) (Call, int, error) {
 	// An absolute or opaque target, * and CONNECT have no path that a minion could serve.
 	path := r.URL.RequestURI()
 	if !strings.HasPrefix(path, "/") || r.Method == http.MethodConnect {
@@ -129,12 +146,15 @@
 		}
 		timeout = time.Duration(ms) * time.Millisecond
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBody))
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
 			return Call{}, http.StatusRequestEntityTooLarge, fmt.Errorf("body exceeds %d bytes", large.Limit)
 		}
+		if errors.Is(err, errNoRoom) {
+			return Call{}, http.StatusServiceUnavailable, err
+		}
 		return Call{}, http.StatusBadRequest, fmt.Errorf("read body: %w", err)
 	}
 	keys := r.Header.Values(HeaderKey)
--- a/io/front/http_test.go
+++ b/io/front/http_test.go
@@ -72,6 +72,7 @@
 }
 
 // Bodies are read before requests queue; without a bound, large ones could take all memory.
+// Callers that declare a body and send none must not take the room from others.
 func TestBodiesAreBounded(t *testing.T) {
 	begun, let := make(chan struct{}, 4), make(chan struct{})
 	s := &Server{MaxBody: 100, Buffer: 150, Handle: func(context.Context, Call) Reply {
@@ -90,9 +91,22 @@
 		resp.Body.Close()
 		return resp.StatusCode
 	}
+	for range 2 {
+		c, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n")
+	}
+	time.Sleep(100 * time.Millisecond) // the server reads the headers
 	first := make(chan int, 1)
 	go func() { first <- post() }()
-	<-begun
+	select {
+	case <-begun:
+	case got := <-first:
+		t.Fatalf("body beside callers that hold theirs back: got status %d, want it to be taken", got)
+	}
 	if got, want := post(), http.StatusServiceUnavailable; got != want {
 		t.Errorf("second body: got status %d, want %d", got, want)
 	}
--- a/io/link/guest.go
+++ b/io/link/guest.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -25,7 +26,7 @@
 // Listen bounds the guests of l, the connections that have not proved themselves. When there
 // are more, the oldest is closed: an honest peer needs a round trip or two, so a sender that
 // holds connections open can't keep it out. On a link listener, connections are guests until
-// their Hello; Serving sets when they are guests on other listeners.
+// their Hello; on other listeners they are guests except between Admit and the answer.
 func Listen(l net.Listener, guests int, c *GuestCounters) *GuestListener {
 	return &GuestListener{Listener: l, limit: guests, count: c}
 }
@@ -79,19 +80,25 @@
 	}
 }
 
-// Serving is an http.Server's ConnState hook by which connections are guests except while a
-// request of theirs is served.
+// Serving is an http.Server's ConnState hook that makes connections guests again between requests.
 func Serving(c net.Conn, state http.ConnState) {
 	Spoke(c, state)
-	g, ok := c.(*guestConn)
-	if !ok {
-		return
+	if g, ok := c.(*guestConn); ok && state == http.StateIdle {
+		g.home.enter(g)
 	}
-	switch state {
-	case http.StateActive:
+}
+
+type connKey struct{}
+
+// WithConn is an http.Server's ConnContext hook that lets Admit find the connection of a request.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Admit ends the count of the connection of a request as a guest until the request is answered.
+func Admit(ctx context.Context) {
+	if g, ok := ctx.Value(connKey{}).(*guestConn); ok {
 		g.admit()
-	case http.StateIdle:
-		g.home.enter(g)
 	}
 }
 
--- a/proof/hostile_test.go
+++ b/proof/hostile_test.go
@@ -150,6 +150,9 @@
 		{"callers' whole connections, idle", func() {
 			flood(t, e.addr("listen"), "GET /x HTTP/1.1\r\nHost: x\r\nWagtailhoist-Timeout: x\r\n\r\n", front.Guests)
 		}, refused("caller evicted"), 1},
+		{"callers' bodies held back", func() {
+			flood(t, e.addr("listen"), "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 16777216\r\n\r\n", 2*front.Guests)
+		}, refused("caller evicted"), front.Guests},
 		{"operators' half headers", func() { flood(t, e.addr("admin"), half, 4*admin.Guests) }, refused("operator evicted"), 1},
 		{"operators without the token", func() {
 			flood(t, e.addr("admin"), "GET /status HTTP/1.1\r\nHost: x\r\n\r\n", 10)
