Make the HTTP calls of three clients in one place

Cause: the clients of the store, the worker service and the operators' API each had the same encoding, sending and bounded reading. Ruled out: one client for all; their errors differ, and callers decide on them.

--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -1,14 +1,14 @@
 package admin
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
+
+	"wagtailhoist/io/call"
 )
 
 // maxAnswer bounds an answer, in bytes; a table of 95,000 jobs takes about 20 MB.
@@ -52,36 +52,19 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
-	var body io.Reader
-	if in != nil {
-		data, err := json.Marshal(in)
-		if err != nil {
-			return fmt.Errorf("encoding the request: %w", err)
-		}
-		body = bytes.NewReader(data)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, body)
+	req, err := call.New(ctx, method, c.URL+path, in)
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+c.Token)
-	client := c.HTTP
-	if client == nil {
-		client = http.DefaultClient
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return lost(method, err)
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	status, data, err := call.Do(c.HTTP, req, maxAnswer)
 	if err != nil {
 		return lost(method, err)
 	}
-	if resp.StatusCode != http.StatusOK {
+	if status != http.StatusOK {
 		f := &Failure{}
 		if err := json.Unmarshal(data, f); err != nil || f.Kind == "" {
-			return &Failure{Kind: KindInternal, Text: fmt.Sprintf("the entry answered with status %d", resp.StatusCode)}
+			return &Failure{Kind: KindInternal, Text: fmt.Sprintf("the entry answered with status %d", status)}
 		}
 		return f
 	}
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -1,15 +1,15 @@
 package store
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+
+	"wagtailhoist/io/call"
 )
 
 const (
@@ -144,40 +144,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+r.wait)
 	defer cancel()
-	req, err := c.build(ctx, r)
-	if err != nil {
-		return err
-	}
-	client := c.HTTP
-	if client == nil {
-		client = http.DefaultClient
+	target := c.URL + r.path
+	if len(r.query) > 0 {
+		target += "?" + r.query.Encode()
 	}
-	resp, err := client.Do(req)
+	req, err := call.New(ctx, r.method, target, r.body)
 	if err != nil {
-		return &UnavailableError{Op: r.op, Cause: err}
+		return err
 	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	status, data, err := call.Do(c.HTTP, req, maxBody)
 	if err != nil {
 		return &UnavailableError{Op: r.op, Cause: err}
 	}
-	return r.decode(resp.StatusCode, data, out)
-}
-
-func (c *Client) build(ctx context.Context, r request) (*http.Request, error) {
-	var body io.Reader
-	if r.body != nil {
-		data, err := json.Marshal(r.body)
-		if err != nil {
-			return nil, fmt.Errorf("encoding store %s: %w", r.op, err)
-		}
-		body = bytes.NewReader(data)
-	}
-	target := c.URL + r.path
-	if len(r.query) > 0 {
-		target += "?" + r.query.Encode()
-	}
-	return http.NewRequestWithContext(ctx, r.method, target, body)
+	return r.decode(status, data, out)
 }
 
 func (r request) decode(status int, data []byte, out any) error {
--- a/io/works/client.go
+++ b/io/works/client.go
@@ -1,16 +1,15 @@
 package works
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/io/call"
 )
 
 const (
@@ -148,32 +147,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var body io.Reader
-	if r.body != nil {
-		data, err := json.Marshal(r.body)
-		if err != nil {
-			return fmt.Errorf("encoding %s: %w", r.op, err)
-		}
-		body = bytes.NewReader(data)
-	}
-	req, err := http.NewRequestWithContext(ctx, r.method, c.URL+r.path, body)
+	req, err := call.New(ctx, r.method, c.URL+r.path, r.body)
 	if err != nil {
 		return err
 	}
-	client := c.HTTP
-	if client == nil {
-		client = http.DefaultClient
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return &UnavailableError{Op: r.op, Cause: err}
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	status, data, err := call.Do(c.HTTP, req, maxBody)
 	if err != nil {
 		return &UnavailableError{Op: r.op, Cause: err}
 	}
-	return r.decode(resp.StatusCode, data, out)
+	return r.decode(status, data, out)
 }
 
 func (r request) decode(status int, data []byte, out any) error {
