Let undeclared teams share one queue

Cause: the team of a request is a header. Each new name got a queue and a share of its own, so a caller that invents names took the places of declared teams, and the waiting requests of all queues together had no bound. Ruled out: refusing undeclared teams; a caller without a team header is served today, and a declaration that lacks a team would become an outage of its calls. Change: while teams are declared, all others wait in one queue of weight 1. Conclusion: shares and the bound no longer depend on invented names.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -57,6 +57,8 @@
 	// Begun is when the request was admitted; zero while it waits.
 	Begun time.Time
 
+	// queue is the name of the queue that the request waits in.
+	queue model.Team
 	place *list.Element
 	left  bool
 }
@@ -77,7 +79,8 @@
 	Places int
 	// Bound replaces DefaultBound if it is not 0.
 	Bound int
-	// Weights holds the teams' weights; teams without one have weight 1.
+	// Weights holds the weights of the declared teams. All others share the queue of the empty
+	// name, with weight 1; while no team is declared, each has a queue of its own.
 	Weights map[model.Team]int
 
 	running int
@@ -95,7 +98,8 @@
 // Enter takes a new request. Its ticket is admitted already if Begun is set, and waits
 // otherwise. The errors are FullError and LateError.
 func (q *Queue) Enter(now time.Time, name model.Team, deadline time.Time) (*Ticket, error) {
-	ticket := &Ticket{Team: name, Deadline: deadline}
+	ticket := &Ticket{Team: name, Deadline: deadline, queue: q.declared(name)}
+	name = ticket.queue
 	element := q.teams[name]
 	waiting := 0
 	if element != nil {
@@ -142,7 +146,7 @@
 		return
 	}
 	q.running--
-	q.observe(ticket.Team, now.Sub(ticket.Begun).Seconds())
+	q.observe(ticket.queue, now.Sub(ticket.Begun).Seconds())
 }
 
 // observe takes the time that a request ran, in seconds.
@@ -190,9 +194,9 @@
 	return out
 }
 
-// Waiting returns the number of waiting requests of the team.
+// Waiting returns the number of waiting requests in the queue of the team.
 func (q *Queue) Waiting(name model.Team) int {
-	if element := q.teams[name]; element != nil {
+	if element := q.teams[q.declared(name)]; element != nil {
 		return element.Value.(*team).waiting.Len()
 	}
 	return 0
@@ -219,14 +223,14 @@
 // remove takes a waiting request out; a team without waiting requests leaves the ring and
 // loses the rest of its turn.
 func (q *Queue) remove(ticket *Ticket) {
-	element := q.teams[ticket.Team]
+	element := q.teams[ticket.queue]
 	t := element.Value.(*team)
 	t.waiting.Remove(ticket.place)
 	ticket.place = nil
 	if t.waiting.Len() == 0 {
 		q.ring.Remove(element)
-		delete(q.teams, ticket.Team)
-		q.total -= q.weight(ticket.Team)
+		delete(q.teams, ticket.queue)
+		q.total -= q.weight(ticket.queue)
 	}
 }
 
@@ -238,6 +242,16 @@
 	}
 }
 
+// declared returns the name of the queue that a team waits in. Names come with the requests: if
+// each had a queue, invented names would take the shares of declared teams, and all queues
+// together would have no bound.
+func (q *Queue) declared(name model.Team) model.Team {
+	if _, ok := q.Weights[name]; ok || len(q.Weights) == 0 {
+		return name
+	}
+	return ""
+}
+
 func (q *Queue) weight(name model.Team) int { return max(1, q.Weights[name]) }
 
 func (q *Queue) places() int {
