--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -139,7 +139,7 @@
 		ConnContext:       link.WithConn,
 	}
 	links := linkServer(self.settings, e.Peers.Serve, func() bool {
-		return !e.Phase.draining.Load() && e.Conf.Ready() && e.Peers.Warm(time.Now())
+		return !e.Phase.draining.Load() && e.Conf.Ready() && e.Peers.Synced(time.Now())
 	})
 	linked := make(chan struct{})
 	life.Append(fx.Hook{
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -57,10 +57,10 @@
 	published   []link.Entry
 	publishedAt time.Time
 	closed      bool
-	// begun is when Run was called; warm is the last answer of Warm.
-	begun time.Time
-	warm  bool
-	work  sync.WaitGroup
+	// begun is when Run was called; synced is the last answer of Synced.
+	begun  time.Time
+	synced bool
+	work   sync.WaitGroup
 	// soon asks for a tick before the next second, because a record changed.
 	soon chan struct{}
 	once sync.Once
@@ -73,8 +73,8 @@
 	// dialled says that this entry opened the link.
 	dialled bool
 	out     chan link.Frame
-	// told says that the peer, an entry, has sent its records.
-	told bool
+	// synced says that the peer, an entry, has sent its records.
+	synced bool
 }
 
 func newWire(l *link.Link, dialled bool) *wire {
@@ -182,7 +182,7 @@
 	}
 	w.send(p.known())
 	if l.Peer().Role == link.RoleEntry {
-		p.greet(w)
+		p.sendRecords(w)
 	}
 	var q quota
 	for {
@@ -201,7 +201,7 @@
 		full := &RecordError{Field: "table", Reason: "is full"}
 		if peer.Role == link.RoleEntry {
 			p.refuse(peer, full, p.Members.fromEntry(now, peer.Region, p.sound(now, peer, f.Records), f.Lost))
-			p.greeted(l)
+			p.markSynced(l)
 			return
 		}
 		if !q.take(now) {
--- a/io/peers/warm_test.go
+++ b/io/peers/synced_test.go
@@ -11,7 +11,7 @@
 
 // Guards against an entry that calls itself ready before it knows the agents and then refuses requests, and
 // against one that waits for ever where nobody tells it of any.
-func TestWarm(t *testing.T) {
+func TestSynced(t *testing.T) {
 	begun := time.Unix(1_000_000, 0)
 	agent := model.Record{ID: "a", Incarnation: 1, Region: "west", Service: "s"}
 	other := []link.Entry{{ID: "other", Region: "west"}}
@@ -25,7 +25,7 @@
 		{"no agent is known", nil, false, time.Second, false},
 		{"an agent is known", nil, true, time.Second, true},
 		{"a listed entry has told nothing", other, true, time.Second, false},
-		{"nobody tells anything", other, false, warmLimit, true},
+		{"nobody tells anything", other, false, syncLimit, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			p := &Peers{Members: &Members{Table: member.Table{Region: "west"}}, begun: begun, stored: tc.stored}
@@ -33,8 +33,8 @@
 			if tc.heard {
 				p.Members.fromAgent(now, []model.Record{agent})
 			}
-			if got := p.Warm(now); got != tc.want {
-				t.Errorf("Warm: got %v, want %v", got, tc.want)
+			if got := p.Synced(now); got != tc.want {
+				t.Errorf("Synced: got %v, want %v", got, tc.want)
 			}
 		})
 	}
