Rank entries by one function in agents and entries

Cause: an agent ranked entries with its own copy of member.Rank. Entries decide by the same rank which of them forwards an agent's record, so the two copies had to stay equal for no reason. Ruled out: leaving both; a change of one would double or drop forwarded records. Change: io/agent calls member.Rank. Conclusion: behaviour unchanged.

--- a/io/agent/join.go
+++ b/io/agent/join.go
@@ -7,8 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"wagtailhoist/core/member"
 	"wagtailhoist/core/model"
 	"wagtailhoist/io/link"
 )
@@ -101,8 +100,7 @@
 			out = append(out, e.Address)
 		}
 	}
-	rank := func(address string) uint64 { return xxhash.Sum64String(string(id) + "\x00" + address) }
-	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(member.Rank(id, b), member.Rank(id, a)) })
 	out = out[:min(homes, len(out))]
 	for _, s := range seeds {
 		if len(out) < homes && usable(s) && !slices.Contains(out, s) {
