Keep the addresses of test processes from being taken

The test started an agent for its port, killed it, started a relay and then the agent again at that port; the relay's control listener had been given the same port in between. The same gap stood before each process that is started again at its address, before a gate that a fault shuts, and in the sessions of testdata/scripts.

Ruled out: a connection of the killed agent in TIME_WAIT (listeners set SO_REUSEADDR, and the log names the relay as the owner of the port); a range of fixed ports (two test runs on one machine would clash); trying another port on failure (the relay already names the first one).

Change: serve.Hold binds a port without listening, which keeps the kernel from giving it away while its owner may still listen on it. The harness holds every listen address of every process to the end of the test, a shut gate holds its port, and freeAddress returns a held one.

Conclusion: a port is never free while a test may need it again.

--- a/proof/bench_test.go
+++ b/proof/bench_test.go
@@ -30,11 +30,9 @@
 	args := append([]string{"agent", "--id", "agent-0", "--minion", p.minion.url("listen")}, node...)
 	if relayed {
 		p.join = start(b, "stand", "relay", "--target", p.entry.addr("link"))
-		// The agent's port has to be known before the agent starts, so it runs once for its port.
-		first := start(b, "wagtailhoist", append(args, "--join", p.join.addr("listen"))...)
-		first.kill()
-		p.work = start(b, "stand", "relay", "--target", first.addr("link"))
-		args = append(args, "--listen", first.addr("link"), "--advertise", p.work.addr("listen"), "--join", p.join.addr("listen"))
+		address := freeAddress(b)
+		p.work = start(b, "stand", "relay", "--target", address)
+		args = append(args, "--listen", address, "--advertise", p.work.addr("listen"), "--join", p.join.addr("listen"))
 	} else {
 		args = append(args, "--join", p.entry.addr("link"))
 	}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -45,7 +45,7 @@
 		f.entries = append(f.entries, f.startEntry(n))
 	}
 	for n := range agents {
-		f.minions = append(f.minions, startMinion(t, "127.0.0.1:0"))
+		f.minions = append(f.minions, startMinion(t, freeAddress(t)))
 		f.relays = append(f.relays, nil)
 		f.agents = append(f.agents, f.startAgent(n))
 	}
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -11,11 +11,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"wagtailhoist/stand/serve"
 )
 
 const (
@@ -49,6 +52,40 @@
 	return m.Run()
 }
 
+// listenFlags are the flags of each command that take the address of a listener.
+var listenFlags = map[string][]string{
+	"entry":    {"--listen", "--link", "--admin"},
+	"agent":    {"--listen"},
+	"platform": {"--listen"},
+	"minion":   {"--listen", "--control"},
+	"relay":    {"--listen", "--control"},
+	"caller":   {"--control"},
+}
+
+// freeAddress returns an address that no other process gets before the end of the test.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	addr, release, err := serve.Hold("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
+	return addr
+}
+
+// withAddresses adds a free address for each listener that args names none for. A process that is started again
+// at its former address would fail now and then if another one could take the port in between.
+func withAddresses(t testing.TB, args []string) []string {
+	t.Helper()
+	args = slices.Clone(args)
+	for _, flag := range listenFlags[args[0]] {
+		if !slices.Contains(args, flag) {
+			args = append(args, flag, freeAddress(t))
+		}
+	}
+	return args
+}
+
 // process is a running binary; its addresses are those of its first log line.
 type process struct {
 	t     testing.TB
@@ -65,6 +102,7 @@
 // start runs a binary and waits until it has logged its addresses. The test kills it at its end.
 func start(t testing.TB, bin string, args ...string) *process {
 	t.Helper()
+	args = withAddresses(t, args)
 	p := &process{t: t, name: bin + " " + args[0], done: make(chan struct{}), addrs: map[string]string{}}
 	p.cmd = exec.Command(filepath.Join(binDir, bin), args...)
 	p.cmd.Stdout = io.Discard
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -43,15 +43,13 @@
 func startOnce(t *testing.T) *onceFleet {
 	f := &onceFleet{t: t, platform: start(t, "stand", "platform")}
 	for i := range f.entries {
-		f.entries[i] = f.entry(i, "127.0.0.1:0", "127.0.0.1:0")
+		f.entries[i] = f.entry(i, freeAddress(t), freeAddress(t))
 	}
 	for i := range f.agents {
 		f.minions[i] = start(t, "stand", "minion", "--id", fmt.Sprint("minion-", i))
-		// The relay needs the agent's address and the agent the relay's: a first agent shows a free port.
-		first := f.agent(i, "127.0.0.1:0", "")
-		first.kill()
-		f.relays[i] = start(t, "stand", "relay", "--target", first.addr("link"))
-		f.agents[i] = f.agent(i, first.addr("link"), f.relays[i].addr("listen"))
+		address := freeAddress(t)
+		f.relays[i] = start(t, "stand", "relay", "--target", address)
+		f.agents[i] = f.agent(i, address, f.relays[i].addr("listen"))
 	}
 	f.recovered("start")
 	return f
--- a/proof/partition_test.go
+++ b/proof/partition_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -55,14 +54,3 @@
 	linkFault("clear")
 	f.everywhere(time.Now(), 2, "e1", "e3", "a1", "a2")
 }
-
-// freeAddress returns an address that was free a moment ago.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -11,7 +11,7 @@
 // Guards against processes that start and announce themselves, but do not form a path:
 // a request to any entry has to reach a minion and come back with the minion's answer.
 func TestRequestThroughSeparateProcesses(t *testing.T) {
-	minion := start(t, "stand", "minion", "--listen", "127.0.0.1:0")
+	minion := start(t, "stand", "minion")
 	entry := start(t, "wagtailhoist", "entry", "--id", "e1", "--region", "ch-west", "--centre", "lausanne",
 		"--listen", "127.0.0.1:0", "--link", "127.0.0.1:0", "--token", "t")
 	agent := start(t, "wagtailhoist", "agent", "--id", "m1", "--region", "ch-west", "--centre", "lausanne",
--- a/proof/region_test.go
+++ b/proof/region_test.go
@@ -19,7 +19,7 @@
 		return start(t, "wagtailhoist", "entry", "--id", id, "--region", region, "--centre", region+"-1",
 			"--link", links, "--token", "t", "--store", platform.url("listen"), "--drain", "100ms")
 	}
-	west, east := entry("e1", "ch-west", "127.0.0.1:0"), entry("e2", "ch-east", "127.0.0.1:0")
+	west, east := entry("e1", "ch-west", freeAddress(t)), entry("e2", "ch-east", freeAddress(t))
 	agent := func() *process {
 		return start(t, "wagtailhoist", "agent", "--id", "m1", "--region", "ch-east", "--centre", "ch-east-1",
 			"--minion", minion.url("listen"), "--join", east.addr("link"), "--token", "t")
--- a/proof/rolling_test.go
+++ b/proof/rolling_test.go
@@ -55,7 +55,7 @@
 	t.Parallel()
 	r := &rolling{gangs: newGangs(t)}
 	for range 2 {
-		r.minions = append(r.minions, startMinion(t, "127.0.0.1:0"))
+		r.minions = append(r.minions, startMinion(t, freeAddress(t)))
 	}
 	entries := []*process{r.startEntry(), r.startEntry()}
 	r.entries.Store(&entries)
--- a/script_test.go
+++ b/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -14,6 +13,7 @@
 
 	"wagtailhoist/cmds"
 	"wagtailhoist/stand/plat"
+	"wagtailhoist/stand/serve"
 	"wagtailhoist/stand/tasks"
 )
 
@@ -64,14 +64,12 @@
 	})
 	env.Setenv("PLATFORM", server.URL)
 	for _, name := range []string{"LINK", "ADMIN"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		addr, release, err := serve.Hold("127.0.0.1:0")
 		if err != nil {
 			return err
 		}
-		env.Setenv(name, l.Addr().String())
-		if err := l.Close(); err != nil {
-			return err
-		}
+		env.Defer(release)
+		env.Setenv(name, addr)
 	}
 	env.Setenv("WAGTAILHOIST_TOKEN", "operators")
 	return nil
--- a/stand/serve/gate.go
+++ b/stand/serve/gate.go
@@ -21,6 +21,8 @@
 	inner  net.Listener
 	change chan struct{}
 	ended  bool
+	// release gives up the port, which is held while the gate is shut; nil while it is open.
+	release func()
 }
 
 // NewGate returns a gate around an open listener.
@@ -44,12 +46,17 @@
 	if shut {
 		err := g.inner.Close()
 		g.inner = nil
+		if err != nil {
+			return err
+		}
+		_, g.release, err = Hold(g.addr.String())
 		return err
 	}
 	l, err := Open(g.addr.String())
 	if err != nil {
 		return err
 	}
+	g.freePort()
 	g.inner = l
 	close(g.change)
 	g.change = make(chan struct{})
@@ -64,6 +71,7 @@
 		return nil
 	}
 	g.ended = true
+	g.freePort()
 	close(g.change)
 	if g.inner == nil {
 		return nil
@@ -71,6 +79,13 @@
 	return g.inner.Close()
 }
 
+func (g *Gate) freePort() {
+	if g.release != nil {
+		g.release()
+		g.release = nil
+	}
+}
+
 // Accept returns the next connection within the limit; while the gate is shut it waits.
 func (g *Gate) Accept() (net.Conn, error) {
 	for {
