Give guarantees in shortfall, and their claims, to cells with room

Cause: the anchors of a guarantee moved inside its cell alone.

Ruled out: larger cells for a whole region (the second region has the same fault, and the owner would control workers over the slow link); a choice by the owner alone without a revision (other entries would send claims to the former cell).

Change: homes.Move finds cells for the guarantees that their own cells can't hold; after 5 s of shortfall the owner writes a revision with the same document and the new homes. A waiting claim follows its guarantee: Handing keeps it from being placed, the job is appended to the other plan, Handed removes it; every step may be repeated by the next owner, and a cancellation in between is passed on.

--- a/cmds/sched.go
+++ b/cmds/sched.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/fx"
 
+	"wagtailhoist/core/config"
 	"wagtailhoist/core/model"
 	"wagtailhoist/io/conf"
 	"wagtailhoist/io/sched"
@@ -19,6 +20,9 @@
 // calls at a time.
 const worksConnections = 64
 
+// rehomeTime bounds a change of the cells of guarantees, which is tried again with the next list of workers.
+const rehomeTime = 5 * time.Second
+
 // newSched returns the controller of the cells, nil for an entry without a store or a worker service.
 func newSched(c *entryCmd, s *store.Client, m *conf.Manager, log *slog.Logger) *sched.Sched {
 	if s == nil || c.Works == "" {
@@ -33,6 +37,15 @@
 			_, d, ok := m.Force()
 			return d, ok
 		},
+		Rehome: func(ctx context.Context, homes func(map[string]model.CellID) (map[string]model.CellID, error)) error {
+			ctx, cancel := context.WithTimeout(ctx, rehomeTime)
+			defer cancel()
+			now, _, _ := m.Force()
+			_, err := m.Apply(ctx, config.Write{
+				Base: now.Revision, Change: conf.NewChange(), Author: "wagtailhoist", Document: now.Document, Homes: homes,
+			})
+			return err
+		},
 	}
 }
 
--- a/core/cell/change.go
+++ b/core/cell/change.go
@@ -31,6 +31,10 @@
 	Noting
 	// Siding takes Worker out of use if Aside is set, and returns it if not.
 	Siding
+	// Handing sends the waiting Job to Cell; it is not placed here from now on.
+	Handing
+	// Handed removes Job, which the plan of Cell holds now.
+	Handed
 )
 
 // Change is one entry of the change log.
@@ -49,6 +53,7 @@
 	Save      bool             `cbor:"12,keyasint,omitempty"`
 	Note      []byte           `cbor:"13,keyasint,omitempty"`
 	Aside     bool             `cbor:"15,keyasint,omitempty"`
+	Cell      model.CellID     `cbor:"16,keyasint,omitempty"`
 	// At is in milliseconds since the Unix epoch.
 	At int64 `cbor:"14,keyasint"`
 }
@@ -96,6 +101,8 @@
 		if c.Aside {
 			p.Aside = append(p.Aside, c.Worker)
 		}
+	case Handed:
+		p.handed(c)
 	default:
 		if c.Epoch == p.Epoch {
 			p.own(c)
@@ -114,7 +121,7 @@
 		return
 	}
 	if c.Kind == Placing {
-		if old.Phase == Waiting {
+		if old.Phase == Waiting && old.To == "" {
 			p.edit(old, Placed, c.At, func(j *Job) {
 				j.Placement++
 				j.Workers, j.Note, j.Cause, j.Save = c.Workers, c.Note, "", false
@@ -126,6 +133,8 @@
 		return
 	}
 	switch {
+	case c.Kind == Handing && old.Phase == Waiting && old.To == "":
+		p.edit(old, Waiting, old.Since, func(j *Job) { j.To = c.Cell })
 	case c.Kind == Releasing && old.Phase == Placed:
 		p.edit(old, Released, c.At, func(j *Job) { j.Grant = c.Grant })
 	case c.Kind == Halting && (old.Phase == Placed || old.Phase == Released):
@@ -158,6 +167,9 @@
 	old := p.Jobs[id]
 	switch {
 	case old == nil || old.Cancelled:
+	case old.To != "":
+		// The other cell may have the job already, so it stays until that cell is told.
+		p.edit(old, Waiting, old.Since, func(j *Job) { j.Cancelled = true })
 	case old.Phase == Waiting:
 		p.end(id, Cancelled, at)
 	case old.Phase == Stopping:
@@ -167,6 +179,18 @@
 	}
 }
 
+func (p *Plan) handed(c Change) {
+	old := p.Jobs[c.Job]
+	if old == nil || old.To == "" || old.To != c.Cell {
+		return
+	}
+	if old.Cancelled {
+		p.end(c.Job, Cancelled, c.At)
+		return
+	}
+	p.end(c.Job, Moved, c.At)
+}
+
 func (p *Plan) end(id model.JobID, cause Cause, at int64) {
 	delete(p.Jobs, id)
 	p.Ended = append(p.Ended, Ended{Job: id, Cause: cause, At: at})
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -89,6 +89,8 @@
 	Save bool
 	// Reject removes a waiting job that can never run.
 	Reject bool
+	// To is the cell that a waiting job is to be sent to.
+	To model.CellID
 }
 
 // State is the state of a task at the worker service.
--- a/core/cell/gang.go
+++ b/core/cell/gang.go
@@ -207,11 +207,15 @@
 	}
 	for _, a := range d.Actions {
 		j := c.journal.plan.Jobs[a.Job]
-		if j == nil {
+		if j == nil || j.To != "" {
 			continue
 		}
 		ch := Change{Epoch: c.epoch, Job: a.Job, Placement: j.Placement, At: now.UnixMilli()}
 		switch {
+		case a.To != "" && j.Phase == Waiting:
+			ch.Kind, ch.Cell = Handing, a.To
+		case a.To != "":
+			continue
 		case a.Reject && j.Phase == Waiting:
 			ch.Kind, ch.Cause = Ending, Rejected
 		case a.Workers != nil && j.Phase == Waiting:
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -63,6 +63,8 @@
 	Rejected Cause = "rejected"
 	// Adopted means that a new owner found a placement that was not yet, or no longer, running as a whole.
 	Adopted Cause = "adopted"
+	// Moved means that another cell has the job.
+	Moved Cause = "moved"
 )
 
 // Job is a job of the plan; a Job in a Plan is never changed in place.
@@ -90,6 +92,8 @@
 	Failed []model.WorkerID `cbor:"12,keyasint,omitempty" json:"failed,omitempty"`
 	// Note belongs to the decision.
 	Note []byte `cbor:"13,keyasint,omitempty" json:"-"`
+	// To is the cell that a waiting job is being sent to.
+	To model.CellID `cbor:"14,keyasint,omitempty" json:"to,omitempty"`
 }
 
 // Ended is a job that has left the plan.
@@ -133,12 +137,12 @@
 	return &c
 }
 
-// Has reports whether the plan knows the job, as present or recently ended.
+// Has reports whether the plan knows the job, as present or recently ended. A job that has moved may come back.
 func (p *Plan) Has(id model.JobID) bool {
 	if p.Jobs[id] != nil {
 		return true
 	}
-	return slices.ContainsFunc(p.Ended, func(e Ended) bool { return e.Job == id })
+	return slices.ContainsFunc(p.Ended, func(e Ended) bool { return e.Job == id && e.Cause != Moved })
 }
 
 // wrote reports whether the batch of a writer is part of the plan.
--- a/core/homes/homes.go
+++ b/core/homes/homes.go
@@ -157,3 +157,78 @@
 	}
 	return len(kept) < before
 }
+
+// Move returns homes in which guarantees that their cells can't hold after the loss of workers have other cells, and
+// the guarantees that move; none if there is no room for them. All others stay, and so do those with a data centre.
+func Move(workers []model.Worker, d model.Declaration) (map[string]model.CellID, []plan.Ref) {
+	var up []model.Worker
+	for _, w := range workers {
+		if w.Up {
+			up = append(up, w)
+		}
+	}
+	held, short := newFleet(up).split(d)
+	held.Homes = maps.Clone(d.Homes)
+	var moved []plan.Ref
+	for _, t := range short {
+		next := held
+		next.Teams = append(slices.Clip(held.Teams), t)
+		next.Homes = maps.Clone(held.Homes)
+		ref := plan.Ref{Team: t.Name, Guarantee: t.Guarantees[0].Name}
+		delete(next.Homes, ref.String())
+		chosen, err := Assign(up, next)
+		if err != nil || slices.ContainsFunc(refs(held), func(r plan.Ref) bool { return chosen[r.String()] != held.Homes[r.String()] }) {
+			continue
+		}
+		held = next
+		held.Homes[ref.String()] = chosen[ref.String()]
+		moved = append(moved, ref)
+	}
+	return held.Homes, moved
+}
+
+func refs(d model.Declaration) []plan.Ref {
+	var out []plan.Ref
+	for _, t := range d.Teams {
+		for _, g := range t.Guarantees {
+			out = append(out, plan.Ref{Team: t.Name, Guarantee: g.Name})
+		}
+	}
+	return out
+}
+
+// split returns the guarantees that their cells can hold, and those that they can't and that may move, the largest
+// first. Each is in a team of its own.
+func (f fleet) split(d model.Declaration) (held model.Declaration, short []model.TeamSpec) {
+	parts := map[model.CellID]*model.Declaration{}
+	for _, t := range d.Teams {
+		for _, g := range t.Guarantees {
+			home := d.Homes[plan.Ref{Team: t.Name, Guarantee: g.Name}.String()]
+			if parts[home] == nil {
+				parts[home] = &model.Declaration{}
+			}
+			parts[home].Teams = append(parts[home].Teams, model.TeamSpec{Name: t.Name, Guarantees: []model.Guarantee{g}})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(parts)) {
+		part := parts[id]
+		var conflict *plan.ConflictError
+		for {
+			if _, err := plan.Place(f.workers[id], *part); !errors.As(err, &conflict) {
+				break
+			}
+			i := slices.IndexFunc(part.Teams, func(t model.TeamSpec) bool {
+				return conflict.Ref == plan.Ref{Team: t.Name, Guarantee: t.Guarantees[0].Name}
+			})
+			if part.Teams[i].Guarantees[0].Centre == "" {
+				short = append(short, part.Teams[i])
+			}
+			part.Teams = slices.Delete(part.Teams, i, i+1)
+		}
+		held.Teams = append(held.Teams, part.Teams...)
+	}
+	slices.SortStableFunc(short, func(a, b model.TeamSpec) int {
+		return cmp.Compare(b.Guarantees[0].Shape.Size(), a.Guarantees[0].Shape.Size())
+	})
+	return held, short
+}
--- a/core/homes/homes_test.go
+++ b/core/homes/homes_test.go
@@ -164,6 +164,41 @@
 	}
 }
 
+// Guards against a guarantee that stays in shortfall while another cell has room, and against one that is moved
+// without need.
+func TestMoveAfterLoss(t *testing.T) {
+	d := declare(3, 2, 1)
+	d.Homes = map[string]model.CellID{"t0/base": "c0", "t1/base": "c1", "t2/base": "c1"}
+	fixed := declare(3, 2, 1)
+	fixed.Homes = d.Homes
+	fixed.Teams[0].Guarantees[0].Centre = "c0"
+	for _, c := range []struct {
+		name string
+		d    model.Declaration
+		lost []model.WorkerID
+		want map[string]model.CellID
+	}{
+		{"nothing lost", d, nil, nil},
+		{"a spare worker", d, []model.WorkerID{"c2-w0000"}, nil},
+		{"a worker of the largest", d, []model.WorkerID{"c0-w0001"}, map[string]model.CellID{"t0/base": "c2"}},
+		{"the same with a data centre", fixed, []model.WorkerID{"c0-w0001"}, nil},
+		{"a worker of two", d, []model.WorkerID{"c1-w0001"}, map[string]model.CellID{"t2/base": "c2"}},
+		{"no other room", d, []model.WorkerID{"c0-w0001", "c2-w0001", "c2-w0002"}, nil},
+		{"a whole cell", d, []model.WorkerID{"c1-w0000", "c1-w0001", "c1-w0002"}, map[string]model.CellID{"t1/base": "c2", "t2/base": "c2"}},
+	} {
+		workers := centres(3, 3, 4)
+		for i := range workers {
+			workers[i].Up = !slices.Contains(c.lost, workers[i].ID)
+		}
+		want := maps.Clone(c.d.Homes)
+		maps.Copy(want, c.want)
+		got, moved := Move(workers, c.d)
+		if !maps.Equal(got, want) || len(moved) != len(c.want) {
+			t.Errorf("%s: got %v, moved %v, want %v", c.name, got, moved, want)
+		}
+	}
+}
+
 // BenchmarkAssign places the guarantees of all teams at once, and those of one more team.
 func BenchmarkAssign(b *testing.B) {
 	for _, size := range []struct{ cells, workers, teams int }{{3, 4, 4}, {15, 200, 95}, {15, 2000, 380}} {
--- a/io/sched/control.go
+++ b/io/sched/control.go
@@ -54,6 +54,9 @@
 	settled bool
 	based   [2]uint64
 	again   time.Time
+	// leaving holds the jobs that are being sent to other cells, left takes those whose try has ended.
+	leaving map[model.JobID]bool
+	left    chan model.JobID
 
 	mu      sync.Mutex
 	replies map[uint64]chan cell.Reply
@@ -71,7 +74,7 @@
 			missing: s.missing,
 		},
 		log:   s.logger().With("cell", string(id)),
-		inbox: make(chan cell.Event, 4*calls), slots: make(chan struct{}, calls),
+		inbox: make(chan cell.Event, 4*calls), slots: make(chan struct{}, calls), left: make(chan model.JobID),
 		replies: map[uint64]chan cell.Reply{},
 	}
 	c.view.Store(&view{plan: &cell.Plan{}})
@@ -91,6 +94,9 @@
 			return
 		case <-ticker.C:
 			c.step(ctx, cell.Tick{})
+			c.forward(ctx)
+		case id := <-c.left:
+			delete(c.leaving, id)
 		case e := <-c.inbox:
 			c.step(ctx, e)
 		}
@@ -151,8 +157,9 @@
 	if !out.Wake.IsZero() && out.Wake.Before(c.again) {
 		c.again = out.Wake
 	}
-	if len(out.Actions) > 0 || out.Note != nil {
-		c.step(ctx, cell.Decided{Actions: out.Actions, Note: out.Note})
+	actions := append(out.Actions, c.sched.strays(c.id, p)...)
+	if len(actions) > 0 || out.Note != nil {
+		c.step(ctx, cell.Decided{Actions: actions, Note: out.Note})
 	}
 }
 
--- a/io/sched/driver.go
+++ b/io/sched/driver.go
@@ -35,6 +35,7 @@
 
 // Decide works out the next actions.
 func (d *driver) Decide(now time.Time, in Input) Output {
+	in.Plan = settledPlan(in.Plan)
 	d.sync(now, in)
 	decision := plan.Decide(now, d.state)
 	var fit []plan.Action
--- a/io/sched/home.go
+++ b/io/sched/home.go
@@ -82,8 +82,8 @@
 // shortfall.
 func (s *Sched) keeper(team model.Team, g model.Guarantee) (model.CellID, bool) {
 	ref := plan.Ref{Team: team, Guarantee: g.Name}
-	if id := s.homes[ref.String()]; s.workers[id] != nil {
-		return id, true
+	if id := s.homes[ref.String()]; id != "" {
+		return id, s.workers[id] != nil
 	}
 	if g.Centre != "" {
 		id := model.CellID(g.Centre)
--- a/io/sched/home_test.go
+++ b/io/sched/home_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -52,3 +53,35 @@
 		}
 	}
 }
+
+// Guards against a guarantee of a data centre that was lost before the entry started and that nobody moves.
+func TestGuaranteeOfUnlistedCentreMoves(t *testing.T) {
+	now := time.Now()
+	d := model.Declaration{
+		Teams: []model.TeamSpec{{Name: "plans", Guarantees: []model.Guarantee{{
+			Name: "night", Grace: time.Minute, Shape: model.Shape{Tasks: 1, GPUs: 8, Adjacent: model.SameRack},
+		}}}},
+		Homes: map[string]model.CellID{"plans/night": "gone"},
+	}
+	s := &Sched{
+		Now: func() time.Time { return now }, Declaration: func() (model.Declaration, bool) { return d, true },
+		workers: map[model.CellID][]model.Worker{"chur": {{ID: "w1", Centre: "chur", Rack: "r", GPUs: 8, Up: true}}},
+		met:     now,
+	}
+	s.Rehome = func(_ context.Context, homes func(map[string]model.CellID) (map[string]model.CellID, error)) error {
+		var err error
+		d.Homes, err = homes(d.Homes)
+		return err
+	}
+	if id, err := s.home(model.JobSpec{ID: "j", Team: "plans", Guarantee: "night"}); err == nil {
+		t.Errorf("cell of the claim: got %s, want an error while its cell is not listed", id)
+	}
+	for _, want := range []model.CellID{"gone", "chur"} {
+		s.rehome(t.Context())
+		s.wait.Wait()
+		if got := d.Homes["plans/night"]; got != want {
+			t.Errorf("home after %v: got %s, want %s", now.Sub(s.met), got, want)
+		}
+		now = now.Add(rehomeAfter)
+	}
+}
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wagtailhoist/core/cell"
@@ -43,6 +44,8 @@
 	Declaration func() (model.Declaration, bool)
 	// NewDecider returns a Decider for a cell; nil means that of core/plan.
 	NewDecider func() Decider
+	// Rehome writes other cells of the guarantees to the declaration in force; nil means that they stay.
+	Rehome func(ctx context.Context, homes func(former map[string]model.CellID) (map[string]model.CellID, error)) error
 	// Log takes the log; nil means none.
 	Log *slog.Logger
 	// Now tells the time; nil means time.Now.
@@ -57,6 +60,10 @@
 	whole model.Declaration
 	// homes holds the cells of the guarantees, as of whole.
 	homes map[string]model.CellID
+	// met is when workers were listed first.
+	met time.Time
+	// rehoming says that cells of guarantees are being changed.
+	rehoming atomic.Bool
 	// version counts the changes of the workers and of the declaration.
 	version uint64
 }
@@ -90,6 +97,7 @@
 			s.logger().Warn("listing workers", "error", err.Error())
 		} else {
 			s.meet(ctx, workers)
+			s.rehome(ctx)
 		}
 		pause(ctx, max(workersEvery, listPart*time.Since(began)))
 		if ctx.Err() != nil {
@@ -104,6 +112,9 @@
 func (s *Sched) meet(ctx context.Context, workers []model.Worker) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.met.IsZero() {
+		s.met = s.clock()
+	}
 	next := map[model.CellID][]model.Worker{}
 	for _, w := range workers {
 		id := homes.Cell(w)
--- a/io/sched/snapshot.go
+++ b/io/sched/snapshot.go
@@ -123,6 +123,9 @@
 	}
 	for _, j := range sorted(v.plan) {
 		if j.Phase == cell.Waiting {
+			if j.To != "" {
+				reasons[j.Spec.ID] = plan.Reason{Code: plan.Short, Guarantee: j.Spec.Guarantee}
+			}
 			out.Waiting = append(out.Waiting, Wait{
 				Spec: j.Spec, Job: j.Spec.ID, Team: j.Spec.Team, Since: time.UnixMilli(j.Submitted),
 				Reason: reasons[j.Spec.ID], Last: j.Cause,
--- a/proof/gang_test.go
+++ b/proof/gang_test.go
@@ -46,11 +46,15 @@
 
 func newGangs(t *testing.T) *gangs {
 	t.Helper()
-	g := &gangs{t: t, platform: start(t, "stand", "platform", "--centres", "lausanne=4")}
+	return newGangsAt(t, "lausanne=4", "teams:\n  - name: dispatch\n    weight: 1\n")
+}
+
+// newGangsAt starts a platform with workers and stores a document as revision 1.
+func newGangsAt(t *testing.T, centres, document string) *gangs {
+	t.Helper()
+	g := &gangs{t: t, platform: start(t, "stand", "platform", "--centres", centres)}
 	g.store = &store.Client{URL: g.platform.url("listen")}
-	value, err := config.Record{Copy: config.Copy{
-		Revision: 1, Change: "proof", Author: "proof", Document: "teams:\n  - name: dispatch\n    weight: 1\n",
-	}}.Encode()
+	value, err := config.Record{Copy: config.Copy{Revision: 1, Change: "proof", Author: "proof", Document: document}}.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/proof/rehome_test.go
@@ -0,0 +1,128 @@
+package proof
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/config"
+	"wagtailhoist/core/model"
+)
+
+const (
+	// rehomeBound is the stated time from the loss of a worker until another cell has its guarantee: 1 s to list the
+	// workers, 2 s between decisions, 5 s of shortfall, and 1 s to write and spread the revision.
+	rehomeBound = 9 * time.Second
+	// rehomeDocument guarantees three whole workers of one rack, in whichever data centre.
+	rehomeDocument = `teams:
+  - name: stock
+    weight: 1
+  - name: plans
+    weight: 1
+    guarantees:
+      - name: night
+        shape: {tasks: 3, gpus: 8, adjacent: rack}
+        grace: 5s
+`
+)
+
+// homes returns the cells of the guarantees as the store has them.
+func (g *gangs) homes() map[string]model.CellID {
+	item, err := g.store.Get(context.Background(), config.Key)
+	if err != nil {
+		return nil
+	}
+	record, err := config.Decode(item.Value)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return record.Homes
+}
+
+// Guards against a guarantee that stays in shortfall after the loss of a worker of its data centre although another
+// one has room, and against a claim of it that stays behind or runs in both.
+func TestGuaranteeMovesToAnotherCentre(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// running says that the claim runs when the worker is lost.
+		running bool
+		after   func(entries []*process)
+	}{
+		{name: "claimed afterwards"},
+		{name: "claimed before", running: true},
+		{name: "claimed before, owner killed", running: true, after: func(entries []*process) { entries[0].signal(syscall.SIGKILL) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			g := newGangsAt(t, "lausanne=3,chur=3", "teams: []\n")
+			entries := []*process{g.entry("a").ready("link"), g.entry("b").ready("link")}
+			file := filepath.Join(t.TempDir(), "teams.yaml")
+			if err := os.WriteFile(file, []byte(rehomeDocument), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if out, err := command(t, entries[1], "apply", file); err != nil {
+				t.Fatalf("apply: %v\n%s", err, out)
+			}
+			home := g.homes()["plans/night"]
+			if home == "" {
+				t.Fatal("the stored configuration names no cell of the guarantee")
+			}
+			claim := func() {
+				eventually(t, gangWait, "the claim is accepted", func() bool {
+					_, err := command(t, entries[1], "query", "job", "timetable", "of", "plans", "3x8", "adjacent", "rack", "checkpoint", "grace", "1s", "guarantee", "night")
+					return err == nil
+				})
+			}
+			runs := func() []string {
+				var workers []string
+				for _, e := range g.log() {
+					if e.Event == "running" {
+						workers = append(workers, e.Worker)
+					}
+				}
+				return workers
+			}
+			lost := string(home) + "-w1"
+			if tc.running {
+				claim()
+				eventually(t, gangWait, "the claim runs", func() bool { return len(runs()) == 3 })
+				lost = runs()[0]
+			}
+			began := g.clock()
+			g.fault(map[string]any{"mode": "lose", "worker": lost})
+			if tc.after != nil {
+				tc.after(entries)
+			}
+			eventually(t, gangWait, "the guarantee moves", func() bool {
+				now := g.homes()["plans/night"]
+				return now != "" && now != home
+			})
+			moved := g.clock() - began
+			if moved > rehomeBound {
+				t.Errorf("time from the loss to the move: got %v, want at most %v", moved, rehomeBound)
+			}
+			if !tc.running {
+				claim()
+			}
+			before := 0
+			if tc.running {
+				before = 3
+			}
+			eventually(t, gangWait, "the claim runs in the other data centre", func() bool { return len(runs()) >= before+3 })
+			t.Logf("moved after %v, ran after %v on %v", moved, g.clock()-began, runs())
+			again := runs()[before:]
+			if len(again) != 3 || slices.ContainsFunc(again, func(w string) bool { return strings.HasPrefix(w, string(home)) }) {
+				t.Errorf("tasks after the move: got %v, want three outside %s", again, home)
+			}
+			out, err := command(t, entries[1], "query", "show", "jobs")
+			if n := strings.Count(out, "timetable"); err != nil || n != 1 {
+				t.Errorf("the job in all cells: got %d, %v, want one\n%s", n, err, out)
+			}
+		})
+	}
+}
