Send waiting jobs to cells that would start them at once

Cause: a job without a guarantee goes to a cell by a hash of its name and waited there while other cells had room.

Ruled out: choosing the cell by load at the submission (a job submitted again at another entry would not meet itself); one cell for all data centres (the owner would control the other region over the slow link, and every partition between regions would end the gangs there).

Change: every 2 s an owner makes trial decisions on the other cells with up to 16 jobs that have waited for 2 s and never ran (plan.Takes), and sends those that would start there, in the way that claims follow their guarantee. A job that is submitted again is looked up in all plans, and a cell refuses one that it has sent away. State.submit added a job twice to the index of a clone, found by a job that was started twice in one decision; it builds the index first now.

--- a/core/cell/change.go
+++ b/core/cell/change.go
@@ -13,7 +13,7 @@
 const (
 	// Owned makes Owner the owner from Epoch on.
 	Owned Kind = iota + 1
-	// Submitted adds the job Spec.
+	// Submitted adds the job Spec; Cell is the cell that sent it here, if one did.
 	Submitted
 	// Cancelling cancels Jobs.
 	Cancelling
@@ -88,7 +88,8 @@
 			p.Epoch, p.Owner = c.Epoch, c.Owner
 		}
 	case Submitted:
-		if !p.Has(c.Spec.ID) {
+		// A job that was sent away comes back from a cell only: submitted again, it would run in both.
+		if !p.Has(c.Spec.ID) && (c.Cell != "" || !p.sent(c.Spec.ID)) {
 			p.Sequence++
 			p.Jobs[c.Spec.ID] = &Job{Spec: *c.Spec, Sequence: p.Sequence, Submitted: c.At, Since: c.At}
 		}
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -145,6 +145,11 @@
 	return slices.ContainsFunc(p.Ended, func(e Ended) bool { return e.Job == id && e.Cause != Moved })
 }
 
+// sent reports whether a job was sent to another cell recently.
+func (p *Plan) sent(id model.JobID) bool {
+	return slices.ContainsFunc(p.Ended, func(e Ended) bool { return e.Job == id && e.Cause == Moved })
+}
+
 // wrote reports whether the batch of a writer is part of the plan.
 func (p *Plan) wrote(writer string, batch uint64) bool {
 	return slices.ContainsFunc(p.Writes, func(w Write) bool { return w.Writer == writer && w.Batch >= batch })
--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -209,10 +209,12 @@
 	if _, gone := s.Cancelled[spec.ID]; gone {
 		return
 	}
+	// An index that is built after the job is known would hold it twice.
+	x := s.ready(now)
 	s.Sequence++
 	j := &Job{Spec: spec, Sequence: s.Sequence, Submitted: now}
 	s.Jobs[spec.ID] = j
-	s.ready(now).add(j)
+	x.add(j)
 }
 
 func (s *State) cancel(now time.Time, id model.JobID) {
--- /dev/null
+++ b/core/plan/takes_test.go
@@ -0,0 +1,49 @@
+package plan
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/model"
+)
+
+// Guards against a trial that changes the State, that promises the same room twice, or that passes over jobs which
+// wait already. The State is a clone, as after a change of the owner, and has no index yet.
+func TestTakesWhatWouldStartAtOnce(t *testing.T) {
+	s := &State{}
+	workers := fleet(3, 1)
+	for i := range workers {
+		s.Apply(epoch, Event{Kind: WorkerSeen, Worker: &workers[i]})
+	}
+	s.Apply(epoch, Event{Kind: Declared, Declaration: &model.Declaration{Teams: []model.TeamSpec{{Name: "t", Weight: 1}}}})
+	spec := func(id model.JobID, tasks int) model.JobSpec {
+		return model.JobSpec{ID: id, Team: "t", Shape: model.Shape{Tasks: tasks, GPUs: 8}, Estimate: time.Hour, Checkpoint: true, Grace: time.Second}
+	}
+	submit := func(j model.JobSpec) { s.Apply(epoch, Event{Kind: Submitted, Job: &j}) }
+	submit(spec("first", 1))
+	s = s.Clone()
+	urgent := func(id model.JobID) model.JobSpec {
+		j := spec(id, 1)
+		j.Urgent = true
+		return j
+	}
+	jobs := []model.JobSpec{urgent("a"), spec("b", 1), spec("c", 1), spec("wide", 4)}
+	got := Takes(epoch.Add(time.Minute), s, jobs)
+	if want := []model.JobID{"a", "b"}; !slices.Equal(got, want) {
+		t.Errorf("jobs taken beside one that waits: got %v, want %v", got, want)
+	}
+	if len(s.Jobs) != 1 || s.Jobs["first"].Phase != Queued {
+		t.Errorf("jobs after the trial: got %v, want the first one alone, waiting", s.Jobs)
+	}
+	submit(urgent("second"))
+	starts := 0
+	for _, a := range Decide(epoch.Add(time.Minute), s).Actions {
+		if a.Verb == Start {
+			starts++
+		}
+	}
+	if starts != 2 {
+		t.Errorf("starts after a submission to a clone: got %d, want 2", starts)
+	}
+}
--- a/io/sched/control.go
+++ b/io/sched/control.go
@@ -57,6 +57,10 @@
 	// leaving holds the jobs that are being sent to other cells, left takes those whose try has ended.
 	leaving map[model.JobID]bool
 	left    chan model.JobID
+	// waits holds since when jobs wait here, as seen by this owner.
+	waits       map[model.JobID]time.Time
+	nextBalance time.Time
+	balancing   atomic.Bool
 
 	mu      sync.Mutex
 	replies map[uint64]chan cell.Reply
@@ -95,6 +99,7 @@
 		case <-ticker.C:
 			c.step(ctx, cell.Tick{})
 			c.forward(ctx)
+			c.balance(ctx)
 		case id := <-c.left:
 			delete(c.leaving, id)
 		case e := <-c.inbox:
--- a/io/sched/forward.go
+++ b/io/sched/forward.go
@@ -88,7 +88,7 @@
 	defer cancel()
 	id, now := j.Spec.ID, c.sched.clock().UnixMilli()
 	if !j.Cancelled {
-		if err := next.request(ctx, cell.Change{Kind: cell.Submitted, Spec: &j.Spec, At: j.Submitted}); err != nil {
+		if err := next.request(ctx, cell.Change{Kind: cell.Submitted, Spec: &j.Spec, At: j.Submitted, Cell: c.id}); err != nil {
 			return err
 		}
 	}
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -194,6 +194,9 @@
 	if err != nil {
 		return err
 	}
+	if s.knows(ctx, spec.ID) {
+		return nil
+	}
 	s.mu.Lock()
 	c := s.controls[id]
 	s.mu.Unlock()
