Let the owner of a cell decide during an outage of the store

Cause: an owner whose lease may have expired decided nothing, so a guarantee that was claimed while the store was down waited for the end of the outage.

Ruled out: a new epoch after each outage, since the adoption that follows stops every gang that is just being started; one write for all unwritten changes, since a value has at most 1 MB.

Change: an owner past its lease that finds renewals and reads unavailable is detached. It applies its changes in memory, keeps them in order, and writes them under its epoch in parts of 256 KiB when the store answers; then it takes a new lease under the same epoch. Above 256 KiB of unwritten changes it takes no new jobs. A step that comes more than 750 ms after the last one counts as a pause, after which the store is asked again. A contender that has not seen the owner's key since the store was last unavailable, or since it started, waits 1 s once before it claims a cell that had an owner. Another process refuses requests while the store is down and names the owner. A new owner places nothing until the tasks that its plan doesn't know have gone. Before, one lost call to stop them let two placements of a job run at a time.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -54,6 +54,7 @@
 	lease    uint64
 	leaseEnd time.Time
 	renewing bool
+	absence
 	// held says that the owner's key was seen; retry is when to try again whatever was seen.
 	held     bool
 	retry    time.Time
@@ -63,6 +64,9 @@
 	gangs   map[model.JobID]*gang
 	// asking says that a list of tasks is outstanding.
 	asking bool
+	// strays says that live tasks are left that the plan doesn't know. A later placement of their job could have
+	// the same task identifiers or run beside them, so nothing is placed until they have gone.
+	strays bool
 	out    []Effect
 }
 
@@ -78,7 +82,7 @@
 
 // Owns reports whether the process owns the cell and may decide at now.
 func (c *Cell) Owns(now time.Time) bool {
-	return c.role == owner && now.Before(c.leaseEnd) && !c.draining
+	return c.role == owner && (c.detached || now.Before(c.leaseEnd)) && !c.draining
 }
 
 // Drained reports whether a process that drains has given up the cell and no longer watches gangs.
@@ -89,15 +93,22 @@
 
 // Step takes an event at now and returns what to do.
 func (c *Cell) Step(now time.Time, e Event) []Effect {
+	c.notice(now)
 	switch e := e.(type) {
 	case Tick:
 		c.tick(now)
 	case OwnerSeen:
+		c.down = false
+		if e.Owner != "" {
+			c.keeper = e.Owner
+		}
 		c.ownerSeen(now, e.Held)
+	case StoreMissed:
+		c.missed()
 	case PlanSeen:
 		c.journal.seen(e.Version)
 	case Request:
-		c.journal.ask(e)
+		c.request(e)
 	case Refresh:
 		c.journal.renew(e)
 	case Decided:
@@ -107,7 +118,12 @@
 	case Answer:
 		c.answer(now, e)
 	}
+	c.detach(now)
+	for c.detached && c.journal.advance() {
+		c.loaded(now)
+	}
 	c.handOver()
+	c.journal.probe = c.missRenew
 	c.emit(c.journal.flush(c.mayWrite(now))...)
 	out := c.out
 	c.out = nil
@@ -118,6 +134,9 @@
 
 // mayWrite reports whether changes of the owner may be written at now.
 func (c *Cell) mayWrite(now time.Time) bool {
+	if c.role == owner && (c.detached || c.journal.applied > 0) {
+		return true
+	}
 	return (c.role == owner || c.role == owning) && now.Before(c.leaseEnd)
 }
 
@@ -130,20 +149,25 @@
 		c.acquire(now)
 	case now.After(c.leaseEnd) && c.role != owner:
 		c.abandon(now)
-	case !c.renewing && c.lease != 0 && now.After(c.leaseEnd.Add(-c.OwnerTTL*3/4)):
+	case c.role == owner && c.lease == 0:
+		c.regain()
+	case !c.renewing && !c.regaining && c.lease != 0 && now.After(c.leaseEnd.Add(-c.OwnerTTL*3/4)):
 		c.renewing = true
 		c.emit(RenewLease{Lease: c.lease})
 	}
+	if c.missRenew && c.role == owner {
+		c.journal.stale = true
+	}
 	switch {
 	case c.role == reading && !c.journal.busy:
 		c.emit(c.journal.load())
 	case c.role == fencing:
 		c.fence()
-	case c.role == listing || len(c.gangs) > 0:
+	case c.role == listing || c.strays || len(c.gangs) > 0:
 		c.list()
 	}
 	c.tickGangs(now)
-	if c.Owns(now) && c.journal.idle() && !c.journal.stale {
+	if c.Owns(now) && !c.strays && (c.detached || c.journal.idle() && !c.journal.stale) {
 		c.emit(Decide{})
 	}
 }
@@ -169,6 +193,7 @@
 func (c *Cell) ownerSeen(now time.Time, held bool) {
 	was := c.held
 	c.held = held
+	c.sure = c.sure || held
 	switch {
 	case c.role != idle:
 	case held:
@@ -194,7 +219,8 @@
 	if c.lease != 0 {
 		c.emit(RevokeLease{Lease: c.lease})
 	}
-	c.role, c.lease, c.renewing = idle, 0, false
+	c.role, c.lease, c.renewing, c.strays = idle, 0, false, false
+	c.absence.end()
 	c.retry = now.Add(c.OwnerTTL)
 	if c.held {
 		c.retry = now.Add(heldFor * c.OwnerTTL)
@@ -213,11 +239,13 @@
 func (c *Cell) handOver() {
 	if c.draining && c.role == owner && c.journal.idle() {
 		c.emit(RevokeLease{Lease: c.lease})
-		c.role, c.lease, c.renewing = idle, 0, false
+		c.role, c.lease, c.renewing, c.strays = idle, 0, false, false
+		c.absence.end()
 	}
 }
 
 func (c *Cell) answer(now time.Time, a Answer) {
+	c.reached(a)
 	switch to := a.To.(type) {
 	case GrantLease:
 		c.granted(now, a)
@@ -260,6 +288,10 @@
 }
 
 func (c *Cell) granted(now time.Time, a Answer) {
+	if c.role == owner && c.regaining && c.lease == 0 {
+		c.regranted(a)
+		return
+	}
 	if c.role != leasing {
 		if a.Code == OK {
 			c.emit(RevokeLease{Lease: a.ID})
@@ -284,14 +316,24 @@
 	switch a.Code {
 	case OK:
 		c.leaseEnd = a.Sent.Add(c.OwnerTTL)
+		c.detached = c.detached && !now.Before(c.leaseEnd)
 	case LeaseEnded:
 		c.lease = 0
+		if c.role == owner && (c.detached || c.journal.applied > 0) {
+			c.journal.refresh = true
+			c.regain()
+			return
+		}
 		c.abandon(now)
 		c.retry = time.Time{}
 	}
 }
 
 func (c *Cell) claimed(now time.Time, to WriteOwner, a Answer) {
+	if c.role == owner && c.regaining && to.Lease == c.lease {
+		c.regained(a)
+		return
+	}
 	if c.role != claiming || to.Lease != c.lease {
 		return
 	}
@@ -309,6 +351,10 @@
 	plan := c.journal.plan
 	switch c.role {
 	case reading:
+		if !c.sure && plan.Epoch > 0 {
+			c.makeWay(now)
+			return
+		}
 		c.next, c.role = plan.Epoch+1, claiming
 		c.emit(WriteOwner{Lease: c.lease, Epoch: c.next})
 	case claiming:
--- a/core/cell/doc.go
+++ b/core/cell/doc.go
@@ -9,8 +9,16 @@
 // service, which fences the commands of earlier owners, and only afterwards reads which tasks exist.
 //
 // An owner counts its lease from the time at which it sent the renewal. When the lease may have ended it places
-// nothing and releases nothing; it goes on renewing the grants of gangs that it has seen whole, because the
-// store may be down for everyone, until the worker service fences it.
+// nothing and releases nothing, unless it becomes detached; it goes on renewing the grants of gangs that it has
+// seen whole, because the store may be down for everyone, until the worker service fences it.
+//
+// # Outages of the store
+//
+// An owner whose lease may have ended, and which finds the store unavailable for renewals and reads, is detached: it
+// applies its changes to the plan in memory, and writes them in order under its epoch when the store answers. A
+// later owner writes its own epoch first, in which case the changes are dropped; it stops the tasks that the written
+// plan doesn't know, and places nothing until they have gone. Contenders that don't know whether the owner's key is
+// missing only because of an outage leave the cell to a detached owner for the time that it needs to write.
 //
 // # Gangs
 //
--- a/core/cell/effect.go
+++ b/core/cell/effect.go
@@ -28,8 +28,9 @@
 		Lease uint64
 		Epoch model.Epoch
 	}
-	// LoadPlan reads both keys of the plan at one moment.
-	LoadPlan struct{}
+	// LoadPlan reads both keys of the plan at one moment. Probe asks for an early end of a read without answer, so
+	// that the return of the store is noticed soon.
+	LoadPlan struct{ Probe bool }
 	// WriteBase writes the base by compare-and-swap.
 	WriteBase struct {
 		Value   []byte
@@ -40,10 +41,15 @@
 		Value   []byte
 		Version uint64
 	}
-	// Reply tells a caller that its changes are durable; Full means that they were refused for lack of room.
+	// Reply tells a caller that its changes are durable; Full means that they were refused for lack of room,
+	// Unstored that a detached owner has accepted them and has not written them yet, and Refused that the store
+	// can't be reached and this process is not the owner, which Owner names if known.
 	Reply struct {
-		Number uint64
-		Full   bool
+		Number   uint64
+		Full     bool
+		Unstored bool
+		Refused  bool
+		Owner    model.NodeID
 	}
 	// Decide asks for a decision on the plan.
 	Decide struct{}
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -12,8 +12,13 @@
 type (
 	// Tick comes once every control interval.
 	Tick struct{}
-	// OwnerSeen reports whether the key of the owner exists.
-	OwnerSeen struct{ Held bool }
+	// OwnerSeen reports whether the key of the owner exists, and whom it named last.
+	OwnerSeen struct {
+		Held  bool
+		Owner model.NodeID
+	}
+	// StoreMissed reports that the store did not answer a watch.
+	StoreMissed struct{}
 	// PlanSeen reports the version of the change log in the store.
 	PlanSeen struct{ Version uint64 }
 	// Request asks to write changes; a Reply with the same number follows.
@@ -46,14 +51,15 @@
 	}
 )
 
-func (Tick) event()      {}
-func (OwnerSeen) event() {}
-func (PlanSeen) event()  {}
-func (Request) event()   {}
-func (Refresh) event()   {}
-func (Decided) event()   {}
-func (Drain) event()     {}
-func (Answer) event()    {}
+func (Tick) event()        {}
+func (OwnerSeen) event()   {}
+func (PlanSeen) event()    {}
+func (StoreMissed) event() {}
+func (Request) event()     {}
+func (Refresh) event()     {}
+func (Decided) event()     {}
+func (Drain) event()       {}
+func (Answer) event()      {}
 
 // Code classifies the result of a call.
 type Code uint8
--- a/core/cell/gang.go
+++ b/core/cell/gang.go
@@ -47,6 +47,10 @@
 func (c *Cell) reconcile(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(c.gangs)) {
 		if j := c.journal.plan.Jobs[id]; j == nil || j.Phase == Waiting {
+			if g := c.gangs[id]; g.stage < stopping && g.grant != 0 {
+				// The job was cancelled by another process before the owner's unwritten changes.
+				c.emit(RevokeTasks{Command: c.command(), Job: id, Placement: g.placement, Grant: g.grant})
+			}
 			delete(c.gangs, id)
 		}
 	}
--- a/core/cell/log.go
+++ b/core/cell/log.go
@@ -14,6 +14,9 @@
 	// maxBase is the size of the base, in bytes, above which no more jobs are taken. The store takes values
 	// up to 1 MB, and jobs grow when they are placed.
 	maxBase = 512 << 10
+	// maxLog is the size of the change log, in bytes, from which it is folded in any case, since the store takes
+	// values up to 1 MB and one batch adds up to maxBatch.
+	maxLog = 512 << 10
 )
 
 // journal keeps the plan and writes changes to it, one batch at a time.
@@ -21,7 +24,13 @@
 	writer string
 	number uint64
 
+	// plan is what is decided on. It is stored, the plan in the store as last known, unless changes are applied
+	// ahead of their write; applied counts these, among the changes of flight and own in this order, and bytes
+	// is their size.
 	plan    *Plan
+	stored  *Plan
+	applied int
+	bytes   int
 	batches []Batch
 	after   uint64
 	base    uint64
@@ -37,7 +46,11 @@
 	// more often.
 	refresh bool
 	// flight is the batch whose fate is open.
-	flight   *Batch
+	flight *Batch
+	// cut says that the owner's changes in flight are not written again if they were not written.
+	cut bool
+	// probe says that the store was just seen unavailable, so that a read is to end early.
+	probe    bool
 	asked    []Request
 	own      []Change
 	requests []Request
@@ -48,7 +61,8 @@
 }
 
 func newJournal(writer model.NodeID, now time.Time) journal {
-	return journal{writer: string(writer) + "/" + strconv.FormatInt(now.UnixNano(), 36), plan: &Plan{}}
+	plan := &Plan{}
+	return journal{writer: string(writer) + "/" + strconv.FormatInt(now.UnixNano(), 36), plan: plan, stored: plan}
 }
 
 // add queues changes of the owner.
@@ -57,7 +71,7 @@
 // ask queues a request, or refuses jobs that the plan has no room for.
 func (l *journal) ask(r Request) {
 	for _, c := range r.Changes {
-		if c.Kind == Submitted && l.size > maxBase {
+		if c.Kind == Submitted && (l.size > maxBase || l.bytes > maxUnwritten) {
 			l.replies = append(l.replies, Reply{Number: r.Number, Full: true})
 			return
 		}
@@ -78,7 +92,8 @@
 
 // drop forgets the changes of an owner that has lost the cell.
 func (l *journal) drop() {
-	l.own, l.stale = nil, true
+	l.own, l.stale, l.cut = nil, true, l.flight != nil
+	l.plan, l.applied, l.bytes = l.stored, 0, 0
 }
 
 // flush returns the next call to the store, and the replies that are due.
@@ -98,21 +113,24 @@
 		return out
 	}
 	if owner && l.full() {
-		base := EncodeBase(l.plan)
+		base := EncodeBase(l.stored)
 		l.busy, l.size = true, len(base)
 		return append(out, WriteBase{Value: base, Version: l.base})
 	}
 	var changes []Change
 	if owner {
-		changes, l.own = l.own, nil
+		changes = l.chunk()
+		l.own = l.own[len(changes):]
+	}
+	if !owner || len(l.own) == 0 {
+		l.asked, l.requests = l.requests, nil
 	}
-	l.asked, l.requests = l.requests, nil
 	for _, r := range l.asked {
 		changes = append(changes, r.Changes...)
 	}
 	l.number++
 	l.flight = &Batch{
-		Revision: l.plan.Revision + uint64(len(changes)), Writer: l.writer, Number: l.number, Changes: changes,
+		Revision: l.stored.Revision + uint64(len(changes)), Writer: l.writer, Number: l.number, Changes: changes,
 	}
 	l.busy = true
 	value := EncodeLog(l.after, append(l.batches[:len(l.batches):len(l.batches)], *l.flight))
@@ -124,13 +142,13 @@
 // average and its part of a base of B bytes B/n; the sum is least where L*n = 2*B.
 func (l *journal) full() bool {
 	n := len(l.batches)
-	return n >= minFold && l.length*n >= 2*l.size
+	return n >= minFold && l.length*n >= 2*l.size || n > 0 && l.length > maxLog
 }
 
 func (l *journal) load() Effect {
 	l.busy, l.refresh = true, false
 	l.reading, l.readers = append(l.reading, l.readers...), nil
-	return LoadPlan{}
+	return LoadPlan{Probe: l.probe}
 }
 
 // wroteLog takes the answer to WriteLog and reports whether the plan has changed.
@@ -143,7 +161,8 @@
 	}
 	l.version = a.Version
 	l.batches = append(l.batches, *l.flight)
-	l.plan.Apply(*l.flight)
+	l.stored.Apply(*l.flight)
+	l.settle(len(l.flight.Changes))
 	l.done()
 	return true
 }
@@ -155,7 +174,7 @@
 		l.stale = true
 		return
 	}
-	l.base, l.after, l.batches = a.Version, l.plan.Revision, nil
+	l.base, l.after, l.batches = a.Version, l.stored.Revision, nil
 }
 
 // read takes the answer to LoadPlan and reports whether there is a new plan.
@@ -168,7 +187,7 @@
 	if err != nil {
 		return false
 	}
-	l.plan, l.batches, l.after = plan, batches, plan.Revision
+	l.plan, l.stored, l.batches, l.after = plan, plan, batches, plan.Revision
 	if len(batches) > 0 {
 		l.after = batches[0].Revision - uint64(len(batches[0].Changes))
 	}
@@ -179,23 +198,30 @@
 		l.replies = append(l.replies, Reply{Number: number})
 	}
 	l.reading = nil
-	if l.flight == nil {
-		return true
+	if l.flight != nil {
+		l.resolve()
 	}
-	if plan.wrote(l.flight.Writer, l.flight.Number) {
+	l.reapply()
+	return true
+}
+
+// resolve settles the fate of the batch in flight by the plan that was read.
+func (l *journal) resolve() {
+	if l.stored.wrote(l.flight.Writer, l.flight.Number) {
+		l.settle(len(l.flight.Changes))
 		l.done()
-		return true
+		return
 	}
 	// The changes of requests follow those of the owner in a batch.
 	asked := 0
 	for _, r := range l.asked {
 		asked += len(r.Changes)
 	}
-	own := l.flight.Changes[:len(l.flight.Changes)-asked]
-	l.own = append(own[:len(own):len(own)], l.own...)
+	if own := l.flight.Changes[:len(l.flight.Changes)-asked]; !l.cut {
+		l.own = append(own[:len(own):len(own)], l.own...)
+	}
 	l.requests = append(l.asked, l.requests...)
-	l.flight, l.asked = nil, nil
-	return true
+	l.flight, l.asked, l.cut = nil, nil, false
 }
 
 func (l *journal) done() {
@@ -204,7 +230,7 @@
 			l.replies = append(l.replies, Reply{Number: r.Number})
 		}
 	}
-	l.flight, l.asked = nil, nil
+	l.flight, l.asked, l.cut = nil, nil, false
 }
 
 // seen takes the version of the change log that a watch reported.
--- a/core/cell/prop_test.go
+++ b/core/cell/prop_test.go
@@ -19,15 +19,21 @@
 	return false
 }
 
-// Guards against every interleaving of pauses, kills, overlapping owners, lost answers, lost workers and outages in
+// Guards against every interleaving of pauses, kills, overlapping owners, lost answers, lost workers, outages in which
+// the owner goes on, and partitions of one process from the store while another takes over, in
 // which a gang runs in part for longer than a grant ttl plus a control interval, a task starts twice, or two
 // placements of a job run at a time; and against a cell that does not recover afterwards.
 func TestGangsUnderFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { drive(t, nil) })
+	detached := 0
+	rapid.Check(t, func(t *rapid.T) { detached += drive(t, nil) })
+	if detached == 0 {
+		t.Error("no history had a detached owner")
+	}
 }
 
-// drive draws a history and checks it; alter changes the effects of every process in trials.
-func drive(t *rapid.T, alter func(Effect) Effect) {
+// drive draws a history and checks it; alter changes the effects of every process in trials. It returns how often an
+// owner that was cut off went on.
+func drive(t *rapid.T, alter func(Effect) Effect) (detached int) {
 	draw := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) }
 	seed := rapid.Uint64().Draw(t, "seed")
 	w := newWorld(func(n int) int {
@@ -37,9 +43,9 @@
 		seed ^= seed << 17
 		return int(seed>>33) % n
 	})
-	rate, storeDown, worksDown := 0, false, false
+	rate, worksDown := 0, false
 	w.fault = func(e Effect) fate {
-		if toStore(e) && storeDown || !toStore(e) && worksDown {
+		if !toStore(e) && worksDown {
 			return before
 		}
 		if w.draw(100) < rate {
@@ -67,7 +73,7 @@
 	var open []uint64
 	steps := rapid.IntRange(5, 40).Draw(t, "steps")
 	for range steps {
-		switch draw("step", 12) {
+		switch draw("step", 15) {
 		case 0, 1:
 			id := model.JobID(fmt.Sprintf("j%d-%d", len(jobs), 1+draw("tasks", 4)))
 			if p := live(); !p.paused && len(jobs) < 8 {
@@ -92,22 +98,45 @@
 		case 7:
 			w.lose([][]string{nil, {"w1"}, {"w2", "w3"}}[draw("lost", 3)])
 		case 8:
-			storeDown = draw("store", 2) == 1
+			w.down = draw("store", 2) == 1
 		case 9:
 			worksDown = draw("works", 2) == 1
 		case 10:
 			rate = draw("rate", 40)
 		case 11:
 			w.run(5 * time.Second)
+		case 12:
+			live().cut = draw("cut", 2) == 1
+		case 13, 14:
+			// The owner is cut off or the store fails, and the owner is paused for a while after it has gone on.
+			p := w.owner()
+			if p == nil || p.paused {
+				break
+			}
+			if draw("all", 2) == 1 {
+				w.down = true
+			} else {
+				p.cut = true
+			}
+			w.run(time.Duration(1500+draw("detached", 1500)) * time.Millisecond)
+			if p.cell.Detached() {
+				detached++
+			}
+			if draw("pause", 2) == 1 && !p.dead {
+				p.paused = true
+				w.run(time.Duration(draw("length", 3000)) * time.Millisecond)
+				w.resume(p)
+			}
 		}
 		w.run(time.Duration(draw("millis", 1500)) * time.Millisecond)
 		if len(w.broken) > 0 {
 			t.Fatalf("after %s: %s", w.now.Sub(time.Unix(1000, 0)), w.broken[0])
 		}
 	}
-	rate, storeDown, worksDown = 0, false, false
+	rate, w.down, worksDown = 0, false, false
 	w.lose(nil)
 	for _, p := range w.procs {
+		p.cut = false
 		w.resume(p)
 	}
 	w.run(20 * time.Second)
@@ -115,6 +144,17 @@
 		t.Fatalf("while recovering: %s", w.broken[0])
 	}
 	settled(t, w, open)
+	return detached
+}
+
+// owner returns a process that owns the cell, or nil.
+func (w *world) owner() *proc {
+	for _, p := range w.procs {
+		if !p.dead && p.cell.Owns(w.now) {
+			return p
+		}
+	}
+	return nil
 }
 
 // settled checks that one process owns the cell, that every job that was acknowledged is running as a whole
@@ -131,7 +171,7 @@
 	}
 	plan := owners[0].cell.Plan()
 	for i, number := range open {
-		if !w.replies[number] {
+		if !w.stored(number) {
 			continue
 		}
 		found := false
--- a/core/cell/watch.go
+++ b/core/cell/watch.go
@@ -154,6 +154,9 @@
 
 // observe judges the gangs by a list of the tasks, and renews the grants of those that are whole.
 func (c *Cell) observe(now time.Time, a Answer) {
+	if c.role == owner && c.strays {
+		c.revokeStrays(a.Tasks)
+	}
 	tasks := make(map[string]Task, len(a.Tasks))
 	for _, t := range a.Tasks {
 		tasks[t.ID] = t
@@ -199,13 +202,12 @@
 // the list shows all tasks that there will be. A gang that runs as a whole goes on; every other placement is
 // stopped, since nothing tells how far its former owner had come.
 func (c *Cell) adopt(now time.Time, a Answer) {
-	c.role = owner
+	c.role, c.sure = owner, true
 	clear(c.gangs)
 	tasks := make(map[string]Task, len(a.Tasks))
 	for _, t := range a.Tasks {
 		tasks[t.ID] = t
 	}
-	known := map[uint64]bool{}
 	for _, id := range slices.Sorted(maps.Keys(c.journal.plan.Jobs)) {
 		j := c.journal.plan.Jobs[id]
 		if j.Phase == Waiting {
@@ -218,7 +220,6 @@
 		for grant := range s.grants {
 			g.grant = grant
 		}
-		known[g.grant] = true
 		intact := j.Phase == Released && s.cause == "" && s.open == 0 && len(s.grants) <= 1
 		switch {
 		case intact && s.done == len(j.Workers):
@@ -236,14 +237,19 @@
 			c.halt(now, j, g, cause, s.worker)
 		}
 	}
-	c.revokeStrays(a.Tasks, known)
+	c.revokeStrays(a.Tasks)
 }
 
 // revokeStrays ends the grants of live tasks that belong to no placement of the plan.
-func (c *Cell) revokeStrays(tasks []Task, known map[uint64]bool) {
+func (c *Cell) revokeStrays(tasks []Task) {
+	known := map[uint64]bool{}
+	for _, g := range c.gangs {
+		known[g.grant] = true
+	}
+	c.strays = false
 	for _, t := range tasks {
 		if t.live() && !known[t.Grant] {
-			known[t.Grant] = true
+			known[t.Grant], c.strays = true, true
 			c.emit(RevokeTasks{Command: c.command(), Grant: t.Grant})
 		}
 	}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -28,6 +28,8 @@
 	// draw returns a number below n; fault says what becomes of a call.
 	draw  func(n int) int
 	fault func(e Effect) fate
+	// down says that no process reaches the store.
+	down bool
 
 	version uint64
 	keys    map[string]value
@@ -38,7 +40,7 @@
 	starts  map[string]int
 	partial map[string]time.Time
 	broken  []string
-	replies map[uint64]bool
+	replies map[uint64]Reply
 	number  uint64
 	fenced  int
 }
@@ -66,6 +68,8 @@
 	dead   bool
 	// kept holds what arrived during a pause.
 	kept []func()
+	// cut processes can't reach the store.
+	cut bool
 	// blind processes learn nothing from watches.
 	blind bool
 	// alter changes the effects of the process before they are carried out.
@@ -97,7 +101,7 @@
 		now: time.Unix(1000, 0), draw: draw, fault: func(Effect) fate { return fine },
 		workers: map[model.WorkerID]bool{"w1": true, "w2": true, "w3": true, "w4": true},
 		keys:    map[string]value{}, leases: map[uint64]time.Time{}, grants: map[uint64]time.Time{},
-		tasks: map[string]*Task{}, starts: map[string]int{}, partial: map[string]time.Time{}, replies: map[uint64]bool{},
+		tasks: map[string]*Task{}, starts: map[string]int{}, partial: map[string]time.Time{}, replies: map[uint64]Reply{},
 	}
 	return w
 }
@@ -118,8 +122,11 @@
 			return
 		}
 		w.deliver(p, func() {
-			if !p.blind {
-				w.step(p, OwnerSeen{Held: w.keys["owner"].version != 0})
+			switch {
+			case w.down || p.cut:
+				w.step(p, StoreMissed{})
+			case !p.blind:
+				w.step(p, OwnerSeen{Held: w.keys["owner"].version != 0, Owner: model.NodeID(w.keys["owner"].data)})
 				w.step(p, PlanSeen{Version: w.keys["log"].version})
 			}
 			w.step(p, Tick{})
@@ -156,7 +163,7 @@
 		}
 		switch effect := effect.(type) {
 		case Reply:
-			w.replies[effect.Number] = true
+			w.replies[effect.Number] = effect
 		case Decide:
 			w.step(p, Decided{Actions: w.decide(p.cell.Plan())})
 		default:
@@ -179,7 +186,11 @@
 				return
 			}
 			delay := func() time.Duration { return time.Duration(1+w.draw(int(network/time.Millisecond))) * time.Millisecond }
-			switch w.fault(e) {
+			fate := w.fault(e)
+			if toStore(e) && (w.down || p.cut) {
+				fate = before
+			}
+			switch fate {
 			case before:
 				back(wait, Answer{Code: Unknown})
 			case lost:
@@ -330,6 +341,12 @@
 	w.step(p, Request{Number: w.number, Changes: []Change{{Kind: Cancelling, Jobs: []model.JobID{id}}}})
 }
 
+// stored reports whether a request was answered as durable.
+func (w *world) stored(number uint64) bool {
+	r, ok := w.replies[number]
+	return ok && !r.Unstored && !r.Refused && !r.Full
+}
+
 func (w *world) finish(id model.JobID) {
 	for _, t := range w.tasks {
 		if t.Job == id && t.State == TaskRunning {
