Carry out decisions during an outage of the store

Cause: an entry answered a submission during an outage with "effect unknown" after 5 s, whoever owned the cell.

Ruled out: forwarding the change to the owner, since its listener for operators is not known to other entries.

Change: changes that a detached owner accepts are answered with "unstored" in the operators' API, and the commands print that they are not yet stored. Any other entry that has seen the store fail refuses with exit code 5 and names the owner. A watch that fails tells the cell; two failed reads in a row refuse the requests that were not sent to the store.

--- a/cmds/jobs.go
+++ b/cmds/jobs.go
@@ -24,18 +24,21 @@
 var _ admin.Jobs = jobs{}
 
 // Submit submits a job.
-func (j jobs) Submit(ctx context.Context, spec model.JobSpec) error {
-	return schedFailure(j.sched.Submit(ctx, spec))
+func (j jobs) Submit(ctx context.Context, spec model.JobSpec) (stored bool, err error) {
+	stored, err = j.sched.Submit(ctx, spec)
+	return stored, schedFailure(err)
 }
 
 // Cancel cancels jobs.
-func (j jobs) Cancel(ctx context.Context, ids []model.JobID) error {
-	return schedFailure(j.sched.Cancel(ctx, ids))
+func (j jobs) Cancel(ctx context.Context, ids []model.JobID) (stored bool, err error) {
+	stored, err = j.sched.Cancel(ctx, ids)
+	return stored, schedFailure(err)
 }
 
 // Aside takes a worker out of use, or returns it.
-func (j jobs) Aside(ctx context.Context, worker model.WorkerID, aside bool) error {
-	return schedFailure(j.sched.Aside(ctx, worker, aside))
+func (j jobs) Aside(ctx context.Context, worker model.WorkerID, aside bool) (stored bool, err error) {
+	stored, err = j.sched.Aside(ctx, worker, aside)
+	return stored, schedFailure(err)
 }
 
 // schedFailure gives an error of the controller its kind.
@@ -46,6 +49,7 @@
 		unknown *sched.UnknownJobsError
 		full    *sched.FullError
 		noCell  *sched.NoCellError
+		outage  *sched.OutageError
 		worker  *sched.UnknownWorkerError
 	)
 	switch {
@@ -55,7 +59,7 @@
 		return &admin.Failure{Kind: admin.KindInvalid, Text: err.Error()}
 	case errors.As(err, &unknown), errors.As(err, &worker):
 		return &admin.Failure{Kind: admin.KindMissing, Text: err.Error()}
-	case errors.As(err, &full), errors.As(err, &noCell):
+	case errors.As(err, &full), errors.As(err, &noCell), errors.As(err, &outage):
 		return &admin.Failure{Kind: admin.KindUnavailable, Text: err.Error()}
 	}
 	return err
@@ -68,6 +72,9 @@
 		s.Missing = append(s.Missing, "cells: the worker service has not listed any workers yet")
 	}
 	for _, c := range view.Cells {
+		if c.Detached {
+			s.Missing = append(s.Missing, "the store in the cell "+string(c.Cell)+": it is down, and what is shown may not be stored yet")
+		}
 		if c.Owner == "" {
 			s.Missing = append(s.Missing, "changes in the cell "+string(c.Cell)+": it has no owner")
 		}
--- a/cmds/operator.go
+++ b/cmds/operator.go
@@ -143,6 +143,9 @@
 // maxFile bounds what is read of a document, in bytes; the parser refuses documents well below it.
 const maxFile = 4 << 20
 
+// unstored is the line about a change that was accepted during an outage of the store.
+const unstored = "accepted, but not yet stored: the store is down; the change is lost if this entry ends before it is back"
+
 // askQuery sends a statement and prints the answer.
 func (f *operatorFlags) askQuery(s streams, text, change string) error {
 	statement, err := query.Parse(text)
@@ -168,6 +171,9 @@
 			return answer.WriteTable(w)
 		}
 		_, err := fmt.Fprintln(w, answer.Done)
+		if err == nil && answer.Unstored {
+			_, err = fmt.Fprintln(w, unstored)
+		}
 		return err
 	})
 }
--- a/core/cell/detach.go
+++ b/core/cell/detach.go
@@ -81,11 +81,19 @@
 	default:
 		return
 	}
-	if miss {
-		c.missed()
+	if !miss {
+		c.down = false
 		return
 	}
-	c.down = false
+	again := c.down
+	c.missed()
+	if _, read := a.To.(LoadPlan); read && again && c.role != owner {
+		// Two reads in a row tell an outage from a lost answer.
+		for _, r := range c.journal.requests {
+			c.refuse(r)
+		}
+		c.journal.requests = nil
+	}
 }
 
 // detach lets an owner whose lease may have ended decide without the store, if the store answers neither renewals
@@ -102,19 +110,24 @@
 // request takes changes, or refuses them while the store is down and another process may be able to accept them.
 func (c *Cell) request(r Request) {
 	if c.role != owner && c.down {
-		to := c.keeper
-		if to == "" {
-			to = c.journal.plan.Owner
-		}
-		if to == c.Self {
-			to = ""
-		}
-		c.emit(Reply{Number: r.Number, Refused: true, Owner: to})
+		c.refuse(r)
 		return
 	}
 	c.journal.ask(r)
 }
 
+// refuse answers a request that was not sent to the store, and will not be.
+func (c *Cell) refuse(r Request) {
+	to := c.keeper
+	if to == "" {
+		to = c.journal.plan.Owner
+	}
+	if to == c.Self {
+		to = ""
+	}
+	c.emit(Reply{Number: r.Number, Refused: true, Owner: to})
+}
+
 // makeWay leaves the cell to an owner that may be detached, for the time that it needs to write.
 func (c *Cell) makeWay(now time.Time) {
 	c.abandon(now)
--- a/io/admin/handle.go
+++ b/io/admin/handle.go
@@ -146,12 +146,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTime)
 	defer cancel()
-	done, err := s.command(ctx, statement)
+	done, stored, err := s.command(ctx, statement)
 	if err != nil {
 		return QueryAnswer{}, err
 	}
-	s.Log.Info("change carried out", "text", req.Text, "author", req.Author)
-	return QueryAnswer{Done: done, Revision: c.Revision}, nil
+	s.Log.Info("change carried out", "text", req.Text, "author", req.Author, "stored", stored)
+	return QueryAnswer{Done: done, Unstored: !stored, Revision: c.Revision}, nil
 }
 
 // edit writes the configuration that a statement makes of the one in force.
@@ -178,26 +178,32 @@
 	return QueryAnswer{Done: fmt.Sprintf("accepted as revision %d", out.Revision), Revision: out.Revision}, nil
 }
 
-// command carries out a change that is not one of the configuration.
-func (s *Server) command(ctx context.Context, statement *query.Statement) (string, error) {
+// command carries out a change that is not one of the configuration. Without stored it is accepted only.
+func (s *Server) command(ctx context.Context, statement *query.Statement) (done string, stored bool, err error) {
 	if statement.Drain != nil {
-		return "draining " + statement.Drain.Node, s.Fleet.Drain(ctx, model.NodeID(statement.Drain.Node))
+		return "draining " + statement.Drain.Node, true, s.Fleet.Drain(ctx, model.NodeID(statement.Drain.Node))
 	}
 	if s.Jobs == nil {
-		return "", &Failure{Kind: KindUnavailable, Text: "this process schedules nothing; ask an entry with a worker service"}
+		return "", false, &Failure{Kind: KindUnavailable, Text: "this process schedules nothing; ask an entry with a worker service"}
 	}
 	switch {
 	case statement.Job != nil:
 		spec := statement.JobSpec()
-		return "submitted " + string(spec.ID), s.Jobs.Submit(ctx, spec)
+		done = "submitted " + string(spec.ID)
+		stored, err = s.Jobs.Submit(ctx, spec)
 	case statement.Cancel != nil:
 		ids := make([]model.JobID, len(statement.Cancel.Jobs))
 		for i, id := range statement.Cancel.Jobs {
 			ids[i] = model.JobID(id)
 		}
-		return fmt.Sprintf("cancelled %d jobs", len(ids)), s.Jobs.Cancel(ctx, ids)
+		done = fmt.Sprintf("cancelled %d jobs", len(ids))
+		stored, err = s.Jobs.Cancel(ctx, ids)
 	case statement.Aside != nil:
-		return "put aside " + statement.Aside.Worker, s.Jobs.Aside(ctx, model.WorkerID(statement.Aside.Worker), true)
+		done = "put aside " + statement.Aside.Worker
+		stored, err = s.Jobs.Aside(ctx, model.WorkerID(statement.Aside.Worker), true)
+	default:
+		done = "returned " + statement.Back.Worker
+		stored, err = s.Jobs.Aside(ctx, model.WorkerID(statement.Back.Worker), false)
 	}
-	return "returned " + statement.Back.Worker, s.Jobs.Aside(ctx, model.WorkerID(statement.Back.Worker), false)
+	return done, stored, err
 }
--- a/io/admin/types.go
+++ b/io/admin/types.go
@@ -31,12 +31,13 @@
 
 // Jobs carries out the changes of the schedule.
 type Jobs interface {
-	// Submit returns after the job is written to the plan of a cell.
-	Submit(ctx context.Context, job model.JobSpec) error
+	// Submit returns after the job is written to the plan of a cell or, with stored false, accepted by the owner
+	// of the cell during an outage of the store. The other changes do the same.
+	Submit(ctx context.Context, job model.JobSpec) (stored bool, err error)
 	// Cancel cancels the jobs that exist; unknown ones are remembered.
-	Cancel(ctx context.Context, ids []model.JobID) error
+	Cancel(ctx context.Context, ids []model.JobID) (stored bool, err error)
 	// Aside takes a worker out of the schedule, or returns it.
-	Aside(ctx context.Context, id model.WorkerID, aside bool) error
+	Aside(ctx context.Context, id model.WorkerID, aside bool) (stored bool, err error)
 	// Observe adds the cells that this process knows to the snapshot.
 	Observe(ctx context.Context, s *query.Snapshot)
 }
@@ -111,7 +112,10 @@
 // QueryAnswer is the answer to POST /query: a table, or what a change did.
 type QueryAnswer struct {
 	*query.Answer
-	Done     string         `json:"done,omitempty"`
+	Done string `json:"done,omitempty"`
+	// Unstored says that the change was accepted during an outage of the store and is not written to it yet; it is
+	// lost if the process that accepted it ends before the store is back.
+	Unstored bool           `json:"unstored,omitempty"`
 	Revision model.Revision `json:"revision,omitempty"`
 }
 
--- a/io/sched/control.go
+++ b/io/sched/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -26,7 +27,9 @@
 type view struct {
 	plan  *cell.Plan
 	owned bool
-	epoch model.Epoch
+	// detached says that the owner decides without the store.
+	detached bool
+	epoch    model.Epoch
 	// decision is the latest one of the owner.
 	decision Output
 }
@@ -49,6 +52,8 @@
 	drained  atomic.Bool
 	decider  Decider
 	decision Output
+	// decides is the epoch that the decider was made for.
+	decides model.Epoch
 	// settled says that there is a decision by this owner, on the revision and inputs in based. Without a change
 	// it stands until again.
 	settled bool
@@ -163,13 +168,17 @@
 	if owned != old.owned {
 		c.log.Info("ownership changed", "owned", owned, "epoch", uint64(c.cell.Epoch()))
 		c.owned.Store(owned)
-		if owned {
+		if epoch := c.cell.Epoch(); owned && epoch != c.decides {
 			// What another owner did in between is known from the plan alone.
-			c.decider = c.sched.newDecider()
+			c.decider, c.decides = c.sched.newDecider(), epoch
 			c.decision, c.settled = Output{}, false
 		}
 	}
-	next := &view{plan: old.plan, owned: owned, epoch: c.cell.Epoch(), decision: c.decision}
+	detached := c.cell.Detached()
+	if detached != old.detached {
+		c.log.Warn("decisions during an outage of the store", "detached", detached, "epoch", uint64(c.cell.Epoch()))
+	}
+	next := &view{plan: old.plan, owned: owned, detached: detached, epoch: c.cell.Epoch(), decision: c.decision}
 	if p.Revision != old.plan.Revision || p.Epoch != old.plan.Epoch {
 		next.plan = p.Clone()
 	}
@@ -185,8 +194,9 @@
 	}
 }
 
-// request writes changes to the plan and returns when they are durable.
-func (c *control) request(ctx context.Context, changes ...cell.Change) error {
+// request writes changes to the plan and returns when they are durable, or when a detached owner has accepted them;
+// stored tells which.
+func (c *control) request(ctx context.Context, changes ...cell.Change) (stored bool, err error) {
 	number := c.number.Add(1)
 	return c.ask(ctx, number, cell.Request{Number: number, Changes: changes})
 }
@@ -194,11 +204,12 @@
 // refresh reads the plan and returns when the view shows it.
 func (c *control) refresh(ctx context.Context) error {
 	number := c.number.Add(1)
-	return c.ask(ctx, number, cell.Refresh{Number: number})
+	_, err := c.ask(ctx, number, cell.Refresh{Number: number})
+	return err
 }
 
 // ask sends an event and waits for the reply with a number.
-func (c *control) ask(ctx context.Context, number uint64, e cell.Event) error {
+func (c *control) ask(ctx context.Context, number uint64, e cell.Event) (stored bool, err error) {
 	ch := make(chan cell.Reply, 1)
 	c.mu.Lock()
 	c.replies[number] = ch
@@ -211,16 +222,19 @@
 	select {
 	case c.inbox <- e:
 	case <-ctx.Done():
-		return &PendingError{Cell: c.id, Cause: ctx.Err()}
+		return false, &PendingError{Cell: c.id, Cause: ctx.Err()}
 	}
 	select {
 	case r := <-ch:
-		if r.Full {
-			return &FullError{Cell: c.id}
+		switch {
+		case r.Full:
+			return false, &FullError{Cell: c.id}
+		case r.Refused:
+			return false, &OutageError{Cell: c.id, Owner: r.Owner}
 		}
-		return nil
+		return !r.Unstored, nil
 	case <-ctx.Done():
-		return &PendingError{Cell: c.id, Cause: ctx.Err()}
+		return false, &PendingError{Cell: c.id, Cause: ctx.Err()}
 	}
 }
 
@@ -229,17 +243,30 @@
 	for ctx.Err() == nil {
 		items, revision, err := c.sched.Store.List(ctx, c.hands.keys.owner)
 		for err == nil {
-			c.send(ctx, cell.OwnerSeen{Held: len(items) > 0 && items[len(items)-1].Version != 0})
+			c.send(ctx, ownerSeen(items))
 			var changes []storeItem
 			changes, revision, err = c.sched.Store.Watch(ctx, c.hands.keys.owner, revision)
 			if len(changes) > 0 {
 				items = changes
 			}
 		}
+		c.send(ctx, cell.StoreMissed{})
 		pause(ctx, watchPause)
 	}
 }
 
+// ownerSeen returns what the last item says about the owner's key.
+func ownerSeen(items []storeItem) cell.OwnerSeen {
+	if len(items) == 0 || items[len(items)-1].Version == 0 {
+		return cell.OwnerSeen{}
+	}
+	var v ownerValue
+	if json.Unmarshal(items[len(items)-1].Value, &v) != nil {
+		return cell.OwnerSeen{Held: true}
+	}
+	return cell.OwnerSeen{Held: true, Owner: v.Owner}
+}
+
 // watchLog reports changes that others append to the plan, while the process owns the cell.
 func (c *control) watchLog(ctx context.Context) {
 	var revision uint64
--- a/io/sched/errors.go
+++ b/io/sched/errors.go
@@ -20,6 +20,21 @@
 // Unwrap returns the cause.
 func (e *PendingError) Unwrap() error { return e.Cause }
 
+// OutageError reports a change that was refused because the store is down. Owner names the process that may accept
+// it, if it is known.
+type OutageError struct {
+	Cell  model.CellID
+	Owner model.NodeID
+}
+
+// Error names the cell and its owner.
+func (e *OutageError) Error() string {
+	if e.Owner == "" {
+		return fmt.Sprintf("the store is down and no owner of cell %s is known", e.Cell)
+	}
+	return fmt.Sprintf("the store is down; ask entry %s, which owns cell %s", e.Owner, e.Cell)
+}
+
 // FullError reports a cell whose plan has no room for more jobs.
 type FullError struct{ Cell model.CellID }
 
--- a/io/sched/exec.go
+++ b/io/sched/exec.go
@@ -112,9 +112,13 @@
 // toStore carries out an effect at the store; the answer names the effect if it was one.
 func (h *hands) toStore(ctx context.Context, e cell.Effect) (a cell.Answer, err error) {
 	wait := leaseWait
-	switch e.(type) {
-	case cell.LoadPlan, cell.WriteBase, cell.WriteLog:
+	switch e := e.(type) {
+	case cell.WriteBase, cell.WriteLog:
 		wait = planWait
+	case cell.LoadPlan:
+		if !e.Probe {
+			wait = planWait
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"maps"
@@ -176,15 +177,16 @@
 	return out
 }
 
-// Submit writes a job to the plan of a cell and returns when it is durable. A job that the cell knows already
-// is not added again, so a Submit with a PendingError may be repeated.
-func (s *Sched) Submit(ctx context.Context, spec model.JobSpec) error {
+// Submit writes a job to the plan of a cell and returns when it is durable, or, with stored false, when an owner has
+// accepted it during an outage of the store. A job that the cell knows already is not added again, so a Submit with a
+// PendingError may be repeated.
+func (s *Sched) Submit(ctx context.Context, spec model.JobSpec) (stored bool, err error) {
 	if err := valid(spec); err != nil {
-		return err
+		return false, err
 	}
 	id, err := s.home(spec)
 	if err != nil {
-		return err
+		return false, err
 	}
 	s.mu.Lock()
 	c := s.controls[id]
@@ -206,25 +208,38 @@
 	return nil
 }
 
-// Cancel cancels jobs and returns when that is durable. All cells are told, each with one change, since the
-// plans of other owners may be known here with a delay.
-func (s *Sched) Cancel(ctx context.Context, jobs []model.JobID) error {
-	missing := slices.Clone(jobs)
+// Cancel cancels jobs and returns when that is durable, or, with stored false, when an owner has accepted it during an
+// outage of the store. All cells are told, each with one change, since the plans of other owners may be known here with
+// a delay. Cells that refuse because of an outage don't matter if the others know all the jobs.
+func (s *Sched) Cancel(ctx context.Context, jobs []model.JobID) (stored bool, err error) {
+	missing, stored := slices.Clone(jobs), true
+	var outage *OutageError
 	for _, c := range s.all() {
-		if err := c.request(ctx, cell.Change{Kind: cell.Cancelling, Jobs: jobs, At: s.clock().UnixMilli()}); err != nil {
-			return err
+		durable, err := c.request(ctx, cell.Change{Kind: cell.Cancelling, Jobs: jobs, At: s.clock().UnixMilli()})
+		if errors.As(err, &outage) {
+			continue
+		}
+		if err != nil {
+			return false, err
 		}
 		p := c.view.Load().plan
+		if slices.ContainsFunc(jobs, p.Has) {
+			stored = stored && durable
+		}
 		missing = slices.DeleteFunc(missing, p.Has)
 	}
-	if len(missing) > 0 {
-		return &UnknownJobsError{Jobs: missing}
+	switch {
+	case len(missing) > 0 && outage != nil:
+		return false, outage
+	case len(missing) > 0:
+		return false, &UnknownJobsError{Jobs: missing}
 	}
-	return nil
+	return stored, nil
 }
 
-// Aside takes a worker out of use for new work, or returns it, and returns when that is durable.
-func (s *Sched) Aside(ctx context.Context, worker model.WorkerID, aside bool) error {
+// Aside takes a worker out of use for new work, or returns it, and returns when that is durable, or, with
+// stored false, when an owner has accepted it during an outage of the store.
+func (s *Sched) Aside(ctx context.Context, worker model.WorkerID, aside bool) (stored bool, err error) {
 	s.mu.Lock()
 	var c *control
 	for id, list := range s.workers {
@@ -234,7 +249,7 @@
 	}
 	s.mu.Unlock()
 	if c == nil {
-		return &UnknownWorkerError{Worker: worker}
+		return false, &UnknownWorkerError{Worker: worker}
 	}
 	return c.request(ctx, cell.Change{Kind: cell.Siding, Worker: worker, Aside: aside, At: s.clock().UnixMilli()})
 }
--- a/io/sched/snapshot.go
+++ b/io/sched/snapshot.go
@@ -63,7 +63,9 @@
 	Owner model.NodeID `json:"owner"`
 	Epoch model.Epoch  `json:"epoch"`
 	// Owned says that this process is the owner; the views of others lag behind.
-	Owned    bool           `json:"owned"`
+	Owned bool `json:"owned"`
+	// Detached says that this process decides without the store; what is shown may not be stored yet.
+	Detached bool           `json:"detached,omitempty"`
 	Revision uint64         `json:"revision"`
 	Workers  []model.Worker `json:"workers"`
 	// Hosts holds the workers with what keeps work off them, as of the last decision.
@@ -114,7 +116,7 @@
 		})
 	}
 	out := CellView{
-		Cell: c.id, Owner: v.plan.Owner, Epoch: v.plan.Epoch, Owned: v.owned, Revision: v.plan.Revision,
+		Cell: c.id, Owner: v.plan.Owner, Epoch: v.plan.Epoch, Owned: v.owned, Detached: v.detached, Revision: v.plan.Revision,
 		Workers: in.workers, Hosts: decision.Hosts, Held: decision.Held, Shortfalls: decision.Shortfalls, Ended: v.plan.Ended,
 	}
 	reasons := make(map[model.JobID]plan.Reason, len(decision.Waiting))
