Hand accepted submissions on to a later owner of the cell

Cause: in the row "store down before the claim, back after it, and owner killed" of the reclaim test the outage ended when the owner's lease did. The other entry had seen the key vanish on a watch that stayed open, so it knew of no outage, took the cell at once, and the claim that had been accepted 0.25 s before was dropped by an owner that was alive.

Ruled out: a wait of every contender after each end of the key, since it would add to each takeover, and running gangs have 2 s.

Change: a detached owner that meets a higher epoch drops its own changes, and sends the submissions, cancellations and workers put aside that it has accepted to the later owner, as any process may. A job that has ended meanwhile is not submitted again.

Conclusion: what a detached owner has accepted is lost only if that process ends.

--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -153,6 +154,22 @@
 				w.broken = append(w.broken, "the job does not run at the next owner")
 			}
 		}, after{epoch: 2, placement: 1, fenced: true}},
+		{"a later owner comes before the detached one has written", func(w *world, first, second *proc) {
+			second.paused, first.cut = true, true
+			w.run(3 * time.Second)
+			w.submit(first, "k-1")
+			w.submit(first, "l-1")
+			w.run(time.Second)
+			w.finish("l-1")
+			w.run(time.Second)
+			w.resume(second)
+			w.run(3 * time.Second)
+			first.cut = false
+			w.run(4 * time.Second)
+			if k, l := w.running("k-1"), w.running("l-1"); k != 1 || l != 0 {
+				w.broken = append(w.broken, fmt.Sprintf("%d tasks run of the accepted job, %d of the finished one", k, l))
+			}
+		}, after{epoch: 2, placement: 1, fenced: true}},
 		{"only the owner can't reach the store", func(w *world, first, _ *proc) {
 			first.cut = true
 			w.run(3 * time.Second)
--- a/core/cell/detach.go
+++ b/core/cell/detach.go
@@ -89,10 +89,15 @@
 	c.missed()
 	if _, read := a.To.(LoadPlan); read && again && c.role != owner {
 		// Two reads in a row tell an outage from a lost answer.
+		var kept []Request
 		for _, r := range c.journal.requests {
+			if r.Number == 0 {
+				kept = append(kept, r)
+				continue
+			}
 			c.refuse(r)
 		}
-		c.journal.requests = nil
+		c.journal.requests = kept
 	}
 }
 
@@ -198,6 +203,24 @@
 	l.plan.Revision++
 }
 
+// handOn keeps the submissions and cancellations that a detached owner has accepted as requests to the later owner. A
+// job that has ended meanwhile is not submitted again, so that it doesn't run twice.
+func (l *journal) handOn() {
+	if l.applied == 0 {
+		return
+	}
+	var changes []Change
+	if l.flight != nil && !l.cut {
+		changes = append(changes, l.flight.Changes...)
+	}
+	for _, ch := range append(changes, l.own...) {
+		switch {
+		case ch.Kind == Submitted && l.plan.Jobs[ch.Spec.ID] != nil, ch.Kind == Cancelling, ch.Kind == Siding:
+			l.requests = append(l.requests, Request{Changes: []Change{ch}})
+		}
+	}
+}
+
 // settle takes note that the first n changes were written.
 func (l *journal) settle(n int) {
 	l.applied = max(l.applied-n, 0)
--- a/core/cell/log.go
+++ b/core/cell/log.go
@@ -90,8 +90,9 @@
 	return !l.busy && l.flight == nil && len(l.own) == 0 && len(l.requests) == 0
 }
 
-// drop forgets the changes of an owner that has lost the cell.
+// drop forgets the changes of an owner that has lost the cell, except those that any process may make.
 func (l *journal) drop() {
+	l.handOn()
 	l.own, l.stale, l.cut = nil, true, l.flight != nil
 	l.plan, l.applied, l.bytes = l.stored, 0, 0
 }
