--- a/io/sched/balance.go
+++ b/io/sched/balance.go
@@ -35,7 +35,7 @@
 // balance sends jobs that wait here to cells that would start them at once.
 func (c *control) balance(ctx context.Context) {
 	now := c.sched.clock()
-	if !c.cell.Owns(now) || now.Before(c.nextBalance) || c.balancing.Load() {
+	if !c.cell.Owns(now) || c.cell.Detached() || now.Before(c.nextBalance) || c.balancing.Load() {
 		return
 	}
 	jobs := c.stuck(now)
@@ -120,8 +120,9 @@
 	return c.refresh(ctx) == nil
 }
 
-// knows reports whether any cell knows a job. A job may be in another cell than that of its first submission.
-func (s *Sched) knows(ctx context.Context, id model.JobID) bool {
+// knows reports whether any cell knows a job, and whether its plan is stored as shown. A job may be in another cell than
+// that of its first submission.
+func (s *Sched) knows(ctx context.Context, id model.JobID) (known, stored bool) {
 	all := s.all()
 	fresh := make(chan bool, len(all))
 	for _, c := range all {
@@ -130,5 +131,10 @@
 	for range all {
 		<-fresh
 	}
-	return slices.ContainsFunc(all, func(c *control) bool { return c.view.Load().plan.Has(id) })
+	for _, c := range all {
+		if v := c.view.Load(); v.plan.Has(id) {
+			return true, !v.detached
+		}
+	}
+	return false, false
 }
--- a/io/sched/forward.go
+++ b/io/sched/forward.go
@@ -88,19 +88,19 @@
 	defer cancel()
 	id, now := j.Spec.ID, c.sched.clock().UnixMilli()
 	if !j.Cancelled {
-		if err := next.request(ctx, cell.Change{Kind: cell.Submitted, Spec: &j.Spec, At: j.Submitted, Cell: c.id}); err != nil {
+		if err := next.store(ctx, cell.Change{Kind: cell.Submitted, Spec: &j.Spec, At: j.Submitted, Cell: c.id}); err != nil {
 			return err
 		}
 	}
 	cancelThere := func() error {
-		return next.request(ctx, cell.Change{Kind: cell.Cancelling, Jobs: []model.JobID{id}, At: now})
+		return next.store(ctx, cell.Change{Kind: cell.Cancelling, Jobs: []model.JobID{id}, At: now})
 	}
 	if here := c.view.Load().plan.Jobs[id]; here == nil || here.Cancelled {
 		if err := cancelThere(); err != nil {
 			return err
 		}
 	}
-	if err := c.request(ctx, cell.Change{Kind: cell.Handed, Job: id, Cell: j.To, At: now}); err != nil {
+	if err := c.store(ctx, cell.Change{Kind: cell.Handed, Job: id, Cell: j.To, At: now}); err != nil {
 		return err
 	}
 	ended := c.view.Load().plan.Ended
@@ -111,6 +111,16 @@
 	return nil
 }
 
+// store writes a change and returns when it is durable. One that is only accepted during an outage of the store is an
+// error, since it may be lost with its owner; the job stays on its way and is sent again.
+func (c *control) store(ctx context.Context, change cell.Change) error {
+	stored, err := c.request(ctx, change)
+	if err == nil && !stored {
+		return &PendingError{Cell: c.id, Cause: &OutageError{Cell: c.id}}
+	}
+	return err
+}
+
 // rehome gives guarantees that have been in shortfall in cells of this process to cells that have room for them. It
 // runs beside the lists of workers, which must not wait for the store.
 func (s *Sched) rehome(ctx context.Context) {
