Measure the time until a lost agent or minion gets no more requests

Ruled out: counting executions at the minion, because a dead minion counts none; counting bytes at a relay, because that doesn't tell requests from heartbeats.

Change: the dispatcher logs each attempt at level debug with its agent, time and end.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -97,9 +97,9 @@
 
 func newEntryPool(self *entrySelf) *front.Pool { return &front.Pool{Settings: self.settings} }
 
-func newEntryDispatcher(self *entrySelf, m *peers.Members, p *front.Pool, figures *meter.Meter) *front.Dispatcher {
+func newEntryDispatcher(self *entrySelf, m *peers.Members, p *front.Pool, figures *meter.Meter, log *slog.Logger) *front.Dispatcher {
 	router := &countingRouter{Router: m, meter: figures, own: self.settings.Self.Region}
-	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: router, Pool: p}
+	return &front.Dispatcher{Self: self.settings.Self.Incarnation, Router: router, Pool: p, Log: log}
 }
 
 // callersIdle is the time after which a caller's unused connection is closed.
--- a/core/tries/tries.go
+++ b/core/tries/tries.go
@@ -15,6 +15,17 @@
 	Answered
 )
 
+// String names the end.
+func (e End) String() string {
+	switch e {
+	case NotRun:
+		return "not-run"
+	case Answered:
+		return "answered"
+	}
+	return "unknown"
+}
+
 // Outcome is what the caller is told; its text is the value of the outcome header.
 type Outcome string
 
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -35,6 +35,8 @@
 
 	wire *wire
 	wait *waiter
+	// fresh counts the links that replaced the first one.
+	fresh int
 }
 
 // ending is how a trial ended.
@@ -207,6 +209,7 @@
 			return ending{end: tries.Unknown, reason: "agent restarted", failed: true}, true
 		}
 		t.hold(w)
+		t.fresh++
 		if w.Send(link.Fence{Attempt: t.begin.Attempt, Incarnation: t.begin.Incarnation, Deadline: t.begin.Deadline}) != nil {
 			continue
 		}
--- a/io/front/dispatch.go
+++ b/io/front/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 	Self   model.Incarnation
 	Router Router
 	Pool   *Pool
+	// Log takes a debug line for each attempt that has ended; nil means none.
+	Log *slog.Logger
 
 	sequence atomic.Uint64
 }
@@ -80,6 +83,7 @@
 		start := time.Now()
 		end := t.run(ctx)
 		state.Record(end.end)
+		d.logEnd(ctx, start, &t, end)
 		d.Router.Report(time.Now(), rec.ID, end.result(ctx, time.Since(start)))
 		reply.Attempt, reply.Reason = at, end.reason
 		if end.answer != nil {
@@ -89,3 +93,12 @@
 	reply.Outcome = state.Outcome()
 	return reply
 }
+
+// logEnd logs where an attempt went and how it ended, to trace requests that meet a failing agent.
+func (d *Dispatcher) logEnd(ctx context.Context, sent time.Time, t *trial, e ending) {
+	if d.Log == nil || !d.Log.Enabled(ctx, slog.LevelDebug) {
+		return
+	}
+	d.Log.Debug("attempt ended", "agent", t.record.ID, "attempt", t.begin.Attempt, "sent", sent, "end", e.end.String(),
+		"reason", e.reason, "fresh", t.fresh)
+}
