Stop requests to dead minions and agents at once, and tell draining apart from stalls

Cause: an agent with a dead minion stayed ready and got requests as probes; a killed agent was ejected only after five failures or when its record expired; a paused one held each request for a second and more before it counted. A refusal by a draining agent was reported as a stall, so that it was ejected and later probed with requests.

Ruled out: reopening a withdrawn agent after a fixed time, because an announcement made before the refusal can still arrive, and because a minion that is back at once would wait for it. Ejecting on every missing acceptance: a link that goes silent alone has a live agent behind it.

Change: an agent whose minion refuses a connection refuses attempts and announces the state down until the minion takes connections. Refusals carry the sequence of the last announcement; route.Withdrawn closes the agent until a later one says ready, and counts neither as failure nor as stall. A failed dial ejects at once, and so does an attempt that waits while a fresh link takes more than 250 ms. In the own region an ejected agent is probed only after it was heard of since. The test of unknown states names the state after the new last one.

--- a/cmds/figures_test.go
+++ b/cmds/figures_test.go
@@ -24,6 +24,8 @@
 	return model.Record{ID: "near", Region: "ch-west"}, nil
 }
 
+func (r *fixedRouter) Suspect(time.Time, model.NodeID) {}
+
 func (r *fixedRouter) Report(time.Time, model.NodeID, route.Result) { r.reports++ }
 
 // The link between regions is billed by volume, and retries have a budget: both have to be seen.
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -30,6 +30,8 @@
 	FencedOff   Reason = "fenced"
 	Draining    Reason = "draining"
 	Full        Reason = "full"
+	// Down refusals say that the minion takes no connections.
+	Down Reason = "minion down"
 )
 
 // State is what an agent knows of an attempt.
@@ -72,6 +74,7 @@
 	attempts map[model.Attempt]*entry
 	busy     int
 	draining bool
+	down     bool
 	// kept lists attempts with an answer, oldest first; weight is the sum of their sizes.
 	kept   []model.Attempt
 	weight int
@@ -118,6 +121,8 @@
 		return Far
 	case l.draining:
 		return Draining
+	case l.down:
+		return Down
 	case l.busy >= l.slots:
 		return Full
 	}
@@ -243,6 +248,9 @@
 // Drain refuses all attempts from now on.
 func (l *Ledger) Drain() { l.draining = true }
 
+// SetDown refuses all attempts as long as the minion takes no connections.
+func (l *Ledger) SetDown(down bool) { l.down = down }
+
 // Load returns the occupation of the slots.
 func (l *Ledger) Load() model.Load { return model.Load{Running: l.busy, Slots: l.slots} }
 
--- a/core/model/record.go
+++ b/core/model/record.go
@@ -11,6 +11,8 @@
 	Draining
 	// Gone nodes have stopped.
 	Gone
+	// Down nodes are agents whose minion takes no connections; they refuse new work until it does.
+	Down
 )
 
 // String names the state.
@@ -22,6 +24,8 @@
 		return "draining"
 	case Gone:
 		return "gone"
+	case Down:
+		return "down"
 	}
 	return "unknown"
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// Suspect ejects an agent that gives no sign of life while an attempt there still waits for its
+// end, so that no more requests wait there with it.
+func (r *Router) Suspect(now time.Time, id model.NodeID) {
+	r.init()
+	if h, ok := r.agents[id]; ok && (h.until.IsZero() || !h.probe.IsZero()) {
+		h.eject(now)
+	}
+}
+
 // Forget drops what is known of agents that have left the table.
 func (r *Router) Forget() {
 	for id, h := range r.agents {
@@ -171,7 +180,16 @@
 }
 
 func (r *Router) open(now time.Time, row *member.Row, tried []model.NodeID) bool {
-	return r.Table.Live(now, row) && !slices.Contains(tried, row.Record.ID) && r.health(row).open(now)
+	return r.Table.Live(now, row) && !slices.Contains(tried, row.Record.ID) && r.health(row).open(now, row.Record.Sequence, r.heard(now, row))
+}
+
+// heard returns when the agent was last heard of. Records of other regions arrive on change
+// only, so these agents count as heard of as long as they are live.
+func (r *Router) heard(now time.Time, row *member.Row) time.Time {
+	if row.Record.Region != r.Table.Region {
+		return now
+	}
+	return row.Heard
 }
 
 func (r *Router) lighter(a, b *member.Row) *member.Row {
--- a/core/route/router_test.go
+++ b/core/route/router_test.go
@@ -195,6 +195,54 @@
 	}
 }
 
+// What an agent's end says about it decides whether it may get the next request: draining is neither a failure nor
+// a stall, and an agent that is gone must not get requests as probes.
+func TestOutcomesOpenAndClose(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		result   Result
+		suspect  bool
+		heard    time.Duration // of the next announcement after the outcome; negative for none
+		sequence uint64
+		wait     time.Duration
+		want     bool
+	}{
+		{name: "refused", result: Result{Outcome: Refused}, heard: -1, want: true},
+		{name: "one failure", result: Result{Outcome: Failed}, heard: -1, want: true},
+		{name: "withdrawn", result: Result{Outcome: Withdrawn, Sequence: 1}, heard: -1, wait: 2 * time.Second},
+		{name: "withdrawn, an older announcement arrives", result: Result{Outcome: Withdrawn, Sequence: 3}, heard: 1, sequence: 3, wait: time.Second},
+		{name: "withdrawn, back at once", result: Result{Outcome: Withdrawn, Sequence: 3}, heard: 1, sequence: 4, want: true},
+		{name: "withdrawn, version without a sequence", result: Result{Outcome: Withdrawn}, heard: 1, sequence: 9, wait: 2 * time.Second},
+		{name: "stalled", result: Result{Outcome: Stalled}, heard: 1, sequence: 2},
+		{name: "stalled, not heard of since", result: Result{Outcome: Stalled}, heard: -1, wait: 2 * time.Second},
+		{name: "stalled, heard of since", result: Result{Outcome: Stalled}, heard: 1, sequence: 2, wait: 2 * time.Second, want: true},
+		{name: "suspected, then answered", suspect: true, result: Result{Outcome: Answered}, heard: -1, want: true},
+		{name: "suspected, then failed", suspect: true, result: Result{Outcome: Failed}, heard: 1, sequence: 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRouter(rec("a", "w", "a", 0))
+			pick(t, r, start, Request{})
+			if tc.suspect {
+				r.Suspect(start, "a")
+				if _, err := r.Pick(start, Request{Service: "plan"}); err == nil {
+					t.Error("suspected agent was picked")
+				}
+			}
+			now := start.Add(time.Millisecond)
+			r.Report(now, "a", tc.result)
+			if tc.heard >= 0 {
+				next := rec("a", "w", "a", 0)
+				next.Sequence = tc.sequence
+				r.Table.Merge(now.Add(tc.heard), next)
+			}
+			_, err := r.Pick(now.Add(tc.wait), Request{Service: "plan"})
+			if got := err == nil; got != tc.want {
+				t.Errorf("picked %v later: got %v (%v), want %v", tc.wait, got, err, tc.want)
+			}
+		})
+	}
+}
+
 // A probe whose caller never reports must not keep the agent out for ever.
 func TestUnreportedProbeEnds(t *testing.T) {
 	r := newRouter(rec("a", "w", "a", 0))
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -14,6 +14,8 @@
 // Runner runs a request at the minion.
 type Runner interface {
 	Do(ctx context.Context, b link.Begin, body []byte) Result
+	// Reach returns an error unless the minion takes connections.
+	Reach(ctx context.Context) error
 }
 
 // Config exchanges the configuration over the agent's links.
@@ -131,14 +133,14 @@
 			a.start(t)
 		}
 	}
-	load := a.book.Load()
+	load, sequence := a.book.Load(), a.record.Sequence
 	a.mu.Unlock()
 	switch {
 	case reason == ledger.Accepted:
 	case reason == ledger.Duplicate:
 		_ = l.Send(link.Accepted{Attempt: b.Attempt, Load: load})
 	default:
-		_ = l.Send(link.Refuse{Attempt: b.Attempt, Reason: string(reason), Load: load})
+		_ = l.Send(link.Refuse{Attempt: b.Attempt, Reason: string(reason), Load: load, Sequence: sequence})
 	}
 }
 
@@ -195,6 +197,9 @@
 	res := a.runner.Do(ctx, t.begin, body)
 	cancel()
 	a.mu.Lock()
+	if res.Down && a.record.State == model.Ready {
+		a.down()
+	}
 	for _, old := range a.book.Finish(t.begin.Attempt, len(res.Body)) {
 		a.forget(old)
 	}
--- a/io/agent/agent_test.go
+++ b/io/agent/agent_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,14 +18,26 @@
 	"wagtailhoist/io/link"
 )
 
-// slowRunner echoes the body once it is let go, and counts its runs.
+// slowRunner echoes the body once it is let go, and counts its runs; while it is down, it takes no connections.
 type slowRunner struct {
 	runs atomic.Int32
 	let  chan struct{}
+	down atomic.Bool
+}
+
+// Reach fails while the runner is down.
+func (r *slowRunner) Reach(context.Context) error {
+	if r.down.Load() {
+		return syscall.ECONNREFUSED
+	}
+	return nil
 }
 
 // Do waits until let is closed.
 func (r *slowRunner) Do(ctx context.Context, _ link.Begin, body []byte) Result {
+	if r.down.Load() {
+		return Result{Err: syscall.ECONNREFUSED, Down: true}
+	}
 	r.runs.Add(1)
 	select {
 	case <-r.let:
@@ -297,6 +310,49 @@
 	}
 }
 
+// A dead minion must cost one request, not one of each entry and probe, and the refusals have to be told
+// apart from announcements made before them; the minion's return must end them, but not the draining.
+func TestDeadMinionIsRefusedAndAnnounced(t *testing.T) {
+	a, r, dial := start(t, 2)
+	close(r.let)
+	r.down.Store(true)
+	l := dial()
+	before, changed := a.next()
+	send(t, l, begin(1, nil))
+	if f := receive[link.Fail](t, l); f.Ran {
+		t.Error("a request that met no minion counts as run")
+	}
+	<-changed
+	send(t, l, begin(2, nil))
+	if got := receive[link.Refuse](t, l); got.Reason != string(ledger.Down) || got.Sequence != before.Sequence {
+		t.Errorf("refusal: got %+v, want %q after record %d", got, ledger.Down, before.Sequence)
+	}
+	if rec, _ := a.next(); rec.State != model.Down || a.Ready() {
+		t.Errorf("announced state: got %v, want %v", rec.State, model.Down)
+	}
+	r.down.Store(false)
+	for !a.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	send(t, l, begin(3, nil))
+	answer(t, l)
+	r.down.Store(true)
+	send(t, l, begin(4, nil))
+	receive[link.Fail](t, l)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- a.Drain(ctx) }()
+	defer func() { cancel(); <-done }()
+	for a.State() != model.Draining {
+		time.Sleep(time.Millisecond)
+	}
+	r.down.Store(false)
+	time.Sleep(2 * reachEvery)
+	if got := a.State(); got != model.Draining {
+		t.Errorf("state after the minion's return: got %v, want %v", got, model.Draining)
+	}
+}
+
 // Agents of one region have to spread over its entries, and move only from entries that failed.
 func TestChooseEntries(t *testing.T) {
 	var known []link.Entry
--- a/io/agent/drain.go
+++ b/io/agent/drain.go
@@ -26,8 +26,8 @@
 func (a *Agent) Drain(ctx context.Context) error {
 	a.mu.Lock()
 	a.book.Drain()
+	a.setState(model.Draining)
 	a.mu.Unlock()
-	a.publish(model.Draining)
 	defer func() {
 		a.publish(model.Gone)
 		time.Sleep(farewell)
--- a/io/agent/join.go
+++ b/io/agent/join.go
@@ -181,6 +181,11 @@
 func (a *Agent) publish(s model.State) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.setState(s)
+}
+
+// setState is publish for a caller that holds the lock.
+func (a *Agent) setState(s model.State) {
 	a.record.State = s
 	close(a.changed)
 	a.changed = make(chan struct{})
--- a/io/agent/minion.go
+++ b/io/agent/minion.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,8 @@
 	// Ran is false only if the minion cannot have seen any part of the request.
 	Ran bool
 	Err error
+	// Down says that the minion's port took no connection.
+	Down bool
 }
 
 // Minion is an HTTP client that sends each request at most once.
@@ -78,6 +81,15 @@
 // Close closes the idle connections.
 func (m *Minion) Close() { m.client.CloseIdleConnections() }
 
+// Reach returns an error unless the minion takes a connection.
+func (m *Minion) Reach(ctx context.Context) error {
+	c, err := (&net.Dialer{Timeout: dialLimit}).DialContext(ctx, "tcp", m.base.Host)
+	if err != nil {
+		return errors.Wrap(err, "minion")
+	}
+	return c.Close()
+}
+
 // Do runs the request of b at the minion. If an idle connection turns out to be closed
 // before any byte of the request was written, it takes another one.
 func (m *Minion) Do(ctx context.Context, b link.Begin, body []byte) Result {
@@ -105,7 +117,9 @@
 	resp, err := m.client.RoundTrip(req)
 	if err != nil {
 		ran := !pass.shut()
-		return Result{Ran: ran, Err: errors.Wrap(err, "minion")}, !ran && reused
+		// A refused connection is certain at once; a timeout may also come from a full backlog.
+		down := !ran && errors.Is(err, syscall.ECONNREFUSED)
+		return Result{Ran: ran, Err: errors.Wrap(err, "minion"), Down: down}, !ran && reused
 	}
 	defer resp.Body.Close()
 	res = Result{Status: resp.StatusCode, Header: resp.Header, Ran: true}
--- a/io/conf/exchange.go
+++ b/io/conf/exchange.go
@@ -152,7 +152,7 @@
 	delete(x.downs, l)
 	if x.peers[id] == l {
 		delete(x.peers, id)
-		if peers[id].State != model.Ready {
+		if s := peers[id].State; s == model.Draining || s == model.Gone {
 			x.leaves(id)
 		}
 	}
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -23,6 +23,9 @@
 	fencePause = 100 * time.Millisecond
 	// elsewhereAfter is how long an idempotent request waits for its fence before it goes to another agent.
 	elsewhereAfter = 2 * time.Second
+	// suspectAfter is the time that a fresh link may take before the agent counts as stalled; a link
+	// between regions needs three round trips of 40 ms.
+	suspectAfter = 250 * time.Millisecond
 )
 
 // trial is one attempt of a request at one agent.
@@ -32,6 +35,8 @@
 	begin   link.Begin
 	body    []byte
 	patient bool // waits for a fence until the deadline
+	// suspect is called while the agent gives no sign of life.
+	suspect func()
 
 	wire *wire
 	wait *waiter
@@ -47,8 +52,12 @@
 	answer *answered
 	// failed says that the agent or its minion is at fault.
 	failed bool
-	// leaving says that the agent drains.
-	leaving bool
+	// withdrawn says that the agent takes no work, because it drains or its minion is down.
+	withdrawn bool
+	// sequence is that of the last announcement before a refusal.
+	sequence uint64
+	// unreached says that no link to the agent could be opened.
+	unreached bool
 }
 
 // result returns what the ending tells about the agent. A caller that leaves or asks for an
@@ -56,15 +65,14 @@
 func (e ending) result(ctx context.Context, took time.Duration) route.Result {
 	r := route.Result{Outcome: route.Refused, Load: e.load}
 	switch {
-	case e.leaving:
-		// An agent that drains refuses everything from now on, so it is ejected as one that has
-		// stalled; as a mere refusal, each further request would spend the retry budget on it
-		// until its announcement arrives.
-		r.Outcome = route.Stalled
+	case e.withdrawn:
+		r.Outcome, r.Sequence = route.Withdrawn, e.sequence
 	case e.answer != nil:
 		r.Outcome, r.Bytes = route.Answered, len(e.answer.body)
 	case e.failed && ctx.Err() != nil && (errors.Is(ctx.Err(), context.Canceled) || took < acceptLimit):
 		r.Outcome = route.Cancelled
+	case e.unreached:
+		r.Outcome = route.Stalled
 	case e.failed:
 		r.Outcome = route.Failed
 	}
@@ -79,7 +87,7 @@
 		w, err = t.pool.Fresh(ctx, t.record.Address, w)
 	}
 	if err != nil {
-		return ending{end: tries.NotRun, reason: "agent cannot be reached: " + err.Error(), failed: true}
+		return ending{end: tries.NotRun, reason: "agent cannot be reached: " + err.Error(), failed: true, unreached: true}
 	}
 	if w.Peer().Node != t.record.ID {
 		return ending{end: tries.NotRun, reason: "address belongs to another agent", failed: true}
@@ -170,7 +178,8 @@
 	case refused:
 		return ending{
 			end: tries.NotRun, reason: "agent refused: " + e.frame.Reason, load: e.frame.Load,
-			leaving: e.frame.Reason == string(ledger.Draining),
+			sequence:  e.frame.Sequence,
+			withdrawn: e.frame.Reason == string(ledger.Draining) || e.frame.Reason == string(ledger.Down),
 		}, true
 	case failed:
 		_ = t.wire.Send(link.Done{Attempt: t.begin.Attempt})
@@ -199,15 +208,19 @@
 // attaches the trial to the fresh link.
 func (t *trial) recover(ctx context.Context) (ending, bool) {
 	giveUp := time.Now().Add(elsewhereAfter)
+	late := time.AfterFunc(suspectAfter, t.suspect)
+	defer late.Stop()
 	for ctx.Err() == nil && (t.patient || time.Now().Before(giveUp)) {
 		w, err := t.pool.Fresh(ctx, t.record.Address, t.wire)
 		if err != nil {
+			t.suspect()
 			sleep(ctx, fencePause/2+rand.N(fencePause))
 			continue
 		}
 		if w.Peer().Incarnation != t.begin.Incarnation {
 			return ending{end: tries.Unknown, reason: "agent restarted", failed: true}, true
 		}
+		late.Stop()
 		t.hold(w)
 		t.fresh++
 		if w.Send(link.Fence{Attempt: t.begin.Attempt, Incarnation: t.begin.Incarnation, Deadline: t.begin.Deadline}) != nil {
--- a/io/front/attempt_test.go
+++ b/io/front/attempt_test.go
@@ -88,6 +88,9 @@
 // Report does nothing.
 func (r *inTurn) Report(time.Time, model.NodeID, route.Result) {}
 
+// Suspect does nothing.
+func (r *inTurn) Suspect(time.Time, model.NodeID) {}
+
 // call dispatches a request to the agents of the records.
 func call(t *testing.T, idempotent bool, timeout time.Duration, records ...model.Record) (Reply, *Pool) {
 	t.Helper()
--- a/io/front/dispatch.go
+++ b/io/front/dispatch.go
@@ -76,7 +76,9 @@
 			break
 		}
 		ask.Tried = append(ask.Tried, rec.ID)
-		t := trial{pool: d.Pool, record: rec, body: c.Body, patient: !c.Idempotent, begin: link.Begin{
+		t := trial{pool: d.Pool, record: rec, body: c.Body, patient: !c.Idempotent, suspect: func() {
+			d.Router.Suspect(time.Now(), rec.ID)
+		}, begin: link.Begin{
 			Attempt: at, Deadline: c.Deadline, Team: c.Team, Key: c.Key, Method: c.Method, Path: c.Path,
 			Host: c.Host, Header: c.Header, Length: len(c.Body), Sum: sum, Body: link.First(c.Body),
 		}}
--- a/io/front/ports.go
+++ b/io/front/ports.go
@@ -14,6 +14,8 @@
 	Pick(now time.Time, r route.Request) (model.Record, error)
 	// Report tells the end of an attempt at the agent id.
 	Report(now time.Time, id model.NodeID, result route.Result)
+	// Suspect tells that the agent of an attempt that goes on gives no sign of life.
+	Suspect(now time.Time, id model.NodeID)
 }
 
 // Claimer keeps request keys from being run twice.
--- a/io/link/frames.go
+++ b/io/link/frames.go
@@ -131,6 +131,8 @@
 	Attempt model.Attempt `cbor:"1,keyasint"`
 	Reason  string        `cbor:"2,keyasint"`
 	Load    model.Load    `cbor:"3,keyasint"`
+	// Sequence is that of the last record that the agent announced before.
+	Sequence uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Answer is the minion's answer to an attempt.
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -59,7 +59,7 @@
 		Begin{Attempt: a, Deadline: when, Method: "POST", Path: "/", Header: map[string][]string{"A": {"b"}}, Length: 1, Body: []byte("x")},
 		Data{a, 5, []byte("y")},
 		Accepted{a, model.Load{Running: 1, Slots: 8}},
-		Refuse{a, "full", model.Load{}},
+		Refuse{a, "full", model.Load{}, 4},
 		Answer{Attempt: a, Status: 200, Length: 1, Sum: 9, Body: []byte("z")},
 		Fail{a, true, "broken", model.Load{}},
 		Fence{a, 3, when},
--- a/io/peers/check.go
+++ b/io/peers/check.go
@@ -58,7 +58,7 @@
 		return fail("name", "is too long")
 	case r.Incarnation == 0 || r.Incarnation > model.NewIncarnation(now.Add(maxAhead)):
 		return fail("incarnation", "is zero or in the future")
-	case r.State > model.Gone:
+	case r.State > model.Down:
 		return fail("state", "is unknown")
 	case r.Load.Slots < 0 || r.Load.Slots > maxSlots || r.Load.Running < 0 || r.Load.Running > maxSlots:
 		return fail("load", "is out of range")
--- a/io/peers/check_test.go
+++ b/io/peers/check_test.go
@@ -40,7 +40,7 @@
 		{"name", link.RoleAgent, func(r *model.Record) { r.Centre = model.Centre(long) }},
 		{"incarnation", link.RoleAgent, func(r *model.Record) { r.Incarnation = 0 }},
 		{"incarnation", link.RoleAgent, func(r *model.Record) { r.Incarnation = model.NewIncarnation(now.Add(time.Hour)) }},
-		{"state", link.RoleAgent, func(r *model.Record) { r.State = model.Gone + 1 }},
+		{"state", link.RoleAgent, func(r *model.Record) { r.State = model.Down + 1 }},
 		{"load", link.RoleAgent, func(r *model.Record) { r.Load.Slots = -1 }},
 		{"load", link.RoleAgent, func(r *model.Record) { r.Load.Running = maxSlots + 1 }},
 		{"address", link.RoleAgent, func(r *model.Record) { r.Address = "nowhere" }},
--- a/io/peers/members.go
+++ b/io/peers/members.go
@@ -36,6 +36,13 @@
 	m.Router.Report(now, id, result)
 }
 
+// Suspect takes the silence of an agent as route.Router.Suspect does.
+func (m *Members) Suspect(now time.Time, id model.NodeID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Router.Suspect(now, id)
+}
+
 // Candidates returns the records of a service that may get new work.
 func (m *Members) Candidates(now time.Time, service string) []model.Record {
 	m.mu.Lock()
