Forget the addresses and names of agents that are gone

Cause: Pool.slots kept an entry for each address ever dialled, and the counter of bytes to other regions one for each agent ever picked there.

Slots therefore count their users under the pool's lock.

Figures: after 100 failed dials and one swept link 101 addresses were kept before (by reading the code) and 0 after (TestSweepClosesIdleLinks).

--- a/cmds/figures.go
+++ b/cmds/figures.go
@@ -73,8 +73,15 @@
 	front.Router
 	meter *meter.Meter
 	own   model.Region
-	// far maps agents of other regions that were picked to their region.
-	far sync.Map
+
+	mu sync.Mutex
+	// far holds the agents of other regions with attempts in progress.
+	far map[model.NodeID]farAgent
+}
+
+type farAgent struct {
+	region model.Region
+	flying int
 }
 
 // Pick returns an agent.
@@ -87,7 +94,12 @@
 		r.meter.Retry("next agent")
 	}
 	if rec.Region != r.own {
-		r.far.Store(rec.ID, rec.Region)
+		r.mu.Lock()
+		if r.far == nil {
+			r.far = map[model.NodeID]farAgent{}
+		}
+		r.far[rec.ID] = farAgent{rec.Region, r.far[rec.ID].flying + 1}
+		r.mu.Unlock()
 		r.meter.Remote(rec.Region, int64(q.Bytes))
 	}
 	return rec, nil
@@ -95,8 +107,16 @@
 
 // Report tells the end of an attempt at the agent id.
 func (r *countingRouter) Report(now time.Time, id model.NodeID, result route.Result) {
-	if region, ok := r.far.Load(id); ok {
-		r.meter.Remote(region.(model.Region), int64(result.Bytes))
+	r.mu.Lock()
+	far, ok := r.far[id]
+	if far.flying--; far.flying > 0 {
+		r.far[id] = far
+	} else {
+		delete(r.far, id) // replaced agents have new names, so the map would grow with each
+	}
+	r.mu.Unlock()
+	if ok {
+		r.meter.Remote(far.region, int64(result.Bytes))
 	}
 	r.Router.Report(now, id, result)
 }
--- a/cmds/figures_test.go
+++ b/cmds/figures_test.go
@@ -41,6 +41,9 @@
 		}
 		r.Report(now, rec.ID, route.Result{Bytes: 7})
 	}
+	if len(r.far) != 0 {
+		t.Errorf("agents kept after their attempts: got %d, want 0", len(r.far))
+	}
 	handle := front.Chain(func(_ context.Context, c front.Call) front.Reply {
 		return front.Reply{Outcome: tries.Outcome(c.Key), Reason: "text: with details"}
 	}, counting(m), timing(m))
--- a/io/front/http_test.go
+++ b/io/front/http_test.go
@@ -294,4 +294,16 @@
 	if w.alive() {
 		t.Error("an idle link is still open")
 	}
+	// The address of an agent that is gone, and those of agents that were never linked, must go too.
+	for n := range 100 {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		if _, err := p.Get(ctx, fmt.Sprintf("127.0.0.1:%d", n+1)); err == nil {
+			t.Fatal("got a link to nowhere")
+		}
+	}
+	p.Sweep(time.Now())
+	if got := len(p.slots); got != 0 {
+		t.Errorf("addresses kept: got %d, want 0", got)
+	}
 }
--- a/io/front/pool.go
+++ b/io/front/pool.go
@@ -25,6 +25,8 @@
 type slot struct {
 	mu      sync.Mutex
 	current *wire
+	// users counts the calls that hold or wait for mu; it is guarded by the pool's lock.
+	users int
 }
 
 // wire is a link to an agent with the attempts that wait for its frames.
@@ -63,7 +65,13 @@
 		s = &slot{}
 		p.slots[address] = s
 	}
+	s.users++
 	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		s.users--
+		p.mu.Unlock()
+	}()
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -86,18 +94,23 @@
 	return w, nil
 }
 
-// Sweep closes the links that carried no attempt for a minute.
+// Sweep closes the links that carried no attempt for a minute, and forgets addresses without a link: replaced
+// agents have new addresses, thousands a day.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.slots {
-		if !s.mu.TryLock() {
+	for address, s := range p.slots {
+		if s.users > 0 {
 			continue // being dialled, so not idle
 		}
+		s.mu.Lock()
 		if w := s.current; w != nil && (!w.alive() || w.idleSince(now) > idleLimit) {
 			w.retire()
 			s.current = nil
 		}
+		if s.current == nil {
+			delete(p.slots, address)
+		}
 		s.mu.Unlock()
 	}
 }
