Let a resumed entry use the agents that it knew before its pause

Cause: after a pause of more than 3 s every record of the own region is older than the limit of silence, and every agent has given up its link, so that the entry had no candidate and answered not-run until agents had linked and announced again.

Ruled out: using old records without a condition, since a record that was silent before the pause is most likely dead. It is safe otherwise: an agent that has gone costs a failed dial, which ejects it at once; a new process at its address has another incarnation or name, and the attempt is addressed to the process that is linked; a request past its deadline is not sent; an agent that drains refuses.

Change: for 3 s after a pause of at most a minute, a record that was live when the process was last known to run stays a candidate. A link to an agent on which nothing was received for the limit of silence is replaced before it is used, since what is sent on it is lost. The test of the table that wanted no candidate after a pause now wants those known before, and none of those silent before or after a longer pause; it is as strict on losses.

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -87,7 +87,8 @@
 	pools   map[poolKey][]*Row
 	regions map[model.Region]time.Time
 	expired time.Time
-	awake   time.Time
+	// awake is when the process last started or resumed, slept when it was last known to run before a pause.
+	awake, slept time.Time
 }
 
 // Merge takes a record that its agent or another entry sent and says what it changed.
@@ -152,7 +153,22 @@
 	if row.Record.State != model.Ready || row.Lost {
 		return false
 	}
-	return now.Sub(t.heard(row)) <= t.silence()
+	heard := t.heard(row)
+	return now.Sub(heard) <= t.silence() || t.resumed(now, heard)
+}
+
+// resumed reports whether a record that was live when the process was paused is still to be used. Until
+// the agents have linked again, about a second, the entry knows none by its own hearing. An agent that
+// has gone meanwhile costs a failed dial, another process there refuses the attempt or doesn't have the
+// node's name, and requests past their deadline are not sent.
+func (t *Table) resumed(now, heard time.Time) bool {
+	slept := t.slept
+	if !t.expired.IsZero() && now.Sub(t.expired) > pauseGap {
+		slept = t.expired // Expire has not been called since the pause
+	} else if slept.IsZero() || now.Sub(t.awake) > t.silence() {
+		return false
+	}
+	return slept.Sub(heard) <= t.silence() && now.Sub(heard) <= forgetAfter
 }
 
 // heard returns when the row was last vouched for.
@@ -217,7 +233,7 @@
 // has listened again for the time of silence.
 func (t *Table) Expire(now time.Time) []Loss {
 	if t.expired.IsZero() || now.Sub(t.expired) > pauseGap {
-		t.awake = now
+		t.awake, t.slept = now, t.expired
 	}
 	t.expired = now
 	settled := now.Sub(t.awake) > t.silence()
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -69,21 +69,37 @@
 }
 
 // An entry that resumes after a pause has heard nothing for a while; reporting its whole
-// region as lost would take every candidate from the other regions.
-func TestPausedEntryReportsNoLosses(t *testing.T) {
-	tab := &Table{Region: "w"}
-	tab.Merge(start, rec("a", "w", 1))
-	tab.Expire(start)
-	now := start.Add(20 * time.Second)
-	for range 3 {
-		if lost := tab.Expire(now); len(lost) != 0 {
-			t.Fatalf("reported %v after a pause", lost)
-		}
-		want(t, "after a pause", ids(tab, now), "")
-		now = now.Add(time.Second)
-	}
-	if lost := tab.Expire(now.Add(time.Second)); len(lost) != 1 {
-		t.Errorf("losses after listening again: got %v, want one", lost)
+// region as lost would take every candidate from the other regions, and using none until the agents
+// have linked again would refuse every request. What was silent before the pause, or may have been
+// replaced in a long one, is not used.
+func TestPausedEntryUsesWhatItKnew(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		pause time.Duration
+		want  string
+	}{{"short", 20 * time.Second, "a "}, {"long", forgetAfter + time.Second, ""}} {
+		t.Run(tc.name, func(t *testing.T) {
+			tab := &Table{Region: "w", Centre: "w-a"}
+			tab.Merge(start.Add(-4*time.Second), rec("silent", "w", 1))
+			tab.Merge(start, rec("a", "w", 1))
+			for s := -4; s <= 0; s++ {
+				tab.Expire(start.Add(time.Duration(s) * time.Second))
+			}
+			now := start.Add(tc.pause)
+			want(t, "before the first tick", ids(tab, now), tc.want)
+			for range 3 {
+				if lost := tab.Expire(now); len(lost) != 0 {
+					t.Fatalf("reported %v after a pause", lost)
+				}
+				want(t, "after a pause", ids(tab, now), tc.want)
+				now = now.Add(time.Second)
+			}
+			now = now.Add(time.Second)
+			want(t, "after listening again", ids(tab, now), "")
+			if lost := tab.Expire(now); len(lost) != len(tc.want)/2 {
+				t.Errorf("losses after listening again: got %v, want those of %q", lost, tc.want)
+			}
+		})
 	}
 }
 
--- a/io/front/pool.go
+++ b/io/front/pool.go
@@ -142,7 +142,7 @@
 	case <-w.Done():
 		return false
 	default:
-		return true
+		return !w.Silent(time.Now())
 	}
 }
 
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -71,6 +71,8 @@
 	buffer bytes.Buffer
 	// sent is when the last frame was sent, in nanoseconds since the Unix epoch.
 	sent atomic.Int64
+	// heard is when a part of a frame was last received, in the same unit.
+	heard atomic.Int64
 
 	once sync.Once
 	done chan struct{}
@@ -151,6 +153,7 @@
 		return fmt.Errorf("got frame %d of protocol %d instead of a hello of protocol %d", f.Kind(), hello.Protocol, Protocol)
 	}
 	l.peer = hello
+	l.heard.Store(time.Now().UnixNano())
 	l.ws.SetReadLimit(limit)
 	if c, ok := l.ws.NetConn().(*guestConn); ok {
 		c.admit()
@@ -165,6 +168,10 @@
 // Done is closed when the link is closed.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
+// Silent reports whether nothing was received for the limit of silence. In a process that was paused a
+// link may be silent that Receive has not yet closed; what is sent on it is most likely lost.
+func (l *Link) Silent(now time.Time) bool { return now.Sub(time.Unix(0, l.heard.Load())) > l.silence }
+
 // Close closes the connection; a Send or Receive in progress returns an error.
 func (l *Link) Close() {
 	l.once.Do(func() {
@@ -243,6 +250,7 @@
 	var buf bytes.Buffer
 	for {
 		_, err := io.CopyN(&buf, r, 16<<10)
+		l.heard.Store(time.Now().UnixNano())
 		if err == io.EOF {
 			return buf.Bytes(), nil
 		}
