Report a revision that a process can't read, and go on with the last one it could

Change: core/config asks whether a copy can be read before it puts it in force. The copy held and passed on is the one received, with all its bytes. A process that could read none is not ready and schedules nothing. Looking for peers ends when the process knows which revision has to be in force.

Before, the process reported the unread revision as in force and confirmed; that was read in the code and not run.

Conclusion: an operator sees which processes are too old for a change. Two builds were not run together: the newer process of the test is this version with another reader.

--- a/cmds/admin.go
+++ b/cmds/admin.go
@@ -63,7 +63,7 @@
 	add := func(p admin.Process, s conf.Status, known bool) {
 		p.Config = admin.NotKnown
 		if known {
-			p.Revision, p.Watch, p.Config = s.Force, s.Watch != "", admin.Unconfirmed
+			p.Revision, p.Watch, p.Config, p.Fault = s.Force, s.Watch != "", admin.Unconfirmed, s.Fault
 			if s.Confirmed {
 				p.Config = admin.Confirmed
 			}
--- a/cmds/apply.go
+++ b/cmds/apply.go
@@ -119,6 +119,14 @@
 	return nil
 }
 
+// lagging describes a process without the revision, with the reason if it told one.
+func lagging(p admin.Process) string {
+	if p.Fault != "" {
+		return fmt.Sprintf("%s (%s, revision %d: %s)", p.ID, p.State, p.Revision, p.Fault)
+	}
+	return fmt.Sprintf("%s (%s, revision %d)", p.ID, p.State, p.Revision)
+}
+
 // wait asks for the status until no process lags or the limit has passed. A lost process counts
 // as lagging: it may run behind a partition.
 func (c *applyCmd) wait(ctx context.Context, client *admin.Client, r *applyResult) {
@@ -130,7 +138,7 @@
 			for _, p := range status.Processes {
 				switch {
 				case p.Revision < r.Revision:
-					r.Lagging = append(r.Lagging, fmt.Sprintf("%s (%s, revision %d)", p.ID, p.State, p.Revision))
+					r.Lagging = append(r.Lagging, lagging(p))
 				case p.Config == admin.Unconfirmed:
 					r.Unconfirmed = append(r.Unconfirmed, string(p.ID))
 				}
--- a/cmds/status.go
+++ b/cmds/status.go
@@ -41,6 +41,9 @@
 		if p.Watch {
 			confirmation += ", watches the store"
 		}
+		if p.Fault != "" {
+			confirmation += "; " + p.Fault
+		}
 		processes.Rows = append(processes.Rows, []string{
 			string(p.ID), p.Role, string(p.Region), string(p.Centre), p.State, strconv.FormatUint(uint64(p.Revision), 10), confirmation,
 		})
--- a/core/config/message.go
+++ b/core/config/message.go
@@ -15,9 +15,11 @@
 
 // Message travels between two linked processes.
 type Message struct {
-	// Held is the sender's highest revision, Force the one in force.
+	// Held is the sender's highest revision, Force the one that it uses.
 	Held  model.Revision `cbor:"1,keyasint"`
 	Force model.Revision `cbor:"2,keyasint"`
+	// Fault says why the sender can't read a higher revision that has to be in force.
+	Fault string `cbor:"13,keyasint,omitempty"`
 	// Known is the highest revision that the sender knows to be in the store.
 	Known model.Revision `cbor:"3,keyasint"`
 	// Age is the time since the store last gave Known as its latest revision; negative if
@@ -54,9 +56,16 @@
 // Activate says that the revision is in force from now on.
 type Activate struct{ Copy Copy }
 
+// Unread says that the revision has to be in force but can't be read.
+type Unread struct {
+	Revision model.Revision
+	Cause    error
+}
+
 // Refresh asks for the store to be read, because a peer waits for a confirmation.
 type Refresh struct{}
 
 func (Send) effect()     {}
 func (Activate) effect() {}
+func (Unread) effect()   {}
 func (Refresh) effect()  {}
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -22,6 +22,10 @@
 
 // State is the configuration state of one life of a process.
 type State struct {
+	// Read returns an error for a copy whose document this version of the program can't read, because a
+	// newer one wrote it; nil means that all can be read.
+	Read func(Copy) error
+
 	life    model.Incarnation
 	started time.Time
 
@@ -29,6 +33,11 @@
 	force Copy
 	// ready is set once a revision is in force; the zero revision is one too.
 	ready bool
+	// used is the last revision in force that could be read, if begun is set.
+	used  Copy
+	begun bool
+	// fault says why the revision in force can't be read; empty if used is that revision.
+	fault string
 	// known is the highest revision known to be in the store.
 	known model.Revision
 	// contact is a time at or before which the store's latest revision was at most known.
@@ -85,7 +94,7 @@
 }
 
 // Alone puts the empty revision in force, in a process that has no store to learn one from.
-func (s *State) Alone() { s.ready = true }
+func (s *State) Alone() { s.ready, s.begun = true, true }
 
 // Watch names the region whose watch the process holds, empty for none.
 func (s *State) Watch(region model.Region) { s.watch = region }
@@ -206,10 +215,24 @@
 		return effects
 	}
 	s.force, s.ready = s.held, true
-	effects = append(effects, Activate{Copy: s.force})
+	if err := s.read(s.force); err != nil {
+		// The process passes the revision on as it is, and goes on with the one before.
+		s.fault = err.Error()
+		effects = append(effects, Unread{Revision: s.force.Revision, Cause: err})
+	} else {
+		s.used, s.begun, s.fault = s.force, true, ""
+		effects = append(effects, Activate{Copy: s.force})
+	}
 	return append(effects, s.announce(now)...)
 }
 
+func (s *State) read(c Copy) error {
+	if s.Read == nil || c.Revision == 0 {
+		return nil
+	}
+	return s.Read(c)
+}
+
 func (s *State) activates(now time.Time) bool {
 	switch {
 	case !s.ready:
@@ -284,8 +307,8 @@
 		age = now.Sub(s.contact)
 	}
 	return Message{
-		Held: s.held.Revision, Force: s.force.Revision, Known: s.known, Age: age, Ready: s.ready,
-		Confirmed: s.Confirmed(), Watch: s.watch,
+		Held: s.held.Revision, Force: s.used.Revision, Known: s.known, Age: age, Ready: s.ready,
+		Confirmed: s.Confirmed(), Watch: s.watch, Fault: s.fault,
 		Sent: Stamp{Life: s.life, At: now.Sub(s.started)}, Echo: echo, Copy: c,
 	}
 }
@@ -293,12 +316,18 @@
 // Held returns the highest revision that the process holds.
 func (s *State) Held() Copy { return s.held }
 
-// Force returns the revision in force; the second result is false while there is none.
-func (s *State) Force() (Copy, bool) { return s.force, s.ready }
+// Force returns the highest revision that was in force and could be read; the second result is false while there is none.
+func (s *State) Force() (Copy, bool) { return s.used, s.begun }
+
+// Settled reports whether the process knows which revision has to be in force, even if it can't read it.
+func (s *State) Settled() bool { return s.ready }
+
+// Fault says why the process does not use the revision that has to be in force; empty if it does.
+func (s *State) Fault() string { return s.fault }
 
 // Confirmed reports whether the store has confirmed the revision in force in this life of the process.
 func (s *State) Confirmed() bool {
-	return s.ready && !s.contact.IsZero() && s.known >= s.force.Revision
+	return s.ready && s.fault == "" && !s.contact.IsZero() && s.known >= s.force.Revision
 }
 
 // Peers returns the last message of each peer that is linked and was heard.
--- a/core/config/state_test.go
+++ b/core/config/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -27,6 +28,53 @@
 	return m
 }
 
+// A process that can't read a revision must say so instead of counting as up to date, use the last one that
+// it could read, and pass the bytes on unchanged.
+func TestUnreadableRevision(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		given []model.Revision // one after the other; even ones can't be read
+		used  model.Revision
+		ready bool
+		fault bool
+	}{
+		{"read", []model.Revision{5}, 5, true, false},
+		{"newer one unread", []model.Revision{5, 6}, 5, true, true},
+		{"two unread", []model.Revision{5, 6, 8}, 5, true, true},
+		{"read again", []model.Revision{5, 6, 7}, 7, true, false},
+		{"none could be read", []model.Revision{6}, 0, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := New(at(0), 7)
+			s.Read = func(c Copy) error {
+				if c.Revision%2 == 0 {
+					return fmt.Errorf("unread %d", c.Revision)
+				}
+				return nil
+			}
+			s.Up(at(0), "a")
+			var last Message
+			for i, r := range tc.given {
+				for _, e := range s.Store(at(time.Duration(i)), at(time.Duration(i)), copyOf(r)) {
+					if send, ok := e.(Send); ok {
+						last = send.Message
+					}
+				}
+			}
+			latest := tc.given[len(tc.given)-1]
+			if c, ready := s.Force(); c.Revision != tc.used || ready != tc.ready || !s.Settled() {
+				t.Errorf("in use: got %d, %v; want %d, %v", c.Revision, ready, tc.used, tc.ready)
+			}
+			if last.Force != tc.used || last.Held != latest || last.Fault != "" != tc.fault || last.Confirmed == tc.fault {
+				t.Errorf("told: got %+v, want %d held, %d in use, fault %v", last, latest, tc.used, tc.fault)
+			}
+			if got := s.Answer(at(9), Message{Want: true}).Copy; got == nil || !reflect.DeepEqual(*got, copyOf(latest)) {
+				t.Errorf("passed on: got %v, want %v", got, copyOf(latest))
+			}
+		})
+	}
+}
+
 func TestActivation(t *testing.T) {
 	const life = 7
 	for _, tc := range []struct {
--- a/io/admin/types.go
+++ b/io/admin/types.go
@@ -67,6 +67,8 @@
 	State    string         `json:"state"`
 	Revision model.Revision `json:"revision"`
 	Config   Confirmation   `json:"config"`
+	// Fault says why the process can't use a higher revision that has to be in force.
+	Fault string `json:"fault,omitempty"`
 	// Watch says that the process watches the store for its region.
 	Watch bool `json:"watch,omitempty"`
 }
--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -109,6 +110,59 @@
 	doc2 = "teams: [{name: b, weight: 1}]\n"
 )
 
+// During an upgrade an older process may get a document that it can't read. It has to report that, decide on the
+// one before, and give a newer one that replaces it all bytes.
+func TestOlderProcessPassesOnWhatItCannotRead(t *testing.T) {
+	b := newBench(t)
+	newer := doc2 + "# comment\nsetting-of-a-newer-version: 1\n"
+	client := b.client()
+	write := func(r model.Revision, document string) {
+		value, err := config.Record{Copy: config.Copy{Revision: r, Document: document}}.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		version := uint64(0)
+		if item, err := client.Get(b.ctx, config.Key); err == nil {
+			version = item.Version
+		}
+		if _, err := client.Put(b.ctx, config.Key, value, version, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(1, doc1)
+	old, _ := b.start("old", "r", client)
+	eventually(t, 5*time.Second, "revision 1", old.has(1, true))
+	write(2, newer)
+	eventually(t, 5*time.Second, "a fault", func() bool { s, _ := old.Status(); return s.Fault != "" })
+	s, _ := old.Status()
+	if s.Force != 1 || s.Held != 2 || s.Confirmed || !s.Ready || strings.Contains(s.Fault, "\n") {
+		t.Errorf("status of the older process: got %+v, want revision 1 in use, 2 held, ready", s)
+	}
+	if c, d, _ := old.Force(); c.Revision != 1 || len(d.Teams) != 1 || d.Teams[0].Name != "a" {
+		t.Errorf("in use: got %d %v, want the declaration of revision 1", c.Revision, d.Teams)
+	}
+	// The replacement reaches only the older process, not the store.
+	read, _ := b.start("new", "r", nil)
+	read.mu.Lock()
+	read.state.Read = func(c config.Copy) error {
+		if c.Revision == 2 && c.Document != newer {
+			t.Errorf("document: got %q, want %q", c.Document, newer)
+		}
+		return nil
+	}
+	read.mu.Unlock()
+	began := time.Now()
+	connect(old, read)
+	eventually(t, 5*time.Second, "the newer process uses revision 2", read.has(2, true))
+	t.Logf("newer process uses the document after %v", time.Since(began))
+	_, peers := read.Status()
+	if got := peers["old"]; got.Fault == "" || got.Force != 1 {
+		t.Errorf("older process seen by the newer one: got %+v, want revision 1 with a fault", got)
+	}
+	write(3, doc2)
+	eventually(t, 5*time.Second, "a document that the older process can read", old.has(3, true))
+}
+
 // A writer that takes a lost answer for a failure, or a late refusal for a conflict, would tell the
 // operator the opposite of what happened.
 func TestApplyUnderFaults(t *testing.T) {
--- a/io/conf/exchange.go
+++ b/io/conf/exchange.go
@@ -274,7 +274,7 @@
 	defer wg.Wait()
 	busy := map[model.NodeID]bool{}
 	var mu sync.Mutex
-	for ; !x.Manager.Ready() && ctx.Err() == nil; pause(ctx, probeInterval) {
+	for ; !x.Manager.Settled() && ctx.Err() == nil; pause(ctx, probeInterval) {
 		for id, target := range targets() {
 			mu.Lock()
 			skip := busy[id] || x.Manager.Linked(id) || id == s.Self.Node || len(busy) >= maxProbes
@@ -336,7 +336,7 @@
 	defer end.Stop()
 	x.Linked(l)
 	defer x.Unlinked(l)
-	for !x.Manager.Ready() {
+	for !x.Manager.Settled() {
 		f, err := l.Receive()
 		if err != nil {
 			return
--- a/io/conf/manager.go
+++ b/io/conf/manager.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,10 +55,12 @@
 type Manager struct {
 	opts Options
 
-	mu      sync.Mutex
-	state   *config.State
-	boxes   map[model.NodeID]*box
-	force   model.Declaration
+	mu    sync.Mutex
+	state *config.State
+	boxes map[model.NodeID]*box
+	force model.Declaration
+	// parsed is the declaration of the document that was read last.
+	parsed  model.Declaration
 	onForce []func(model.Revision, model.Declaration)
 	refresh chan struct{}
 }
@@ -76,9 +80,11 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Manager{
+	m := &Manager{
 		opts: o, state: config.New(time.Now(), o.Life), boxes: map[model.NodeID]*box{}, refresh: make(chan struct{}, 1),
 	}
+	m.state.Read = m.parse
+	return m
 }
 
 // Run repeats the state to the peers and, with a store, follows it until ctx ends.
@@ -289,22 +295,32 @@
 			}
 		case config.Activate:
 			m.activate(e.Copy)
+		case config.Unread:
+			m.opts.Log.Error("configuration can't be read", "revision", e.Revision, "error", e.Cause)
 		case config.Refresh:
 			m.wantRead()
 		}
 	}
 }
 
+// parse reads a document for activate. Every writer checks documents first, so that one that this version
+// can't read was written by a newer version; the declaration before it stays in use.
+func (m *Manager) parse(c config.Copy) error {
+	d, err := decl.Parse([]byte(c.Document))
+	if err != nil {
+		text, _, _ := strings.Cut(err.Error(), "\n")
+		return fmt.Errorf("revision %d can't be read by this version: %.*s", c.Revision, maxFault, text)
+	}
+	m.parsed = d
+	return nil
+}
+
+// maxFault bounds the text of a fault that is sent to other processes, in characters.
+const maxFault = 200
+
 func (m *Manager) activate(c config.Copy) {
 	if c.Revision > 0 {
-		d, err := decl.Parse([]byte(c.Document))
-		if err != nil {
-			// Every writer checks documents first; one that this version can't read was
-			// written by a newer version, so the declaration before it stays in use.
-			m.opts.Log.Error("configuration can't be read", "revision", c.Revision, "error", err)
-		} else {
-			m.force = d
-		}
+		m.force = m.parsed
 	}
 	m.opts.Log.Info("configuration in force", "revision", c.Revision, "change", c.Change, "confirmed", m.state.Confirmed())
 	for _, f := range m.onForce {
@@ -312,7 +328,14 @@
 	}
 }
 
-// Ready reports whether a revision is in force.
+// Settled reports whether the process knows which revision has to be in force, even if it can't read it.
+func (m *Manager) Settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Settled()
+}
+
+// Ready reports whether a revision is in force that the process could read.
 func (m *Manager) Ready() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -331,10 +354,12 @@
 // Status is what a process says of its configuration.
 type Status struct {
 	ID model.NodeID `json:"id"`
-	// Held is the highest revision that the process has, Force the one in force.
+	// Held is the highest revision that the process has, Force the one that it uses.
 	Held  model.Revision `json:"held"`
 	Force model.Revision `json:"revision"`
 	Ready bool           `json:"ready"`
+	// Fault says why the process can't use a higher revision that has to be in force.
+	Fault string `json:"fault,omitempty"`
 	// Confirmed is false while the store has not confirmed the revision in the process's life.
 	Confirmed bool `json:"confirmed"`
 	// Watch is the region whose watch the process holds.
@@ -351,11 +376,13 @@
 	self := Status{
 		ID: m.opts.ID, Held: m.state.Held().Revision, Force: c.Revision, Ready: ready,
 		Confirmed: m.state.Confirmed(), Watch: m.state.Holds(), State: m.marked(config.Message{}).State,
+		Fault: m.state.Fault(),
 	}
 	peers := map[model.NodeID]Status{}
 	for id, p := range m.state.Peers() {
 		peers[id] = Status{
 			ID: id, Held: p.Held, Force: p.Force, Ready: p.Ready, Confirmed: p.Confirmed, Watch: p.Watch, State: p.State,
+			Fault: p.Fault,
 		}
 	}
 	return self, peers
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -100,6 +100,7 @@
 	ID, State, Config string
 	Revision          int
 	Watch             bool
+	Fault             string
 }
 
 // status returns the processes as an entry shows them, without those that it shows as lost.
@@ -175,10 +176,10 @@
 }
 
 // put writes a revision into the store past all entries, so that only a watch can find it.
-func (f *configFleet) put(revision model.Revision) time.Time {
+func (f *configFleet) put(revision model.Revision, document string) time.Time {
 	f.t.Helper()
 	s := &store.Client{URL: f.platform.url("listen")}
-	record := config.Record{Copy: config.Copy{Revision: revision, Change: "outside", Document: "teams: []\n"}}
+	record := config.Record{Copy: config.Copy{Revision: revision, Change: "outside", Document: document}}
 	value, err := record.Encode()
 	if err != nil {
 		f.t.Fatal(err)
@@ -292,7 +293,7 @@
 			})
 			other := map[string]string{"e1": "e2", "e2": "e1"}[holder]
 			fail(f.entries[holder])
-			f.everywhere(f.put(1), 1, other, "a1")
+			f.everywhere(f.put(1, "teams: []\n"), 1, other, "a1")
 			f.within(everywhere, "another watch", func() bool { return f.self(other).Watch })
 			if name == "paused" {
 				f.entries[holder].resume()
