Show the fragmentation of each cell

Cause: fragmentation is one of the two measures of the system, but only the replay test computed it.

Only the status command asks for the cells. Taking a series back when a cell has moved is not possible with the library, so the former owner exports NaN.

Change: plan.State.Room holds the accelerators that are free or reclaimable and their largest block in one rack, moved from the replay, which calls it. The owner of a cell exports wagtailhoist_fragmentation, and status shows it for each cell.

Conclusion: the figure of a running cell and that of the replay follow one definition.

--- a/cmds/figures_test.go
+++ b/cmds/figures_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/plan"
 	"wagtailhoist/core/route"
 	"wagtailhoist/core/tries"
 	"wagtailhoist/io/front"
@@ -28,6 +29,26 @@
 
 func (r *fixedRouter) Report(time.Time, model.NodeID, route.Result) { r.reports++ }
 
+// A cell that has another owner must not keep the last value here beside the new owner's.
+func TestFragmentationOfOwnedCells(t *testing.T) {
+	m := meter.New()
+	rooms := map[model.CellID]plan.Room{"chur": {Total: 16, Largest: 8}, "lausanne": {Total: 24, Largest: 24}}
+	set := countRooms(func() map[model.CellID]plan.Room { return rooms }, m)
+	set(time.Now())
+	rooms = map[model.CellID]plan.Room{"chur": {Total: 16, Largest: 8}}
+	set(time.Now())
+	if err := m.Close(); err != nil {
+		t.Fatal(err)
+	}
+	rec := httptest.NewRecorder()
+	m.Handler().ServeHTTP(rec, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{`wagtailhoist_fragmentation{cell="chur"} 0.5`, `wagtailhoist_fragmentation{cell="lausanne"} NaN`} {
+		if !strings.Contains(rec.Body.String(), want) {
+			t.Errorf("metrics: got no line %s", want)
+		}
+	}
+}
+
 // The link between regions is billed by volume, and retries have a budget: both have to be seen.
 func TestFiguresOfRouting(t *testing.T) {
 	m := meter.New()
--- a/cmds/jobs.go
+++ b/cmds/jobs.go
@@ -75,6 +75,15 @@
 	}
 }
 
+// Cells returns the owner and the fragmentation of each cell.
+func (j jobs) Cells() []admin.CellStatus {
+	var out []admin.CellStatus
+	for _, c := range j.sched.Snapshot().Cells {
+		out = append(out, admin.CellStatus{Cell: c.Cell, Owner: c.Owner, Room: c.Room, Fragmentation: c.Room.Fragmentation()})
+	}
+	return out
+}
+
 func reasonsOf(c sched.CellView) []plan.Waiting {
 	out := make([]plan.Waiting, len(c.Waiting))
 	for i, w := range c.Waiting {
--- a/cmds/sched.go
+++ b/cmds/sched.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net/http"
 	"time"
 
 	"go.uber.org/fx"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/plan"
 	"wagtailhoist/io/conf"
+	"wagtailhoist/io/meter"
 	"wagtailhoist/io/sched"
 	"wagtailhoist/io/store"
 	"wagtailhoist/io/works"
@@ -36,12 +39,31 @@
 	}
 }
 
+// countRooms sets the fragmentation of the owned cells, and ends the series of those that are owned no longer.
+func countRooms(rooms func() map[model.CellID]plan.Room, m *meter.Meter) func(time.Time) {
+	owned := map[model.CellID]bool{}
+	return func(time.Time) {
+		now := rooms()
+		for id := range owned {
+			if _, ok := now[id]; !ok {
+				m.Fragmentation(id, math.NaN())
+				delete(owned, id)
+			}
+		}
+		for id, r := range now {
+			m.Fragmentation(id, r.Fragmentation())
+			owned[id] = true
+		}
+	}
+}
+
 // startSched controls cells until the process stops, and hands them over then.
-func startSched(life fx.Lifecycle, s *sched.Sched) {
+func startSched(life fx.Lifecycle, s *sched.Sched, figures *meter.Meter) {
 	if s == nil {
 		return
 	}
 	background(life, s.Run)
+	background(life, func(ctx context.Context) { every(ctx, figuresInterval, countRooms(s.Rooms, figures)) })
 	life.Append(fx.Hook{OnStop: func(stop context.Context) error {
 		s.Drain(stop)
 		return nil
--- a/cmds/status.go
+++ b/cmds/status.go
@@ -19,7 +19,7 @@
 // Help returns the example.
 func (*statusCmd) Help() string {
 	return `Shows each process with the revision that is in force there, whether the store has confirmed it, and
-whether the process is ready, draining or lost; then waiting, service and completion times of the
+whether the process is ready, draining or lost; the owner and the fragmentation of each cell; then waiting, service and completion times of the
 entry that is asked, by team and by class.
 
 Example: wagtailhoist status --admin http://10.0.0.1:7403` + exitCodes
@@ -27,7 +27,7 @@
 
 // Run shows the status.
 func (c *statusCmd) Run(s streams) error {
-	status, err := c.client().Status(context.Background())
+	status, err := c.client().StatusWithCells(context.Background())
 	if err != nil {
 		return err
 	}
@@ -48,7 +48,10 @@
 			string(p.ID), p.Role, string(p.Region), string(p.Centre), p.State, strconv.FormatUint(uint64(p.Revision), 10), confirmation,
 		})
 	}
-	if err := processes.WriteTable(w); err != nil || len(status.Timings) == 0 {
+	if err := processes.WriteTable(w); err != nil {
+		return err
+	}
+	if err := writeCells(w, status.Cells); err != nil || len(status.Timings) == 0 {
 		return err
 	}
 	fmt.Fprintf(w, "\ntimes of %s\n", status.Asked)
@@ -61,6 +64,20 @@
 	return timings.WriteTable(w)
 }
 
+func writeCells(w io.Writer, list []admin.CellStatus) error {
+	if len(list) == 0 {
+		return nil
+	}
+	fmt.Fprintln(w)
+	cells := query.Answer{Columns: []string{"cell", "owner", "free or reclaimable", "largest block", "fragmentation"}}
+	for _, c := range list {
+		cells.Rows = append(cells.Rows, []string{
+			string(c.Cell), string(c.Owner), strconv.Itoa(c.Room.Total), strconv.Itoa(c.Room.Largest), strconv.FormatFloat(c.Fragmentation, 'f', 3, 64),
+		})
+	}
+	return cells.WriteTable(w)
+}
+
 func seconds(v float64) string {
 	return "<= " + time.Duration(v*float64(time.Second)).Round(time.Microsecond).String()
 }
--- /dev/null
+++ b/core/plan/fragment.go
@@ -0,0 +1,45 @@
+package plan
+
+import "time"
+
+// wholeBlock is the number of accelerators of a rack of three workers; a larger block can't be had in one rack.
+const wholeBlock = 24
+
+// Room holds the accelerators of a cell that are free, or held by borrowers that can be checkpointed and gone within a minute.
+type Room struct {
+	Total int `json:"total"`
+	// Largest is the largest block of them in one rack.
+	Largest int `json:"largest"`
+}
+
+// Fragmentation returns 1 less the largest block divided by the smaller of the total and a whole rack. It is 0 if
+// the block is as large as it can be, and if nothing is free.
+func (r Room) Fragmentation() float64 {
+	if r.Total == 0 {
+		return 0
+	}
+	return 1 - float64(r.Largest)/float64(min(r.Total, wholeBlock))
+}
+
+// Room returns the accelerators that are free or reclaimable at now, on workers that take work.
+func (s *State) Room(now time.Time) Room {
+	x := s.ready(now)
+	var r Room
+	for _, b := range x.racks {
+		sum := 0
+		for i := b.lo; i < b.hi; i++ {
+			n := &x.nodes[i]
+			if !n.ok {
+				continue
+			}
+			sum += n.cap.GPUs - n.used.GPUs
+			for _, u := range n.uses {
+				if u.job.Spec.Guarantee == "" && movable(u.job) {
+					sum += u.amount.GPUs
+				}
+			}
+		}
+		r.Largest, r.Total = max(r.Largest, sum), r.Total+sum
+	}
+	return r
+}
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -74,6 +74,52 @@
 	return model.JobSpec{ID: id, Shape: model.Shape{Tasks: tasks, GPUs: gpus}, Estimate: time.Hour}
 }
 
+// Operators compare the figure with the replay's, so that it has to follow the same definition.
+func TestRoom(t *testing.T) {
+	movable := func(id model.JobID, tasks int, grace time.Duration) model.JobSpec {
+		j := job(id, tasks, 8)
+		j.Checkpoint, j.Grace = true, grace
+		return j
+	}
+	for _, tc := range []struct {
+		name string
+		jobs []model.JobSpec
+		lost bool
+		want Room
+		frag float64
+	}{
+		{"empty", nil, false, Room{48, 24}, 0},
+		{"full", []model.JobSpec{job("j", 6, 8)}, false, Room{0, 0}, 0},
+		{"borrowers that leave within a minute", []model.JobSpec{movable("j", 6, time.Minute-Reaction)}, false, Room{48, 24}, 0},
+		{"borrowers that leave later", []model.JobSpec{movable("j", 6, time.Minute)}, false, Room{0, 0}, 0},
+		{"one worker free of each rack", []model.JobSpec{adjacent("j", 2), adjacent("k", 2)}, false, Room{16, 8}, 0.5},
+		{"lost worker", nil, true, Room{40, 24}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 6, teams(model.TeamSpec{Name: "a"}))
+			if tc.lost {
+				w := fleet(6, 1)[0]
+				w.Up = false
+				r.Apply(r.now, Event{Kind: WorkerSeen, Worker: &w})
+			}
+			for _, j := range tc.jobs {
+				r.submit(j)
+				r.now = r.now.Add(patienceLeast) // jobs keep off the cleanest rack for so long
+				r.step()
+			}
+			if got := r.Room(r.now); got != tc.want || got.Fragmentation() != tc.frag {
+				t.Errorf("got %+v, %v; want %+v, %v", got, got.Fragmentation(), tc.want, tc.frag)
+			}
+		})
+	}
+}
+
+func adjacent(id model.JobID, tasks int) model.JobSpec {
+	j := job(id, tasks, 8)
+	j.Shape.Adjacent = model.SameRack
+	return j
+}
+
 // A job that can never run has to say so instead of waiting without a reason.
 func TestReasons(t *testing.T) {
 	rack := func(tasks int) model.Shape { return model.Shape{Tasks: tasks, GPUs: 8, Adjacent: model.SameRack} }
--- a/core/plan/replay_test.go
+++ b/core/plan/replay_test.go
@@ -233,30 +233,11 @@
 		return
 	}
 	x := r.s.ready(r.now)
-	most, total := 0, 0
-	for _, b := range x.racks {
-		sum := 0
-		for i := b.lo; i < b.hi; i++ {
-			n := &x.nodes[i]
-			if !n.ok {
-				continue
-			}
-			sum += n.cap.GPUs - n.used.GPUs
-			for _, u := range n.uses {
-				if s := u.job.Spec; s.Guarantee == "" && s.Checkpoint && leaves(u.job, time.Minute) {
-					sum += u.amount.GPUs
-				}
-			}
-		}
-		most, total = max(most, sum), total+sum
-	}
 	r.span += dt
 	for i := range x.nodes {
 		r.used += dt * float64(x.nodes[i].used.GPUs)
 	}
-	if total > 0 {
-		r.frag += dt * (1 - float64(most)/float64(min(total, 24)))
-	}
+	r.frag += dt * r.s.Room(r.now).Fragmentation()
 }
 
 // result holds the figures of one replay or the mean of several.
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -64,6 +64,10 @@
 	return j.note("aside %s %v", id, aside)
 }
 
+func (j fakeJobs) Cells() []CellStatus {
+	return []CellStatus{{Cell: "c", Owner: "e1", Fragmentation: 0.25}}
+}
+
 func (j fakeJobs) Observe(_ context.Context, s *query.Snapshot) {
 	s.Workers = append(s.Workers, query.Worker{Worker: model.Worker{ID: "w1", GPUs: 8, Up: true}})
 }
@@ -269,7 +273,10 @@
 		t.Errorf("carried out: got %s, want %s", got, want)
 	}
 	status, err := b.client.Status(b.ctx)
-	if err != nil || len(status.Processes) != 2 || status.Processes[0].ID != "e1" {
-		t.Errorf("status: got %+v, %v, want two processes by name", status, err)
+	if err != nil || len(status.Processes) != 2 || status.Processes[0].ID != "e1" || len(status.Cells) != 0 {
+		t.Errorf("status: got %+v, %v, want two processes by name without cells", status, err)
+	}
+	if status, err = b.client.StatusWithCells(b.ctx); err != nil || len(status.Cells) != 1 || status.Cells[0].Fragmentation != 0.25 {
+		t.Errorf("status with cells: got %+v, %v, want one cell", status, err)
 	}
 }
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -30,6 +30,13 @@
 	return out, err
 }
 
+// StatusWithCells returns the status with the cells, which costs the asked entry a read of the plans of other owners.
+func (c *Client) StatusWithCells(ctx context.Context) (Status, error) {
+	var out Status
+	err := c.call(ctx, http.MethodGet, "/status?cells", nil, &out)
+	return out, err
+}
+
 // Current returns the configuration in force.
 func (c *Client) Current(ctx context.Context) (Current, error) {
 	var out Current
--- a/io/admin/handle.go
+++ b/io/admin/handle.go
@@ -17,9 +17,13 @@
 	"wagtailhoist/io/conf"
 )
 
-func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
 	out := Status{Asked: s.ID, Processes: s.Fleet.Processes()}
 	slices.SortFunc(out.Processes, func(a, b Process) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	// Plans of other owners are read from the store, so that only who asks for them pays for it.
+	if s.Jobs != nil && r.URL.Query().Has("cells") {
+		out.Cells = s.Jobs.Cells()
+	}
 	if s.Meter != nil {
 		timings, err := s.Meter.Summaries()
 		if err != nil {
--- a/io/admin/types.go
+++ b/io/admin/types.go
@@ -7,6 +7,7 @@
 	"wagtailhoist/core/config"
 	"wagtailhoist/core/decl"
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/plan"
 	"wagtailhoist/core/query"
 	"wagtailhoist/io/meter"
 )
@@ -39,6 +40,8 @@
 	Aside(ctx context.Context, id model.WorkerID, aside bool) error
 	// Observe adds the cells that this process knows to the snapshot.
 	Observe(ctx context.Context, s *query.Snapshot)
+	// Cells returns what this process knows of the cells.
+	Cells() []CellStatus
 }
 
 // Meter gives the figures of this process.
@@ -73,12 +76,23 @@
 	Watch bool `json:"watch,omitempty"`
 }
 
+// CellStatus is one cell of the status.
+type CellStatus struct {
+	Cell  model.CellID `json:"cell"`
+	Owner model.NodeID `json:"owner"`
+	// Room holds the accelerators that are free or reclaimable, Fragmentation the share of a whole block that is missing.
+	Room          plan.Room `json:"room"`
+	Fragmentation float64   `json:"fragmentation"`
+}
+
 // Status is the answer to GET /status.
 type Status struct {
 	// Asked is the process that answers; the timings are its own.
-	Asked     model.NodeID    `json:"asked"`
-	Processes []Process       `json:"processes"`
-	Timings   []meter.Summary `json:"timings"`
+	Asked     model.NodeID `json:"asked"`
+	Processes []Process    `json:"processes"`
+	// Cells holds the cells that the process knows; it is set if the request asks for them.
+	Cells   []CellStatus    `json:"cells,omitempty"`
+	Timings []meter.Summary `json:"timings"`
 }
 
 // Current is the answer to GET /config.
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -24,6 +24,8 @@
 	maxClasses = 64
 	// maxReasons bounds the values of a counter's label.
 	maxReasons = 32
+	// maxCells bounds the cells with series of their own: the target size of 15 data centres and some room.
+	maxCells = 64
 	// maxLabel bounds a label's value, in bytes.
 	maxLabel = 64
 	// longest is the bound of the last bucket.
@@ -58,6 +60,7 @@
 	teams    labels
 	classes  labels
 	reasons  labels
+	cells    labels
 
 	mu       sync.RWMutex
 	timings  map[series]tally.Histogram
@@ -88,6 +91,7 @@
 		teams:    labels{limit: maxTeams},
 		classes:  labels{limit: maxClasses},
 		reasons:  labels{limit: maxReasons},
+		cells:    labels{limit: maxCells},
 		timings:  map[series]tally.Histogram{},
 		counters: map[series]tally.Counter{},
 	}
@@ -139,6 +143,16 @@
 // Count adds n to a counter that has one label.
 func (m *Meter) Count(name, label, value string, n int64) { m.count(name, label, value, n) }
 
+// Fragmentation sets the fragmentation of a cell, from 0 to 1. NaN says that this process does not own the cell
+// any more: a series can't be taken back, and the last value would contradict the new owner's.
+func (m *Meter) Fragmentation(cell model.CellID, value float64) {
+	if m == nil {
+		return
+	}
+	name := m.cells.value("", string(cell))
+	m.scope.Tagged(map[string]string{"cell": name}).Gauge("fragmentation").Update(value)
+}
+
 // timing records d once by team and once by class. The two have metrics of their own,
 // because a series for each pair would multiply 380 teams by the classes.
 func (m *Meter) timing(name string, team model.Team, class string, d time.Duration) {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -31,6 +32,9 @@
 	m.Unknown("agent lost")
 	m.Late("duplicate")
 	m.Remote("ch-east", 42)
+	m.Fragmentation("lausanne", 0.25)
+	m.Fragmentation("chur", 0.5)
+	m.Fragmentation("chur", math.NaN())
 	if err := m.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -44,6 +48,8 @@
 		`wagtailhoist_unknown_outcomes_total{reason="agent lost"} 1`,
 		`wagtailhoist_late_answers_total{kind="duplicate"} 1`,
 		`wagtailhoist_remote_bytes_total{region="ch-east"} 42`,
+		`wagtailhoist_fragmentation{cell="lausanne"} 0.25`,
+		`wagtailhoist_fragmentation{cell="chur"} NaN`,
 	} {
 		if !strings.Contains(got, want) {
 			t.Errorf("metrics: got no line %s", want)
--- a/io/sched/control.go
+++ b/io/sched/control.go
@@ -29,6 +29,8 @@
 	epoch model.Epoch
 	// decision is the latest one of the owner.
 	decision Output
+	// decided says that the owner has made a decision.
+	decided bool
 }
 
 // control runs the Cell of one cell.
@@ -169,7 +171,7 @@
 			c.decision, c.settled = Output{}, false
 		}
 	}
-	next := &view{plan: old.plan, owned: owned, epoch: c.cell.Epoch(), decision: c.decision}
+	next := &view{plan: old.plan, owned: owned, epoch: c.cell.Epoch(), decision: c.decision, decided: c.settled}
 	if p.Revision != old.plan.Revision || p.Epoch != old.plan.Epoch {
 		next.plan = p.Clone()
 	}
@@ -290,6 +292,8 @@
 	Wake time.Time
 	// Hosts holds the workers with the failures attributed to them.
 	Hosts map[model.WorkerID]plan.Host
+	// Room holds the free and reclaimable accelerators after the actions.
+	Room plan.Room
 }
 
 // Decider decides what a cell starts and stops.
--- a/io/sched/driver.go
+++ b/io/sched/driver.go
@@ -50,7 +50,7 @@
 		}
 	}
 	out.Held, out.Hosts = d.held(), maps.Clone(d.state.Hosts)
-	out.Note = d.learned(now)
+	out.Note, out.Room = d.learned(now), d.state.Room(now)
 	return out
 }
 
--- a/io/sched/snapshot.go
+++ b/io/sched/snapshot.go
@@ -73,6 +73,7 @@
 	Waiting    []Wait                       `json:"waiting"`
 	Shortfalls []plan.Shortfall             `json:"shortfalls"`
 	Ended      []cell.Ended                 `json:"ended"`
+	Room       plan.Room                    `json:"room"`
 }
 
 // Snapshot is what a process knows of all cells, in the order of their names.
@@ -103,6 +104,17 @@
 	return out
 }
 
+// Rooms returns the free and reclaimable accelerators of the cells that this process owns, as of their last decisions.
+func (s *Sched) Rooms() map[model.CellID]plan.Room {
+	out := map[model.CellID]plan.Room{}
+	for _, c := range s.all() {
+		if v := c.view.Load(); v.owned && v.decided {
+			out[c.id] = v.decision.Room
+		}
+	}
+	return out
+}
+
 func (c *control) show(now time.Time) CellView {
 	v := c.view.Load()
 	in, ok := c.sched.inputs(c.id)
@@ -116,6 +128,7 @@
 	out := CellView{
 		Cell: c.id, Owner: v.plan.Owner, Epoch: v.plan.Epoch, Owned: v.owned, Revision: v.plan.Revision,
 		Workers: in.workers, Hosts: decision.Hosts, Held: decision.Held, Shortfalls: decision.Shortfalls, Ended: v.plan.Ended,
+		Room: decision.Room,
 	}
 	reasons := make(map[model.JobID]plan.Reason, len(decision.Waiting))
 	for _, w := range decision.Waiting {
