Tell callers whose idle connection a stopping entry closes that nothing ran

Cause: after the wait for the balancer, net/http closes idle connections at once. A request that is on its way then meets a closed connection, and its caller doesn't learn whether it ran.

Ruled out: waiting until each idle connection has carried a request and been told Connection: close, because a stop would take as long as the longest pause of a caller (the limit of idle connections is 2 min), and the race with that limit would stay; closing after a fixed time of idleness, which only makes the race rarer.

Change: front.Parting ends an idle connection of a stopping entry with an answer 408, outcome not-run, then closes its own direction and reads until the caller closes, for 1 s at most, since a reset would take the answer from the caller. Requests are refused as not run from before that moment, so that the answer is true for a request that is still read. net/http clients take an unasked 408 on an idle connection as its end.

Conclusion: each request on a kept connection gets an explicit outcome while an entry stops. A caller that reads its answer later than 1 s after the end may still meet a reset.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -133,13 +133,17 @@
 		front.Claiming(claimer(e.Claims), d.Do, d.Next), counting(e.Meter), front.Stopping(e.Phase.stopping.Load),
 		front.Admitting(timedGate{e.Gate, e.Meter}), timing(e.Meter),
 	)
+	parting := &front.Parting{Listener: self.callers}
 	callers := &http.Server{
 		Handler:           &front.Server{Handle: handle, MaxBody: link.MaxBody, Closing: e.Phase.draining.Load},
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       callersIdle,
 		MaxHeaderBytes:    front.MaxHeader,
-		ConnState:         link.Serving,
-		ConnContext:       link.WithConn,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			parting.Serving(conn, state)
+			link.Serving(conn, state)
+		},
+		ConnContext: link.WithConn,
 	}
 	links := linkServer(self.settings, e.Peers.Serve, func() bool {
 		return !e.Phase.draining.Load() && e.Conf.Ready() && e.Peers.Synced(time.Now())
@@ -149,7 +153,7 @@
 		OnStart: func(context.Context) error {
 			log.Info("listening", "listen", self.callers.Addr().String(), "link", self.links.Addr().String(),
 				"admin", self.admin.Addr().String())
-			go serveHTTP(callers, link.Listen(self.callers, front.Guests, &self.callerGuests), log)
+			go serveHTTP(callers, link.Listen(parting, front.Guests, &self.callerGuests), log)
 			go serveHTTP(links, link.Listen(self.links, link.Guests, &self.settings.Counters.Guests), log)
 			go every(ctx, figuresInterval, countLinks(e.Meter, self, d.Pool, e.Claims))
 			go every(ctx, sweepEvery, d.Pool.Sweep)
@@ -170,7 +174,9 @@
 			e.Conf.Flush(flushLimit)
 			time.Sleep(c.Drain)
 			e.Phase.stopping.Store(true)
+			parting.Stop()
 			err := callers.Shutdown(stop)
+			parting.Wait()
 			closeClaims(stop, e.Claims)
 			cancel()
 			<-linked
--- a/io/front/http_test.go
+++ b/io/front/http_test.go
@@ -276,6 +276,73 @@
 	}
 }
 
+// A caller that sends in the moment in which a stopping entry closes its idle connection must learn that nothing ran,
+// and one whose request runs must get its answer.
+func TestStoppingEntryPartsIdleConnections(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// sent is what the caller has sent when the entry stops; runs says that the request runs by then.
+		sent string
+		runs bool
+		want int
+	}{
+		{"nothing was sent since the last answer", "", false, http.StatusRequestTimeout},
+		{"part of a request", "POST / HTTP/1.1\r\nHost: a\r\n", false, http.StatusRequestTimeout},
+		{"request runs", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", true, http.StatusOK},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			running, finish := make(chan struct{}), make(chan struct{})
+			p := &Parting{Listener: l}
+			server := &http.Server{ConnState: p.Serving, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.Method == "POST" {
+					close(running)
+					<-finish
+				}
+			})}
+			go func() { _ = server.Serve(p) }()
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			answers := bufio.NewReader(c)
+			_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			if _, err := http.ReadResponse(answers, nil); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(c, tc.sent)
+			if tc.runs {
+				<-running
+				time.AfterFunc(50*time.Millisecond, func() { close(finish) })
+			}
+			time.Sleep(20 * time.Millisecond)
+			p.Stop()
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			stopped := make(chan error, 1)
+			go func() { stopped <- server.Shutdown(ctx) }()
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != tc.want || !tc.runs && (resp.Header.Get(HeaderOutcome) != string(tries.OutcomeNotRun) || !resp.Close) {
+				t.Errorf("answer: got %d %v, want %d", resp.StatusCode, resp.Header, tc.want)
+			}
+			_, _ = io.WriteString(c, "a request that crosses the answer")
+			c.Close()
+			if err := <-stopped; err != nil {
+				t.Error(err)
+			}
+			p.Wait()
+		})
+	}
+}
+
 // Links to agents that get no requests must not be kept, or an entry would hold one to each agent of a fleet.
 func TestSweepClosesIdleLinks(t *testing.T) {
 	s := &script{handle: func(int, *link.Link, link.Frame) {}}
--- a/io/link/guest.go
+++ b/io/link/guest.go
@@ -111,6 +111,9 @@
 	spoke, evicted, closed bool
 }
 
+// NetConn returns the connection beneath.
+func (c *guestConn) NetConn() net.Conn { return c.Conn }
+
 // leave ends the count of the connection as a guest; the lock is held.
 func (c *guestConn) leave() {
 	if c.place != nil {
