--- a/io/front/dispatch.go
+++ b/io/front/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 	Self   model.Incarnation
 	Router Router
 	Pool   *Pool
+	// Log takes a debug line for each attempt that has ended; nil means none.
+	Log *slog.Logger
 
 	sequence atomic.Uint64
 }
@@ -73,13 +76,16 @@
 			break
 		}
 		ask.Tried = append(ask.Tried, rec.ID)
-		t := trial{pool: d.Pool, record: rec, body: c.Body, patient: !c.Idempotent, begin: link.Begin{
+		t := trial{pool: d.Pool, record: rec, body: c.Body, patient: !c.Idempotent, suspect: func() {
+			d.Router.Suspect(time.Now(), rec.ID)
+		}, begin: link.Begin{
 			Attempt: at, Deadline: c.Deadline, Team: c.Team, Key: c.Key, Method: c.Method, Path: c.Path,
 			Host: c.Host, Header: c.Header, Length: len(c.Body), Sum: sum, Body: link.First(c.Body),
 		}}
 		start := time.Now()
 		end := t.run(ctx)
 		state.Record(end.end)
+		d.logEnd(ctx, start, &t, end)
 		d.Router.Report(time.Now(), rec.ID, end.result(ctx, time.Since(start)))
 		reply.Attempt, reply.Reason = at, end.reason
 		if end.answer != nil {
@@ -89,3 +95,12 @@
 	reply.Outcome = state.Outcome()
 	return reply
 }
+
+// logEnd logs where an attempt went and how it ended, to trace requests that meet a failing agent.
+func (d *Dispatcher) logEnd(ctx context.Context, sent time.Time, t *trial, e ending) {
+	if d.Log == nil || !d.Log.Enabled(ctx, slog.LevelDebug) {
+		return
+	}
+	d.Log.Debug("attempt ended", "agent", t.record.ID, "attempt", t.begin.Attempt, "sent", sent, "end", e.end.String(),
+		"reason", e.reason, "fresh", t.fresh)
+}
--- a/io/sched/control.go
+++ b/io/sched/control.go
@@ -32,6 +32,8 @@
 	epoch    model.Epoch
 	// decision is the latest one of the owner.
 	decision Output
+	// decided says that the owner has made a decision.
+	decided bool
 }
 
 // control runs the Cell of one cell.
@@ -190,7 +192,9 @@
 	if detached != old.detached {
 		c.log.Warn("decisions during an outage of the store", "detached", detached, "epoch", uint64(c.cell.Epoch()))
 	}
-	next := &view{plan: old.plan, owned: owned, detached: detached, epoch: c.cell.Epoch(), decision: c.decision}
+	next := &view{
+		plan: old.plan, owned: owned, detached: detached, epoch: c.cell.Epoch(), decision: c.decision, decided: c.settled,
+	}
 	if p.Revision != old.plan.Revision || p.Epoch != old.plan.Epoch {
 		next.plan = p.Clone()
 	}
@@ -329,6 +333,8 @@
 	Wake time.Time
 	// Hosts holds the workers with the failures attributed to them.
 	Hosts map[model.WorkerID]plan.Host
+	// Room holds the free and reclaimable accelerators after the actions.
+	Room plan.Room
 }
 
 // Decider decides what a cell starts and stops.
