Count observed cores and memory in decisions

Cause: declared sizes are far off, and decisions knew nothing else of a job's cores and memory, so that declarations that are too high kept workers empty and ones that are too low overloaded them.

Ruled out: a separate size beside the shape, because every search for a place would have to know it; the shape of a queued job holds the size that counts, and Submits keeps the declared one. Ruled out too: letting a settled report lower what slow work and jobs on their own anchors count against guarantees, because nothing can be taken back when they grow to their declaration again; and counting cores beyond a guarantee, because workers can throttle cores and the job lost its guarantee for it.

Change: State.Apply takes the reports of an interval. Until all tasks of a job have run for 5 min when measured, the larger of size and observed peak counts, afterwards the peak with a quarter more. A value counts when two reports in a row reach it; reports that are late, repeated, out of range or of another place are left out. Work beyond its declared memory is stopped on workers that don't hold what runs there, the largest excess first. Its next placement, and later jobs of its team and class, use what was observed. A request for none of a resource now fits where observed usage has taken more than there is; without this a claim waited for memory that it didn't ask for.

A job under a guarantee may be stopped if it exceeds its declared memory.

--- a/core/plan/accept.go
+++ b/core/plan/accept.go
@@ -42,7 +42,7 @@
 		s.change(now, j, func(c *Job) {
 			c.Phase, c.Started, c.Run, c.Slots = Starting, now, a.Run, a.Slots
 			c.Anchored, c.Expected, c.Ahead = a.Anchored, a.Expected, a.For
-			c.Target, c.Due = nil, time.Time{}
+			c.Target, c.Due, c.Last = nil, time.Time{}, Reason{}
 		})
 	case Checkpoint, Stop, Move:
 		needed := a.For == "" || s.Jobs[a.For] != nil
@@ -52,6 +52,7 @@
 		s.change(now, j, func(c *Job) {
 			c.Phase, c.Gone, c.Target, c.Due = Stopping, a.By, a.Slots, a.By
 			c.Stops++
+			c.Last, c.Peak = a.Why, c.peak().Larger(c.Peak)
 		})
 	case Reserve:
 		if j.Phase != Queued {
--- a/core/plan/action.go
+++ b/core/plan/action.go
@@ -53,6 +53,8 @@
 	// Team and Guarantee name the guarantee that is put on other workers.
 	Team      model.Team `cbor:"9,keyasint,omitempty" json:"team,omitempty"`
 	Guarantee string     `cbor:"10,keyasint,omitempty" json:"guarantee,omitempty"`
+	// Why is set for a stop on account of the job's usage.
+	Why Reason `cbor:"11,keyasint,omitempty" json:"why,omitzero"`
 }
 
 // Waiting is a job that is not running, with the reason.
@@ -118,6 +120,9 @@
 	NoTeam
 	// FailsEverywhere means that the job failed on several sound workers.
 	FailsEverywhere
+	// Exceeded means that the job was stopped because it exceeded its declared memory and its worker was too
+	// small for what ran there; Need and Have are the observed and the declared gigabytes of a task.
+	Exceeded
 )
 
 // String names the code.
@@ -125,7 +130,7 @@
 	names := [...]string{
 		"none", "no room", "scattered", "quota", "reserving", "reclaiming", "behind", "guarantee in use",
 		"shortfall", "headroom", "kept off the cleanest rack", "leaving", "too large", "over quota", "no guarantee", "not covered", "bad shape",
-		"no team", "fails everywhere",
+		"no team", "fails everywhere", "stopped for exceeding its declared memory",
 	}
 	if int(c) < len(names) {
 		return names[c]
@@ -148,11 +153,14 @@
 }
 
 // Final reports whether the job can never run without a change of the job, the fleet or the declaration.
-func (r Reason) Final() bool { return r.Code >= TooLarge }
+func (r Reason) Final() bool { return r.Code >= TooLarge && r.Code != Exceeded }
 
 // String describes the reason for operators.
 func (r Reason) String() string {
 	s := r.Code.String()
+	if r.Code == Exceeded {
+		return s + fmt.Sprintf(": used %d GB, declared %d GB", r.Need, r.Have)
+	}
 	if r.Need > 0 {
 		s += fmt.Sprintf(": needs %d, has %d", r.Need, r.Have)
 	}
--- a/core/plan/amount.go
+++ b/core/plan/amount.go
@@ -30,8 +30,10 @@
 // Times returns a multiplied by n.
 func (a Amount) Times(n int) Amount { return Amount{a.GPUs * n, a.Cores * n, a.Memory * n} }
 
-// Within reports whether a fits into room.
+// Within reports whether a fits into room. Nothing of a resource fits anywhere, also where observed usage has taken
+// more of it than there is.
 func (a Amount) Within(room Amount) bool {
+	room = room.floor()
 	return a.GPUs <= room.GPUs && a.Cores <= room.Cores && a.Memory <= room.Memory
 }
 
--- a/core/plan/anchor.go
+++ b/core/plan/anchor.go
@@ -269,7 +269,8 @@
 				within = min(within, t.grace)
 			}
 			for _, u := range v.nodes[p.node].uses {
-				if !u.job.Anchored && !leaves(u.job, within) && !slices.Contains(out.Jobs, u.job.Spec.ID) {
+				holds := u.excess != (Amount{}) || !u.job.Anchored && !leaves(u.job, within)
+				if holds && !slices.Contains(out.Jobs, u.job.Spec.ID) {
 					out.Jobs = append(out.Jobs, u.job.Spec.ID)
 				}
 			}
--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -82,6 +82,7 @@
 func Decide(now time.Time, s *State) Decision {
 	p := newPass(now, s)
 	p.endCancelled()
+	p.relieve()
 	p.restoreGuarantees()
 	p.restoreHeadroom()
 	claims, urgent, promised, rest := p.sortQueue()
@@ -149,6 +150,9 @@
 		p.d.Shortfalls = append(p.d.Shortfalls, *a.Short)
 		for _, id := range a.Short.Jobs {
 			if j := p.st.Jobs[id]; j != nil && j.placed() {
+				if j.Excess() > 0 {
+					p.evict(j)
+				}
 				p.stop(j, "")
 			}
 		}
@@ -293,6 +297,10 @@
 		return Amount{}
 	}
 	r := n.free()
+	if r.Memory < 0 {
+		// Work without declared memory would fit a worker that has none left.
+		return Amount{}
+	}
 	if len(n.levels) > 0 {
 		r = n.lend(r, j.Spec.Grace)
 	}
--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -32,6 +32,8 @@
 	Stopped
 	// Observed reports measured usage of Jobs[0]: Usage.
 	Observed
+	// Reported carries the measurements of one interval, which may be none: Reports.
+	Reported
 )
 
 // cancelMemory is how long a cancellation of an unknown job is remembered.
@@ -47,6 +49,7 @@
 	Jobs        []model.JobID      `cbor:"6,keyasint,omitempty" json:"jobs,omitempty"`
 	Usage       []Usage            `cbor:"7,keyasint,omitempty" json:"usage,omitempty"`
 	Saved       bool               `cbor:"8,keyasint,omitempty" json:"saved,omitempty"`
+	Reports     []Report           `cbor:"9,keyasint,omitempty" json:"reports,omitempty"`
 }
 
 // Apply records events that happened up to now and moves anchors that have become infeasible.
@@ -103,6 +106,8 @@
 		for _, id := range e.Jobs {
 			s.cancel(now, id)
 		}
+	case Reported:
+		s.report(now, e.Reports)
 	case Started, Finished, Failed, Stopped, Observed:
 		for _, id := range e.Jobs {
 			if j := s.Jobs[id]; j != nil && j.placed() {
@@ -121,6 +126,7 @@
 		}
 	case Finished:
 		s.learn(now, j)
+		s.learnSize(j)
 		s.clear(now, j)
 		s.remove(now, j)
 	case Failed:
@@ -156,11 +162,16 @@
 		s.remove(now, j)
 		return
 	}
+	if j.Last.Code == Exceeded {
+		s.learnSize(j)
+	}
 	s.change(now, j, func(c *Job) {
 		if saved && c.Phase != Starting {
 			c.Saved += now.Sub(c.Started)
 		}
+		s.Resize(c)
 		c.Phase, c.Slots, c.Anchored, c.Ahead, c.Observed, c.Gone = Queued, nil, false, "", nil, time.Time{}
+		c.Tasks = nil
 	})
 }
 
@@ -211,6 +222,7 @@
 	}
 	s.Sequence++
 	j := &Job{Spec: spec, Sequence: s.Sequence, Submitted: now}
+	s.Expect(now, j)
 	s.Jobs[spec.ID] = j
 	s.ready(now).add(j)
 }
--- a/core/plan/index.go
+++ b/core/plan/index.go
@@ -19,6 +19,9 @@
 	amount Amount
 	// excess is measured usage of an anchored job above its declared amount.
 	excess Amount
+	// most is the larger of amount and the declared one. It counts where nothing can be taken back, so that work that
+	// grows back to its declaration takes nothing from an anchor.
+	most Amount
 }
 
 // tie is the part of an anchor that lies on one node.
@@ -167,16 +170,23 @@
 }
 
 // charge returns what counts as used by a slot: the larger of declared and measured usage until
-// the measurement is settled, then the measured one.
+// the measurement is settled, then the measured one. Jobs on their own anchors never count less than declared, so
+// that nothing of a guarantee is lent while it is in use. Their cores always count as declared: a worker can throttle
+// cores, so that what such a job takes beyond its guarantee makes no other guarantee infeasible.
 func charge(j *Job, s Slot) Amount {
 	declared := Each(j.Spec.Shape).Times(s.Tasks)
 	for _, o := range j.Observed {
-		if o.Worker == s.Worker {
-			if o.Settled {
-				return o.Amount
-			}
-			return declared.Larger(o.Amount)
+		if o.Worker != s.Worker {
+			continue
+		}
+		if o.Settled && !j.Anchored {
+			return o.Amount
+		}
+		sum := declared.Larger(o.Amount)
+		if j.Anchored {
+			sum.Cores = declared.Cores
 		}
+		return sum
 	}
 	return declared
 }
@@ -208,8 +218,10 @@
 			continue
 		}
 		u := use{job: j, amount: charge(j, s)}
+		declared := Each(j.Spec.Shape).Times(s.Tasks)
+		u.most = u.amount.Larger(declared)
 		if j.Anchored {
-			u.excess = u.amount.Minus(Each(j.Spec.Shape).Times(s.Tasks)).floor()
+			u.excess = u.amount.Minus(declared).floor()
 		}
 		n := &x.nodes[i]
 		n.uses = append(n.uses[:len(n.uses):len(n.uses)], u)
@@ -309,7 +321,7 @@
 		case u.job.Anchored:
 			sum = sum.Plus(u.excess)
 		case !leaves(u.job, grace):
-			sum = sum.Plus(u.amount)
+			sum = sum.Plus(u.most)
 		}
 	}
 	return sum
--- a/core/plan/state.go
+++ b/core/plan/state.go
@@ -85,6 +85,14 @@
 	Stops int `cbor:"19,keyasint,omitempty" json:"stops,omitempty"`
 	// Failures counts all failures, also those attributed to workers.
 	Failures int `cbor:"20,keyasint,omitempty" json:"failures,omitempty"`
+	// Tasks holds the usage of the tasks of the present run by their index.
+	Tasks map[int]TaskUse `cbor:"21,keyasint,omitempty" json:"tasks,omitempty"`
+	// Submits is the size of each task as submitted, if Spec holds a larger one that was observed.
+	Submits *Amount `cbor:"22,keyasint,omitempty" json:"submits,omitempty"`
+	// Peak is the largest usage of a task in earlier runs.
+	Peak Amount `cbor:"23,keyasint,omitempty" json:"peak,omitzero"`
+	// Last says why the decision stopped the last run, if that was for its usage.
+	Last Reason `cbor:"24,keyasint,omitempty" json:"last,omitzero"`
 }
 
 // placed reports whether the job holds accelerators.
@@ -129,6 +137,8 @@
 	Cancelled map[model.JobID]time.Time `cbor:"8,keyasint" json:"cancelled"`
 	// Sequence counts submitted jobs.
 	Sequence uint64 `cbor:"9,keyasint" json:"sequence"`
+	// Sizes holds the usage of earlier jobs by team and class.
+	Sizes map[string]Sizes `cbor:"10,keyasint,omitempty" json:"sizes,omitempty"`
 
 	idx *index
 }
@@ -143,6 +153,7 @@
 	c.Jobs = maps.Clone(s.Jobs)
 	c.History = maps.Clone(s.History)
 	c.Cancelled = maps.Clone(s.Cancelled)
+	c.Sizes = maps.Clone(s.Sizes)
 	return &c
 }
 
--- /dev/null
+++ b/core/plan/usage_test.go
@@ -0,0 +1,267 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wagtailhoist/core/model"
+)
+
+// report passes two measurements of some jobs, a second apart: right ones, small to larger than the worker, and
+// missing, late and wrong ones.
+func (m *machine) report(t *rapid.T) {
+	ids := m.pick(t, 6, func(j *Job) bool { return j.Phase == Starting || j.Phase == Running })
+	m.now = m.now.Add(rapid.SampledFrom([]time.Duration{0, 0, 2 * UsageSettle}).Draw(t, "rest"))
+	var list []Report
+	for _, id := range ids {
+		value := rapid.SampledFrom([]float64{0.1, 4, 40, 130, 300, math.NaN(), -1, 1e12}).Draw(t, "memory")
+		cores := rapid.SampledFrom([]float64{0, 2, 70, 200, math.Inf(1)}).Draw(t, "cores")
+		late := rapid.SampledFrom([]time.Duration{0, 0, time.Second, time.Minute, time.Hour}).Draw(t, "late")
+		index := 0
+		for _, sl := range m.s.Jobs[id].Slots {
+			for range sl.Tasks {
+				if rapid.IntRange(0, 19).Draw(t, "missing") > 0 {
+					list = append(list, Report{Job: id, Worker: sl.Worker, Task: index, Cores: cores, Memory: value, Measured: m.now.Add(-late)})
+				}
+				index++
+			}
+		}
+	}
+	for range 2 {
+		m.now = m.now.Add(time.Second)
+		for i := range list {
+			list[i].Measured = list[i].Measured.Add(time.Second)
+		}
+		m.apply(Event{Kind: Reported, Reports: list})
+	}
+}
+
+// checkRelief guards the stops for memory of a decision: only work beyond its declaration, the largest excess first,
+// and as many as it takes.
+func (m *machine) checkRelief(t *rapid.T, d Decision) {
+	stopped, evicted := map[model.JobID]bool{}, map[model.JobID]bool{}
+	for _, a := range d.Actions {
+		if a.Verb == Checkpoint || a.Verb == Stop || a.Verb == Move {
+			stopped[a.Job] = true
+		}
+		if a.Why.Code == Exceeded {
+			evicted[a.Job] = true
+		}
+		if a.Why.Code == Exceeded && m.s.Jobs[a.Job].Excess() <= 0 {
+			t.Fatalf("job %s stayed within its declaration and got %+v", a.Job, a)
+		}
+	}
+	justified := map[model.JobID]bool{}
+	for id, h := range m.s.Hosts {
+		all, left, kept := 0, 0, 0
+		for _, j := range m.s.Jobs {
+			memory := on(j, id)
+			if !j.placed() || j.Phase == Stopping || j.Cancelled || memory == 0 {
+				continue
+			}
+			all += memory
+			if !stopped[j.Spec.ID] {
+				left += memory
+				kept = max(kept, j.Excess())
+			}
+		}
+		if left > h.Worker.Memory && kept > 0 {
+			t.Fatalf("worker %s keeps %d GB of work, of which a job exceeds its declaration by %d", id, left, kept)
+		}
+		for job := range evicted {
+			if all > h.Worker.Memory && on(m.s.Jobs[job], id) > 0 && m.s.Jobs[job].Excess() >= kept {
+				justified[job] = true
+			}
+		}
+	}
+	for job := range evicted {
+		if !justified[job] && !m.short(job) {
+			t.Fatalf("job %s was stopped for its memory, but its workers hold it or a larger excess stays", job)
+		}
+	}
+}
+
+// short reports whether a job holds what a guarantee with a shortfall needs.
+func (m *machine) short(job model.JobID) bool {
+	for _, a := range m.s.Anchors {
+		if a.Short != nil && slices.Contains(a.Short.Jobs, job) {
+			return true
+		}
+	}
+	return false
+}
+
+// usageRig returns a rig with one worker of 256 GB and the jobs running on it.
+func usageRig(t *testing.T, jobs ...model.JobSpec) *rig {
+	r := newRig(t, 1, teams(model.TeamSpec{Name: "a"}))
+	r.submit(jobs...)
+	r.step()
+	return r
+}
+
+// use reports the memory of the only task of each job twice and decides.
+func (r *rig) use(memory map[model.JobID]float64) []Action {
+	for range 2 {
+		r.now = r.now.Add(time.Second)
+		var list []Report
+		for id, gb := range memory {
+			list = append(list, Report{Job: id, Worker: "w00000", Cores: 1, Memory: gb, Measured: r.now})
+		}
+		r.Apply(r.now, Event{Kind: Reported, Reports: list})
+	}
+	return Decide(r.now, r.State).Actions
+}
+
+func sized(id model.JobID, gpus, memory int) model.JobSpec {
+	j := job(id, 1, gpus)
+	j.Shape.Memory = memory
+	return j
+}
+
+// Guards against a stop of the wrong job: the largest excess goes first, one stop is enough here, and work within its
+// declaration stays even where it is the largest.
+func TestLargestExcessIsStopped(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		use  map[model.JobID]float64
+		want string
+	}{
+		{"all fit", map[model.JobID]float64{"x": 40, "y": 60, "z": 100}, ""},
+		{"largest excess", map[model.JobID]float64{"x": 50, "y": 120, "z": 100}, "y"},
+		{"within declaration", map[model.JobID]float64{"x": 90, "y": 20, "z": 150}, "x"},
+		{"nobody exceeds", map[model.JobID]float64{"x": 10, "y": 20, "z": 150}, ""},
+		{"wrong value", map[model.JobID]float64{"x": 1e9, "y": math.NaN(), "z": 100}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := usageRig(t, sized("x", 2, 10), sized("y", 2, 20), sized("z", 2, 150))
+			got := ""
+			for _, a := range r.use(tc.use) {
+				if a.Why.Code == Exceeded {
+					got += string(a.Job)
+				}
+			}
+			if got != tc.want {
+				t.Errorf("stopped for memory: got %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a job that is placed again where it was stopped, for want of the memory that it was seen to use, and
+// against later jobs of its class that repeat it.
+func TestStoppedJobIsSizedByObservation(t *testing.T) {
+	r := usageRig(t, sized("x", 2, 10), sized("y", 2, 150))
+	r.Accept(r.now, r.use(map[model.JobID]float64{"x": 160, "y": 150}))
+	r.tell(Stopped, "x")
+	j := r.Jobs["x"]
+	if got := j.Size(); got.Declared.Memory != 10 || got.Observed.Memory != 160 || got.Counted.Memory != 200 || j.Last.Code != Exceeded {
+		t.Errorf("sizes: got %+v, stopped for %v; want 10 GB declared, 160 observed, 200 counted", got, j.Last)
+	}
+	if got := Decide(r.now, r.State); len(got.Actions) != 0 || got.Waiting[0].Reason.Code == 0 || got.Waiting[0].Reason.Final() {
+		t.Errorf("decision beside 150 GB: got %+v, want the job to wait for room", got)
+	}
+	r.tell(Finished, "y")
+	for i := range sizeEnough {
+		r.submit(sized(model.JobID(fmt.Sprint("z", i)), 1, 1))
+	}
+	r.Sizes["a/"] = Sizes{Peaks: make([]Amount, sizeEnough), Each: Amount{Memory: 70}}
+	r.submit(sized("later", 1, 1))
+	if got := r.Jobs["later"].Spec.Shape.Memory; got != 70 {
+		t.Errorf("later job of the class: got %d GB, want 70", got)
+	}
+}
+
+// Guards against declarations that keep a worker empty for good, and against a low report that counts too early or
+// after the reports have ceased.
+func TestSettledUsageFreesMemory(t *testing.T) {
+	r := usageRig(t, sized("x", 2, 250), sized("y", 2, 250))
+	start := r.now
+	for _, tc := range []struct {
+		after time.Duration
+		use   map[model.JobID]float64
+		want  int
+	}{
+		{time.Minute, map[model.JobID]float64{"x": 40}, 250},
+		{UsageSettle, map[model.JobID]float64{"x": 40}, 50},
+		{UsageSettle + time.Minute, map[model.JobID]float64{"x": 60}, 75},
+		{UsageSettle + 2*UsageStale, nil, 250},
+	} {
+		r.now = start.Add(tc.after)
+		r.use(tc.use)
+		if got := r.ready(r.now).nodes[0].used.Memory; got != tc.want {
+			t.Errorf("after %s: got %d GB used, want %d", tc.after, got, tc.want)
+		}
+	}
+}
+
+// Guards against guarantees that usage takes away: work that is settled far below its declaration may grow back to it,
+// an anchored job may use more than its guarantee, and the other guarantee of the worker has to hold all the same.
+func TestUsageTakesNothingFromGuarantees(t *testing.T) {
+	g := func(name string, memory int) model.Guarantee {
+		return model.Guarantee{Name: name, Grace: 5 * time.Second, Shape: model.Shape{Tasks: 1, GPUs: 4, Cores: 8, Memory: memory}}
+	}
+	own := sized("x", 4, 100)
+	own.Guarantee = "g"
+	slow := sized("x", 4, 200)
+	slow.Grace = time.Hour
+	for _, tc := range []struct {
+		name          string
+		job           model.JobSpec
+		others        int
+		after         time.Duration
+		cores, memory float64
+		// evicted says that the job is stopped for its memory, and short that the other guarantee has a shortfall.
+		evicted, short bool
+	}{
+		{"settled slow work", slow, 100, UsageSettle, 1, 4, false, true},
+		{"settled anchored job", own, 156, UsageSettle, 1, 4, false, false},
+		{"cores beyond the guarantee", own, 156, 0, 128, 90, false, false},
+		{"memory beyond the guarantee", own, 156, 0, 1, 200, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 1, teams(model.TeamSpec{Name: "a", Guarantees: []model.Guarantee{g("g", 100)}}))
+			if tc.job.Guarantee == "" {
+				r = newRig(t, 1, teams(model.TeamSpec{Name: "a"}))
+			}
+			r.submit(tc.job)
+			r.step()
+			r.now = r.now.Add(tc.after)
+			for range 2 {
+				r.now = r.now.Add(time.Second)
+				r.Apply(r.now, Event{Kind: Reported, Reports: []Report{{Job: "x", Worker: "w00000", Cores: tc.cores, Memory: tc.memory, Measured: r.now}}})
+			}
+			d := teams(model.TeamSpec{Name: "a"}, model.TeamSpec{Name: "b", Guarantees: []model.Guarantee{g("other", tc.others)}})
+			if tc.job.Guarantee != "" {
+				d.Teams[0].Guarantees = []model.Guarantee{g("g", 100)}
+			}
+			r.Apply(r.now, Event{Kind: Declared, Declaration: &d})
+			if got := r.anchor("b", "other").Short != nil; got != tc.short {
+				t.Errorf("shortfall: got %v, want %v", got, tc.short)
+			}
+			evicted := false
+			for _, a := range Decide(r.now, r.State).Actions {
+				evicted = evicted || a.Why.Code == Exceeded
+			}
+			if evicted != tc.evicted {
+				t.Errorf("stopped for memory: got %v, want %v", evicted, tc.evicted)
+			}
+			if kept := r.Jobs["x"].Anchored; tc.job.Guarantee != "" && !tc.evicted && !kept {
+				t.Error("the job has lost its guarantee")
+			}
+			late, loan := sized("late", 4, 150), sized("loan", 4, 170)
+			late.Grace = time.Hour
+			r.submit(late, loan)
+			r.step()
+			for _, id := range []model.JobID{"late", "loan"} {
+				if tc.job.Guarantee != "" && r.Jobs[id].placed() {
+					t.Errorf("%s took what guarantees in use need: %+v", id, r.Jobs[id].Slots)
+				}
+			}
+		})
+	}
+}
