Read the usage of tasks and pass it to the decisions

Cause: nothing read GET /usage, and its reports named neither the task nor the moment of the measurement, so that a report of an earlier placement could not be told from one of the present.

Ruled out: one call for each cell, which multiplies the calls of an owner of many cells; clocks compared between machines, in place of which a report carries its age; and writing every report to the plan, which at 6,000 running jobs a cell would come near the store's 1 MB.

Reports that can't be read, or that are of other placements, are left out one by one. "show usage" lists declared, observed and counted sizes; "why" and "show waiting" give the reason. The cause of such a stop in the plan is "exceeded".

A fault found on the way: a job in the note that was running kept the workers of the noted placement if the plan had placed it elsewhere meanwhile. The note now leaves workers out; TestObservedUsageSurvivesOwner covers it.

Conclusion: decisions use observed sizes, also after a change of the owner.

--- a/cmds/jobs.go
+++ b/cmds/jobs.go
@@ -72,6 +72,11 @@
 			s.Missing = append(s.Missing, "changes in the cell "+string(c.Cell)+": it has no owner")
 		}
 		s.Observe(stateOf(c, s.Declaration), plan.Decision{Waiting: reasonsOf(c), Shortfalls: c.Shortfalls})
+		for i := range s.Jobs {
+			if use, ok := c.Uses[s.Jobs[i].Spec.ID]; ok {
+				s.Jobs[i].Size, s.Jobs[i].Last = use.Size, use.Stopped
+			}
+		}
 	}
 }
 
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -87,6 +87,8 @@
 	Note []byte
 	// Save asks for a checkpoint before the stop.
 	Save bool
+	// Cause is that of a stop; empty means Preempted.
+	Cause Cause
 	// Reject removes a waiting job that can never run.
 	Reject bool
 }
--- a/core/cell/gang.go
+++ b/core/cell/gang.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -217,7 +218,7 @@
 		case a.Workers != nil && j.Phase == Waiting:
 			ch.Kind, ch.Workers, ch.Note = Placing, a.Workers, a.Note
 		case a.Workers == nil && !a.Reject && (j.Phase == Placed || j.Phase == Released):
-			ch.Kind, ch.Cause, ch.Save = Halting, Preempted, a.Save
+			ch.Kind, ch.Cause, ch.Save = Halting, cmp.Or(a.Cause, Preempted), a.Save
 		default:
 			continue
 		}
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -57,6 +57,8 @@
 	Unreleased Cause = "unreleased"
 	// Preempted means that the decision stopped the job.
 	Preempted Cause = "preempted"
+	// Exceeded means that the decision stopped the job because it exceeded its declared memory.
+	Exceeded Cause = "exceeded"
 	// Cancelled means that an operator cancelled the job.
 	Cancelled Cause = "cancelled"
 	// Rejected means that the job can never run.
--- a/core/query/doc.go
+++ b/core/query/doc.go
@@ -2,7 +2,7 @@
 //
 // Queries:
 //
-//	show jobs|waiting|anchors|shortfalls|workers|teams|minions [of TEAM] [in CENTRE] [on WORKER]
+//	show jobs|waiting|anchors|shortfalls|workers|teams|minions|usage [of TEAM] [in CENTRE] [on WORKER]
 //	why JOB
 //	reclaim TEAM GUARANTEE
 //
--- a/core/query/eval.go
+++ b/core/query/eval.go
@@ -66,6 +66,8 @@
 		return showShortfalls(f, snap)
 	case "workers":
 		return showWorkers(f, snap)
+	case "usage":
+		return showUsage(f, snap)
 	case "teams":
 		return showTeams(f, snap)
 	}
@@ -134,7 +136,7 @@
 	for _, j := range snap.Jobs {
 		if len(j.Slots) == 0 && f.takes(j.Spec.Team) && f.touches(j.Targets, centresOf(snap)) {
 			a.Rows = append(a.Rows, []string{
-				string(j.Spec.ID), string(j.Spec.Team), decl.Shape(j.Spec.Shape), age(snap, j.Since), reason(j.Reason),
+				string(j.Spec.ID), string(j.Spec.Team), decl.Shape(j.Spec.Shape), age(snap, j.Since), reason(j.Reason) + stopped(j),
 			})
 		}
 	}
@@ -293,6 +295,7 @@
 		if len(j.Slots) > 0 {
 			text, due = "it has its accelerators: "+places(j.Slots), "-"
 		}
+		text += stopped(j)
 		if !j.Due.IsZero() && len(j.Slots) == 0 {
 			due = j.Due.UTC().Format(time.RFC3339)
 		}
--- a/core/query/grammar.go
+++ b/core/query/grammar.go
@@ -38,7 +38,7 @@
 // Show lists objects of a kind.
 type Show struct {
 	Pos     lexer.Position `parser:""`
-	What    string         `parser:"@('jobs' | 'waiting' | 'anchors' | 'shortfalls' | 'workers' | 'teams' | 'minions')"`
+	What    string         `parser:"@('jobs' | 'waiting' | 'anchors' | 'shortfalls' | 'workers' | 'teams' | 'minions' | 'usage')"`
 	Filters []*Filter      `parser:"@@*"`
 }
 
--- a/core/query/parse.go
+++ b/core/query/parse.go
@@ -34,7 +34,7 @@
 
 // usages give the form of the statements that begin with a word.
 var usages = map[string]string{
-	"show":    "show jobs|waiting|anchors|shortfalls|workers|teams|minions [of TEAM] [in CENTRE] [on WORKER]",
+	"show":    "show jobs|waiting|anchors|shortfalls|workers|teams|minions|usage [of TEAM] [in CENTRE] [on WORKER]",
 	"why":     "why JOB",
 	"reclaim": "reclaim TEAM GUARANTEE",
 	"team":    "team TEAM weight N [quota N] [at REVISION], or team TEAM remove",
--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -152,6 +152,12 @@
 		Missing: []string{"the cell chur: it has no owner\x1b[2J"},
 	}
 	snap.Observe(state, plan.Decide(snap.Now, state.Clone()))
+	for i := range snap.Jobs {
+		if snap.Jobs[i].Spec.ID == "late" {
+			snap.Jobs[i].Size = plan.Size{Declared: plan.Amount{Memory: 10}, Observed: plan.Amount{Cores: 3, Memory: 90}, Counted: plan.Amount{Cores: 4, Memory: 113}}
+			snap.Jobs[i].Last = plan.Reason{Code: plan.Exceeded, Need: 90, Have: 10}
+		}
+	}
 	return snap
 }
 
@@ -169,6 +175,8 @@
 		{"show teams", "trust 1 - 0 0 nightly 2x8 adjacent rack"},
 		{"show minions", "m1 s glasgow-a ready 2 8 4"},
 		{"why late", "late queued"},
+		{"why late", "; stopped for exceeding its declared memory: used 90 GB, declared 10 GB"},
+		{"show usage", "late brennholz queued 0 cores 10 GB 3 cores 90 GB 4 cores 113 GB stopped for exceeding its declared memory"},
 		{"why huge", "huge queued too large: needs 72, has 24"},
 		{"why huge", "can't run unless"},
 		{"why loan", "it has its accelerators: w1:8 w2:8 w3:8"},
--- a/core/query/snapshot.go
+++ b/core/query/snapshot.go
@@ -43,6 +43,9 @@
 	Targets []plan.Slot
 	// Anchored jobs run on their own guarantee.
 	Anchored bool
+	// Size is zero if nothing was observed, and Last zero if the job was not stopped for its usage.
+	Size plan.Size
+	Last plan.Reason
 }
 
 // Stop is a job that a claim would stop, with the time by which it has left.
--- a/io/sched/control.go
+++ b/io/sched/control.go
@@ -145,7 +145,7 @@
 	if !ok || c.settled && c.based == [2]uint64{p.Revision, in.version} && now.Before(c.again) {
 		return
 	}
-	out := c.decider.Decide(now, Input{Cell: c.id, Plan: p, Workers: in.workers, Declaration: in.declaration})
+	out := c.decider.Decide(now, Input{Cell: c.id, Plan: p, Workers: in.workers, Declaration: in.declaration, Usage: c.sched.usage.of(c.id)})
 	c.decision, c.settled, c.based = out, true, [2]uint64{p.Revision, in.version}
 	c.again = now.Add(decideEvery)
 	if !out.Wake.IsZero() && out.Wake.Before(c.again) {
@@ -276,6 +276,8 @@
 	Plan        *cell.Plan
 	Workers     []model.Worker
 	Declaration model.Declaration
+	// Usage is the last usage that was read; nil if none was.
+	Usage *Batch
 }
 
 // Output is the result of a decision.
@@ -290,6 +292,8 @@
 	Wake time.Time
 	// Hosts holds the workers with the failures attributed to them.
 	Hosts map[model.WorkerID]plan.Host
+	// Uses holds the sizes of the jobs of which usage is known.
+	Uses map[model.JobID]JobUse
 }
 
 // Decider decides what a cell starts and stops.
--- a/io/sched/driver.go
+++ b/io/sched/driver.go
@@ -24,6 +24,9 @@
 	declaration []byte
 	noted       time.Time
 	note        []byte
+	// batch is the last usage passed to the state, and kept the peaks that the former owner has noted.
+	batch *Batch
+	kept  map[model.JobID]kept
 }
 
 // placed is the note of a placement.
@@ -50,6 +53,11 @@
 		}
 	}
 	out.Held, out.Hosts = d.held(), maps.Clone(d.state.Hosts)
+	out.Uses = d.uses()
+	if slices.ContainsFunc(out.Actions, func(a cell.Action) bool { return a.Cause == cell.Exceeded }) {
+		// The size for the next placement is written together with the stop.
+		d.noted = time.Time{}
+	}
 	out.Note = d.learned(now)
 	return out
 }
@@ -65,10 +73,12 @@
 		}
 		note, err := cbor.Marshal(placed{a.Anchored, a.Expected, a.For})
 		return cell.Action{Job: a.Job, Workers: workers, Note: note}, err == nil
-	case plan.Checkpoint, plan.Move:
-		return cell.Action{Job: a.Job, Save: true}, true
-	case plan.Stop:
-		return cell.Action{Job: a.Job}, true
+	case plan.Checkpoint, plan.Move, plan.Stop:
+		stop := cell.Action{Job: a.Job, Save: a.Verb != plan.Stop}
+		if a.Why.Code == plan.Exceeded {
+			stop.Cause = cell.Exceeded
+		}
+		return stop, true
 	}
 	return cell.Action{}, false
 }
@@ -77,8 +87,9 @@
 func (d *driver) sync(now time.Time, in Input) {
 	if d.state == nil {
 		d.state = &plan.State{Cell: in.Cell}
-		if len(in.Plan.Note) > 0 && cbor.Unmarshal(in.Plan.Note, d.state) != nil {
-			d.state = &plan.State{Cell: in.Cell}
+		var note noted
+		if len(in.Plan.Note) > 0 && cbor.Unmarshal(in.Plan.Note, &note) == nil {
+			d.state, d.kept = &note.State, note.Peaks
 		}
 		d.note, d.noted = in.Plan.Note, now
 	}
@@ -98,6 +109,7 @@
 	for id, j := range in.Plan.Jobs {
 		d.known[id] = j
 	}
+	d.take(now, in)
 	d.state.Apply(now)
 }
 
@@ -165,6 +177,9 @@
 		want, got := phases[j.Phase], d.state.Jobs[id]
 		if got == nil {
 			got = &plan.Job{Spec: j.Spec, Sequence: j.Sequence, Submitted: time.UnixMilli(j.Submitted)}
+			if want == plan.Queued {
+				d.state.Expect(now, got)
+			}
 		} else if got.Phase == want || got.Phase == plan.Refused && want == plan.Queued {
 			continue
 		}
@@ -186,6 +201,7 @@
 		if want == plan.Stopping && next.Gone.IsZero() {
 			next.Gone = now.Add(j.Spec.Grace)
 		}
+		d.resume(now, j, &next)
 		d.state.Jobs[id] = &next
 	}
 	for id := range d.state.Jobs {
@@ -248,11 +264,12 @@
 			keep.Jobs[id] = j
 		}
 	}
+	keep.Jobs = portable(keep.Jobs)
 	mode, err := cbor.EncOptions{Sort: cbor.SortCanonical}.EncMode()
 	if err != nil {
 		return nil
 	}
-	note, err := mode.Marshal(keep)
+	note, err := mode.Marshal(noted{*keep, d.peaks()})
 	if err != nil || string(note) == string(d.note) {
 		return nil
 	}
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -56,6 +56,7 @@
 	whole model.Declaration
 	// version counts the changes of the workers and of the declaration.
 	version uint64
+	usage   usage
 }
 
 func (s *Sched) clock() time.Time {
@@ -81,6 +82,7 @@
 
 // Run controls the cells of the workers that the worker service lists, until ctx ends.
 func (s *Sched) Run(ctx context.Context) {
+	s.wait.Go(func() { s.watchUsage(ctx) })
 	for {
 		began := time.Now()
 		if workers, err := s.Works.Workers(ctx); err != nil {
--- a/io/sched/snapshot.go
+++ b/io/sched/snapshot.go
@@ -73,6 +73,8 @@
 	Waiting    []Wait                       `json:"waiting"`
 	Shortfalls []plan.Shortfall             `json:"shortfalls"`
 	Ended      []cell.Ended                 `json:"ended"`
+	// Uses holds the sizes of the jobs of which usage is known.
+	Uses map[model.JobID]JobUse `json:"uses"`
 }
 
 // Snapshot is what a process knows of all cells, in the order of their names.
@@ -116,6 +118,7 @@
 	out := CellView{
 		Cell: c.id, Owner: v.plan.Owner, Epoch: v.plan.Epoch, Owned: v.owned, Revision: v.plan.Revision,
 		Workers: in.workers, Hosts: decision.Hosts, Held: decision.Held, Shortfalls: decision.Shortfalls, Ended: v.plan.Ended,
+		Uses: decision.Uses,
 	}
 	reasons := make(map[model.JobID]plan.Reason, len(decision.Waiting))
 	for _, w := range decision.Waiting {
--- /dev/null
+++ b/io/sched/usage_test.go
@@ -0,0 +1,113 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"wagtailhoist/core/cell"
+	"wagtailhoist/core/model"
+	"wagtailhoist/core/plan"
+	"wagtailhoist/io/works"
+)
+
+// usageInput is a cell of two workers with job j released on the first.
+func usageInput(now time.Time) Input {
+	spec := model.JobSpec{ID: "j", Team: "a", Class: "c", Shape: model.Shape{Tasks: 2, GPUs: 2, Memory: 20}}
+	in := Input{
+		Cell: "x", Declaration: model.Declaration{Teams: []model.TeamSpec{{Name: "a", Weight: 1}}},
+		Plan: &cell.Plan{Jobs: map[model.JobID]*cell.Job{"j": {
+			Spec: spec, Sequence: 1, Phase: cell.Released, Placement: 3, Workers: []model.WorkerID{"w1", "w1"}, Since: now.UnixMilli(),
+		}}},
+	}
+	for _, id := range []model.WorkerID{"w1", "w2"} {
+		in.Workers = append(in.Workers, model.Worker{ID: id, Centre: "x", Rack: "r", Cores: 128, Memory: 256, GPUs: 8, Up: true})
+	}
+	return in
+}
+
+func used(memory float64, at time.Time) *Batch {
+	return &Batch{At: at, Usage: []works.Usage{
+		{Task: "j.3.0", Job: "j", Worker: "w1", Cores: 4, Memory: memory}, {Task: "j.3.1", Job: "j", Worker: "w1", Cores: 4, Memory: memory},
+	}}
+}
+
+// Guards against usage of another placement, job or worker, and against nonsense, being counted for the present tasks.
+func TestReportsAreOfPresentTasks(t *testing.T) {
+	now := time.Now()
+	good := works.Usage{Task: "j.3.1", Job: "j", Worker: "w1", Memory: 5, Age: 900}
+	for name, tc := range map[string]struct {
+		edit func(*works.Usage)
+		want int
+	}{
+		"good":              {func(*works.Usage) {}, 1},
+		"earlier placement": {func(u *works.Usage) { u.Task = "j.2.1" }, 0},
+		"other worker":      {func(u *works.Usage) { u.Worker = "w2" }, 0},
+		"unknown job":       {func(u *works.Usage) { u.Job = "k" }, 0},
+		"no such task":      {func(u *works.Usage) { u.Task = "j.3.2" }, 0},
+		"malformed task":    {func(u *works.Usage) { u.Task = "" }, 0},
+		"from the future":   {func(u *works.Usage) { u.Age = -1 }, 0},
+		"very late":         {func(u *works.Usage) { u.Age = 1 << 62 }, 0},
+	} {
+		u := good
+		tc.edit(&u)
+		got := reports(&Batch{At: now, Usage: []works.Usage{u}}, usageInput(now).Plan)
+		if len(got) != tc.want {
+			t.Errorf("%s: got %+v, want %d reports", name, got, tc.want)
+		} else if tc.want == 1 && (got[0].Task != 1 || !got[0].Measured.Equal(now.Add(-900*time.Millisecond))) {
+			t.Errorf("%s: got %+v, want task 1 measured 0.9 s ago", name, got[0])
+		}
+	}
+}
+
+// Guards against a change of the owner that loses what was observed of running jobs, of stopped ones and of classes, or
+// that takes the workers of an earlier placement from the note.
+func TestObservedUsageSurvivesOwner(t *testing.T) {
+	start := time.Now()
+	in := usageInput(start)
+	first := &driver{}
+	first.Decide(start, in)
+	first.state.Sizes = map[string]plan.Sizes{"a/c": {Peaks: make([]plan.Amount, 8), Each: plan.Amount{Memory: 60}}}
+	var out Output
+	for _, s := range []int{1, 2, 40} {
+		now := start.Add(time.Duration(s) * time.Second)
+		in.Usage = used(90, now)
+		out = first.Decide(now, in)
+	}
+	if got := out.Uses["j"].Size; got.Declared.Memory != 20 || got.Observed.Memory != 90 || got.Counted.Memory != 90 {
+		t.Fatalf("sizes: got %+v, want 20 GB declared, 90 observed and counted", got)
+	}
+	in.Plan.Note, in.Usage = out.Note, nil
+	later := start.Add(time.Minute)
+	if got := (&driver{}).Decide(later, in).Uses["j"].Size.Counted.Memory; got != 90 {
+		t.Errorf("the next owner counts %d GB, want 90", got)
+	}
+	in.Plan.Jobs["k"] = &cell.Job{Spec: in.Plan.Jobs["j"].Spec, Sequence: 2}
+	in.Plan.Jobs["k"].Spec.ID = "k"
+	if got := (&driver{}).Decide(later, in).Uses["k"].Size.Counted.Memory; got != 60 {
+		t.Errorf("the next owner counts %d GB for a later job of the class, want 60", got)
+	}
+	// The other job grows so much that the first doesn't fit beside it any more.
+	in.Usage = used(140, later)
+	first.Decide(later, in)
+	in.Usage = used(140, later.Add(time.Second))
+	out = first.Decide(later.Add(time.Second), in)
+	if len(out.Actions) == 0 || out.Actions[0].Cause != cell.Exceeded || out.Note == nil {
+		t.Fatalf("280 GB on a worker of 256: got %+v and a note of %d bytes, want a stop with its note", out.Actions, len(out.Note))
+	}
+	in.Plan.Note, in.Usage = out.Note, nil
+	stopped := *in.Plan.Jobs["j"]
+	stopped.Phase, stopped.Workers, stopped.Cause = cell.Waiting, nil, cell.Exceeded
+	in.Plan.Jobs = map[model.JobID]*cell.Job{"j": &stopped}
+	next := (&driver{}).Decide(later.Add(2*time.Second), in)
+	if got := next.Uses["j"]; got.Size.Counted.Memory != 175 || got.Size.Declared.Memory != 20 {
+		t.Errorf("next placement: got %+v, want 175 GB counted, 20 declared", got)
+	}
+	again := stopped
+	again.Phase, again.Placement, again.Workers = cell.Released, 4, []model.WorkerID{"w1", "w2"}
+	in.Plan.Jobs["j"] = &again
+	other := &driver{}
+	other.Decide(later.Add(3*time.Second), in)
+	if got := other.state.Jobs["j"].Slots; len(got) != 2 {
+		t.Errorf("slots: got %+v, want those of the later placement", got)
+	}
+}
--- a/io/works/client.go
+++ b/io/works/client.go
@@ -1,6 +1,7 @@
 package works
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -18,6 +19,8 @@
 	defaultTimeout = 500 * time.Millisecond
 	// maxBody bounds an answer, in bytes.
 	maxBody = 64 << 20
+	// maxUsage bounds an answer with usage, in bytes: 95,000 tasks at 160 bytes each. A larger one is refused as a whole.
+	maxUsage = 16 << 20
 )
 
 // Client calls the service over HTTP with JSON bodies.
@@ -122,13 +125,20 @@
 	}, nil)
 }
 
-// Usage reports the observed use of the workers.
+// Usage reports the observed use of the workers. Reports that can't be read are left out.
 func (c *Client) Usage(ctx context.Context) ([]Usage, error) {
 	var out struct {
-		Usage []Usage `json:"usage"`
+		Usage []json.RawMessage `json:"usage"`
 	}
-	err := c.call(ctx, request{op: "usage", method: http.MethodGet, path: "/usage"}, &out)
-	return out.Usage, err
+	err := c.call(ctx, request{op: "usage", method: http.MethodGet, path: "/usage", limit: maxUsage}, &out)
+	var list []Usage
+	for _, text := range out.Usage {
+		var u Usage
+		if json.Unmarshal(text, &u) == nil {
+			list = append(list, u)
+		}
+	}
+	return list, err
 }
 
 // request is one call to the service, with the values that its errors name.
@@ -138,6 +148,8 @@
 	cmd              Command
 	task             string
 	grant            uint64
+	// limit bounds the answer, in bytes; 0 means maxBody.
+	limit int64
 }
 
 func (c *Client) call(ctx context.Context, r request, out any) error {
@@ -151,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	status, data, err := call.Do(c.HTTP, req, maxBody)
+	status, data, err := call.Do(c.HTTP, req, cmp.Or(r.limit, maxBody))
 	if err != nil {
 		return &UnavailableError{Op: r.op, Cause: err}
 	}
--- a/io/works/works.go
+++ b/io/works/works.go
@@ -46,11 +46,18 @@
 	Saved int `json:"saved,omitempty"`
 }
 
-// Usage is the observed use of a worker by a job; it lags behind.
+// Usage is the observed use of a worker by a task; it lags behind.
 type Usage struct {
+	// Task is the identifier of the task.
+	Task   string         `json:"task"`
 	Worker model.WorkerID `json:"worker"`
 	Job    model.JobID    `json:"job"`
 	GPUs   float64        `json:"gpus"`
+	Cores  float64        `json:"cores"`
+	// Memory is in gigabytes.
+	Memory float64 `json:"memory"`
+	// Age is how long before the answer the use was measured, in milliseconds.
+	Age int64 `json:"age"`
 }
 
 // Works is the worker service as the whole of its calls; packages that need fewer declare a smaller interface.
--- a/stand/plat/works_test.go
+++ b/stand/plat/works_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -143,6 +146,31 @@
 	}
 }
 
+// Guards against usage without what tells tasks and measurements apart, and against one report that can't be read and
+// takes the others with it.
+func TestWorksUsage(t *testing.T) {
+	b := newBench(t)
+	task := must[works.Task](t)(b.works.Prepare(b.ctx, b.task(t, "j-1-0", "lausanne-w1", 4)))
+	must[works.Task](t)(b.works.Throttle(b.ctx, task.ID, first, 1))
+	b.Tasks.SetUse(tasks.Use{Job: "j", Cores: 3, Memory: 40})
+	got := must[[]works.Usage](t)(b.works.Usage(b.ctx))
+	want := works.Usage{Task: task.ID, Worker: "lausanne-w1", Job: "j", GPUs: 4, Cores: 3, Memory: 40}
+	if len(got) != 1 || got[0].Age < 0 || got[0].Age > 1000 {
+		t.Fatalf("usage: got %+v, want %+v", got, want)
+	}
+	if got[0].Age = 0; got[0] != want {
+		t.Errorf("usage: got %+v, want %+v", got[0], want)
+	}
+	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"usage":[{"task":"a","memory":"much"},{"task":"b","memory":7},{"task":"c","memory":1e999},null]}`)
+	}))
+	defer broken.Close()
+	client := &works.Client{URL: broken.URL, Timeout: timeout}
+	if got, err := client.Usage(b.ctx); err != nil || len(got) != 2 || got[0].Task != "b" {
+		t.Errorf("broken reports: got %+v, %v, want the one that can be read and the empty one", got, err)
+	}
+}
+
 // Guards against double starts and oversubscription: an ended task is not prepared again, a live one not with
 // other content, and a worker takes no more than it has.
 func TestWorksRefusals(t *testing.T) {
--- a/stand/tasks/grant.go
+++ b/stand/tasks/grant.go
@@ -68,11 +68,31 @@
 	}
 }
 
-// Usage is the use of a worker, as of an earlier moment.
+// Usage is the use of a worker by a task, as of an earlier moment.
 type Usage struct {
+	Task   string  `json:"task"`
 	Worker string  `json:"worker"`
 	Job    string  `json:"job"`
 	GPUs   float64 `json:"gpus"`
+	Cores  float64 `json:"cores"`
+	// Memory is in gigabytes.
+	Memory float64 `json:"memory"`
+	// Age is in milliseconds.
+	Age int64 `json:"age"`
+}
+
+// Use is what each task of a job really uses.
+type Use struct {
+	Job    string  `json:"job"`
+	Cores  float64 `json:"cores"`
+	Memory float64 `json:"memory"`
+}
+
+// SetUse sets what each task of a job uses from now on.
+func (t *Tasks) SetUse(u Use) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.uses[u.Job] = u
 }
 
 // Usage returns the use by running tasks.
@@ -82,7 +102,11 @@
 	out := []Usage{}
 	for _, task := range t.tasks {
 		if task.State == Running {
-			out = append(out, Usage{Worker: task.Worker, Job: task.Job, GPUs: float64(task.GPUs) * task.Share})
+			use := t.uses[task.Job]
+			out = append(out, Usage{
+				Task: task.ID, Worker: task.Worker, Job: task.Job, GPUs: float64(task.GPUs) * task.Share,
+				Cores: use.Cores, Memory: use.Memory,
+			})
 		}
 	}
 	return out
--- a/stand/tasks/serve.go
+++ b/stand/tasks/serve.go
@@ -39,6 +39,15 @@
 			"events": t.Log(from), "stats": t.Stats(), "now": t.Since(time.Now()).Microseconds(),
 		})
 	}).Methods(http.MethodGet)
+	r.HandleFunc("/use", func(w http.ResponseWriter, r *http.Request) {
+		var use Use
+		if err := json.NewDecoder(r.Body).Decode(&use); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		t.SetUse(use)
+		serve.JSON(w, http.StatusOK, use)
+	}).Methods(http.MethodPost)
 	r.HandleFunc("/finish", func(w http.ResponseWriter, r *http.Request) {
 		var body struct {
 			Job string `json:"job"`
@@ -131,7 +140,10 @@
 			t.mu.Unlock()
 		}
 		t.mu.Lock()
-		out := usage
+		out := append([]Usage{}, usage...)
+		for i := range out {
+			out[i].Age = time.Since(taken).Milliseconds()
+		}
 		t.mu.Unlock()
 		serve.JSON(w, http.StatusOK, map[string]any{"usage": out})
 	}
--- a/stand/tasks/tasks.go
+++ b/stand/tasks/tasks.go
@@ -110,13 +110,15 @@
 	epochs  map[string]uint64
 	log     []Event
 	counts  map[string]int
+	// uses holds what the tasks of each job use; other jobs report nothing.
+	uses map[string]Use
 }
 
 // New returns a service with workers.
 func New(workers []Worker, now time.Time) *Tasks {
 	t := &Tasks{
 		begin: now, workers: map[string]*Worker{}, tasks: map[string]*Task{},
-		grants: map[uint64]*grant{}, epochs: map[string]uint64{}, counts: map[string]int{},
+		grants: map[uint64]*grant{}, epochs: map[string]uint64{}, counts: map[string]int{}, uses: map[string]Use{},
 	}
 	for _, w := range workers {
 		t.workers[w.ID] = &w
