Cover a note that is older than a placement

Cause: the test of the note met the stale placement only with a job in another phase, so it passed with the correction taken out.

Ruled out: the correction of submitted jobs' sizes in the driver; a job that the state doesn't know is submitted to it anyway, and the test passed without it, so it is removed.

Change: the test decides after the second placement, places the job a third time and compares its workers.

Conclusion: the next owner takes the workers of a job from the plan alone.

--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -222,7 +222,7 @@
 	}
 	s.Sequence++
 	j := &Job{Spec: spec, Sequence: s.Sequence, Submitted: now}
-	s.Expect(now, j)
+	s.expect(now, j)
 	s.Jobs[spec.ID] = j
 	s.ready(now).add(j)
 }
--- a/core/plan/usage.go
+++ b/core/plan/usage.go
@@ -329,8 +329,8 @@
 	j.Spec.Shape.Memory = max(j.Spec.Shape.Memory, each.Memory)
 }
 
-// Expect raises the size of a job that has not run yet to what its team and class have used, unless it could not run then.
-func (s *State) Expect(now time.Time, j *Job) {
+// expect raises the size of a job that has not run yet to what its team and class have used, unless it could not run then.
+func (s *State) expect(now time.Time, j *Job) {
 	sizes, known := s.Sizes[pastKey(j.Spec)]
 	if !known || len(sizes.Peaks) < sizeEnough || !valid(j.Spec.Shape) {
 		return
--- a/io/sched/driver.go
+++ b/io/sched/driver.go
@@ -177,9 +177,6 @@
 		want, got := phases[j.Phase], d.state.Jobs[id]
 		if got == nil {
 			got = &plan.Job{Spec: j.Spec, Sequence: j.Sequence, Submitted: time.UnixMilli(j.Submitted)}
-			if want == plan.Queued {
-				d.state.Expect(now, got)
-			}
 		} else if got.Phase == want || got.Phase == plan.Refused && want == plan.Queued {
 			continue
 		}
--- a/io/sched/usage_test.go
+++ b/io/sched/usage_test.go
@@ -107,7 +107,13 @@
 	in.Plan.Jobs["j"] = &again
 	other := &driver{}
 	other.Decide(later.Add(3*time.Second), in)
-	if got := other.state.Jobs["j"].Slots; len(got) != 2 {
-		t.Errorf("slots: got %+v, want those of the later placement", got)
+	out = other.Decide(later.Add(time.Minute), in)
+	moved := again
+	moved.Placement, moved.Workers = 5, []model.WorkerID{"w2", "w2"}
+	in.Plan.Note, in.Plan.Jobs["j"] = out.Note, &moved
+	last := &driver{}
+	last.Decide(later.Add(time.Minute), in)
+	if got := last.state.Jobs["j"].Slots; out.Note == nil || len(got) != 1 || got[0].Worker != "w2" {
+		t.Errorf("slots after a note of %d bytes: got %+v, want those of the later placement", len(out.Note), got)
 	}
 }
