Leave the sums of workers alone when a report changes nothing

Cause: each report of a running job took it out of its workers and entered it again, though most reports change nothing that counts.

Ruled out: leaving the job unchanged, since its age and its last values are needed.

Change: the copy of the job replaces it in place. TestFormerPeakStopsNothing guards the replacement.

On a trial copy without the replacement, the property test and the other tests of usage pass and the new test fails: a job is stopped for memory that it has given back.

Conclusion: a report without news costs one copy of the job.

--- a/core/plan/usage.go
+++ b/core/plan/usage.go
@@ -159,13 +159,39 @@
 func (s *State) observe(now time.Time, j *Job, tasks map[int]TaskUse) {
 	usage := s.usage(now, j, tasks)
 	if slices.Equal(usage, j.Observed) {
-		s.change(now, j, func(c *Job) { c.Tasks = tasks })
+		c := *j
+		c.Tasks = tasks
+		s.ready(now).swap(j, &c)
+		s.Jobs[c.Spec.ID] = &c
 		return
 	}
 	s.change(now, j, func(c *Job) { c.Tasks, c.Observed = tasks, usage })
 	s.ready(now).loose = true
 }
 
+// swap replaces a placed job by a copy that counts the same everywhere, as most reports leave it. Summing up its workers
+// anew would cost more than the rest of a report.
+func (x *index) swap(old, next *Job) {
+	for _, sl := range old.Slots {
+		i, ok := x.byID[sl.Worker]
+		if !ok {
+			continue
+		}
+		uses := x.nodes[i].uses
+		for k := range uses {
+			if uses[k].job == old {
+				uses[k].job = next
+			}
+		}
+	}
+	if x.doomed[old.Spec.ID] != nil {
+		x.doomed[old.Spec.ID] = next
+	}
+	if x.moving[old.Spec.ID] != nil {
+		x.moving[old.Spec.ID] = next
+	}
+}
+
 // usage returns what counts for each worker of a job.
 func (s *State) usage(now time.Time, j *Job, tasks map[int]TaskUse) []Usage {
 	settled := len(tasks) == j.Spec.Shape.Tasks
--- a/core/plan/usage_test.go
+++ b/core/plan/usage_test.go
@@ -265,3 +265,16 @@
 		})
 	}
 }
+
+// Guards against a stop on the strength of memory that a job has given back: its peak still counts for its worker, but the
+// worker holds what is used now.
+func TestFormerPeakStopsNothing(t *testing.T) {
+	r := usageRig(t, sized("x", 2, 10))
+	r.use(map[model.JobID]float64{"x": 100})
+	r.use(map[model.JobID]float64{"x": 5})
+	r.submit(sized("y", 2, 150))
+	r.step()
+	if got := r.use(map[model.JobID]float64{"x": 5, "y": 200}); len(got) != 0 {
+		t.Errorf("205 GB on a worker of 256: got %+v, want no stop", got)
+	}
+}
