Ask for usage again soon after a call without an answer

Cause: the pause between calls grew with the time that a call took, also of one that got no answer: after a timeout of 500 ms the next call followed 25 s later.

Ruled out: no pause beyond the interval after failures; an answer that is too large fails after its bytes were sent.

Conclusion: TestUsagePause keeps it.

--- a/io/sched/usage.go
+++ b/io/sched/usage.go
@@ -20,7 +20,7 @@
 	// usageEvery is how often usage is asked for. Decisions are made as often without another change.
 	usageEvery = 2 * time.Second
 	// usageRate bounds the bytes a second of the answers: a larger answer is asked for less often. Reports of 95,000
-	// tasks (13 MB) then come every 52 s, within plan.UsageStale.
+	// tasks (13 MB) then come every 50 s, within plan.UsageStale.
 	usageRate = 256 << 10
 	// usageMost is the longest wait after answers that failed: the largest answer that io/works reads, at usageRate. An
 	// answer that is too large fails after its bytes have been sent.
@@ -59,10 +59,8 @@
 
 // watchUsage asks for usage in one call for all cells as long as this process owns one, until ctx ends.
 func (s *Sched) watchUsage(ctx context.Context) {
-	failed := false
-	again := usageEvery
+	failed, rest := false, usageEvery
 	for ctx.Err() == nil {
-		rest := usageEvery
 		if owned := s.owned(); len(owned) > 0 {
 			at := s.clock()
 			began := time.Now()
@@ -72,15 +70,23 @@
 				s.logger().Warn("reading usage", "failed", failed, "error", text(err))
 			}
 			s.usage.set(s.split(owned, list, at))
-			if again = min(2*again, usageMost); !failed {
-				again = usageEvery
-			}
-			rest = max(again, listPart*time.Since(began), time.Duration(len(list)*usageBytes)*time.Second/usageRate)
+			rest = usagePause(rest, failed, time.Since(began), len(list))
+		} else {
+			rest = usageEvery
 		}
 		pause(ctx, rest)
 	}
 }
 
+// usagePause returns the time until the next call after one that took some time and brought reports. A call that failed
+// says nothing of the load that an answer is, so the pause after it grows from the last one alone.
+func usagePause(last time.Duration, failed bool, took time.Duration, reports int) time.Duration {
+	if failed {
+		return min(2*last, usageMost)
+	}
+	return max(usageEvery, listPart*took, time.Duration(reports*usageBytes)*time.Second/usageRate)
+}
+
 func text(err error) string {
 	if err == nil {
 		return ""
--- a/io/sched/usage_test.go
+++ b/io/sched/usage_test.go
@@ -59,6 +59,30 @@
 	}
 }
 
+// Guards against calls that load the worker service, and against one call without an answer that left the decisions without
+// usage for 25 s.
+func TestUsagePause(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		last    time.Duration
+		failed  bool
+		took    time.Duration
+		reports int
+		want    time.Duration
+	}{
+		{"quick", usageEvery, false, time.Millisecond, 100, usageEvery},
+		{"slow", usageEvery, false, 200 * time.Millisecond, 100, 10 * time.Second},
+		{"large", usageEvery, false, time.Millisecond, 95_000, 50 * time.Second},
+		{"one failure", usageEvery, true, 500 * time.Millisecond, 0, 2 * usageEvery},
+		{"many failures", usageMost, true, time.Millisecond, 0, usageMost},
+		{"after failures", usageMost, false, time.Millisecond, 1, usageEvery},
+	} {
+		if got := usagePause(tc.last, tc.failed, tc.took, tc.reports).Truncate(time.Second); got != tc.want {
+			t.Errorf("%s: got %s, want %s", tc.name, got, tc.want)
+		}
+	}
+}
+
 // Guards against a change of the owner that loses what was observed of running jobs, of stopped ones and of classes, or
 // that takes the workers of an earlier placement from the note.
 func TestObservedUsageSurvivesOwner(t *testing.T) {
