--- a/core/plan/usage_test.go
+++ b/core/plan/usage_test.go
@@ -104,13 +104,15 @@
 	return r
 }
 
-// use reports the memory of the only task of each job twice and decides.
+// use reports the memory of each task of the jobs twice and decides.
 func (r *rig) use(memory map[model.JobID]float64) []Action {
 	for range 2 {
 		r.now = r.now.Add(time.Second)
 		var list []Report
 		for id, gb := range memory {
-			list = append(list, Report{Job: id, Worker: "w00000", Cores: 1, Memory: gb, Measured: r.now})
+			for i := range r.Jobs[id].Spec.Shape.Tasks {
+				list = append(list, Report{Job: id, Worker: "w00000", Task: i, Cores: 1, Memory: gb, Measured: r.now})
+			}
 		}
 		r.Apply(r.now, Event{Kind: Reported, Reports: list})
 	}
@@ -126,19 +128,23 @@
 // Guards against a stop of the wrong job: the largest excess goes first, one stop is enough here, and work within its
 // declaration stays even where it is the largest.
 func TestLargestExcessIsStopped(t *testing.T) {
+	// The excess of 30 of each of its two tasks counts together, and before the 35 of another job.
+	gang := sized("gang", 1, 10)
+	gang.Shape.Tasks = 2
 	for _, tc := range []struct {
 		name string
 		use  map[model.JobID]float64
 		want string
 	}{
-		{"all fit", map[model.JobID]float64{"x": 40, "y": 60, "z": 100}, ""},
+		{"all fit", map[model.JobID]float64{"x": 40, "y": 40, "z": 100}, ""},
 		{"largest excess", map[model.JobID]float64{"x": 50, "y": 120, "z": 100}, "y"},
 		{"within declaration", map[model.JobID]float64{"x": 90, "y": 20, "z": 150}, "x"},
 		{"nobody exceeds", map[model.JobID]float64{"x": 10, "y": 20, "z": 150}, ""},
+		{"gang as a whole", map[model.JobID]float64{"gang": 40, "y": 55, "z": 150}, "gang"},
 		{"wrong value", map[model.JobID]float64{"x": 1e9, "y": math.NaN(), "z": 100}, ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			r := usageRig(t, sized("x", 2, 10), sized("y", 2, 20), sized("z", 2, 150))
+			r := usageRig(t, sized("x", 2, 10), sized("y", 2, 20), sized("z", 2, 150), gang)
 			got := ""
 			for _, a := range r.use(tc.use) {
 				if a.Why.Code == Exceeded {
