Describe the event that carries usage

Cause: the package page didn't say that a report without measurements has a meaning.

Ruled out: nothing.

Change: one sentence in core/plan/doc.go, and the applying of a declaration in proof/reclaim_test.go is a method that other tests of gangs can use.

Conclusion: the page names Reported.

--- a/core/plan/doc.go
+++ b/core/plan/doc.go
@@ -7,7 +7,8 @@
 // owns one State per cell and repeats these steps:
 //
 //  1. Pass what happened to State.Apply, as many events at a time as have arrived. Apply also moves
-//     anchors, so that the guarantees are feasible again when it returns.
+//     anchors, so that the guarantees are feasible again when it returns. Reported carries the usage
+//     of an interval, also an empty one: that is how Apply learns that reports have ceased.
 //  2. Call Decide. It reads the State, leaves it unchanged, and returns the actions, a Reason for
 //     each job that waits, the shortfalls, and the time at which to decide again without an event.
 //  3. Write the actions to the plan, then pass them to State.Accept. Accept drops the actions that
--- a/proof/reclaim_test.go
+++ b/proof/reclaim_test.go
@@ -44,13 +44,7 @@
 	t.Helper()
 	g = &gangs{t: t, platform: start(t, "stand", "platform", "--centres", "lausanne=6")}
 	owner = g.entry("a").ready("link")
-	file := filepath.Join(t.TempDir(), "teams.yaml")
-	if err := os.WriteFile(file, []byte(reclaimDocument), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	if out, err := command(t, owner, "apply", file); err != nil {
-		t.Fatalf("apply: %v\n%s", err, out)
-	}
+	g.applyTeams(owner, reclaimDocument)
 	other = g.entry("b").ready("link")
 	for n := range borrowers {
 		job := fmt.Sprintf("job borrower-%d of stock 1x8 checkpoint grace 1s estimate 1h", n)
@@ -64,6 +58,18 @@
 	return g, owner, other
 }
 
+// applyTeams applies a declaration at an entry.
+func (g *gangs) applyTeams(entry *process, document string) {
+	g.t.Helper()
+	file := filepath.Join(g.t.TempDir(), "teams.yaml")
+	if err := os.WriteFile(file, []byte(document), 0o600); err != nil {
+		g.t.Fatal(err)
+	}
+	if out, err := command(g.t, entry, "apply", file); err != nil {
+		g.t.Fatalf("apply: %v\n%s", err, out)
+	}
+}
+
 // running counts the tasks of jobs whose names begin with prefix that run now.
 func (g *gangs) running(prefix string) int {
 	state := map[string]string{}
