--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -67,6 +67,7 @@
 	rehoming atomic.Bool
 	// version counts the changes of the workers and of the declaration.
 	version uint64
+	usage   usage
 }
 
 func (s *Sched) clock() time.Time {
@@ -92,6 +93,7 @@
 
 // Run controls the cells of the workers that the worker service lists, until ctx ends.
 func (s *Sched) Run(ctx context.Context) {
+	s.wait.Go(func() { s.watchUsage(ctx) })
 	for {
 		began := time.Now()
 		if workers, err := s.Works.Workers(ctx); err != nil {
--- a/io/sched/snapshot.go
+++ b/io/sched/snapshot.go
@@ -76,6 +76,8 @@
 	Shortfalls []plan.Shortfall             `json:"shortfalls"`
 	Ended      []cell.Ended                 `json:"ended"`
 	Room       plan.Room                    `json:"room"`
+	// Uses holds the sizes of the jobs of which usage is known.
+	Uses map[model.JobID]JobUse `json:"uses"`
 }
 
 // Snapshot is what a process knows of all cells, in the order of their names.
@@ -131,6 +133,7 @@
 		Cell: c.id, Owner: v.plan.Owner, Epoch: v.plan.Epoch, Owned: v.owned, Detached: v.detached, Revision: v.plan.Revision,
 		Workers: in.workers, Hosts: decision.Hosts, Held: decision.Held, Shortfalls: decision.Shortfalls, Ended: v.plan.Ended,
 		Room: decision.Room,
+		Uses: decision.Uses,
 	}
 	reasons := make(map[model.JobID]plan.Reason, len(decision.Waiting))
 	for _, w := range decision.Waiting {
