Make a region one cell unless it is large

Jobs of 24 accelerators that can't borrow starve in a data centre whose only rack is anchored.

Ruled out: one cell for everything (control over the slow link, and each partition between regions would end the gangs of the other one); a layout that follows the number of workers (two processes could disagree while it changes, and a worker would have two owners).

The first entry stores the layout by a create-only write; all others use the stored one and control nothing before they have read it. Workers carry their cell; core/homes places guarantees for any layout, by cells first, then by a bounded search that moves few of them, then all together.

--- a/cmds/admin.go
+++ b/cmds/admin.go
@@ -18,7 +18,6 @@
 	"wagtailhoist/io/meter"
 	"wagtailhoist/io/peers"
 	"wagtailhoist/io/sched"
-	"wagtailhoist/io/works"
 )
 
 const (
@@ -154,11 +153,18 @@
 }
 
 func newFleet(
-	c *entryCmd, self *entrySelf, p *phase, x *conf.Exchange, m *peers.Members, shutdown fx.Shutdowner, log *slog.Logger,
+	c *entryCmd, self *entrySelf, p *phase, x *conf.Exchange, m *peers.Members, s *sched.Sched,
+	shutdown fx.Shutdowner, log *slog.Logger,
 ) *fleet {
 	f := &fleet{self: self.settings.Self, phase: p, exchange: x, members: m, stop: stopper(shutdown, log)}
-	if c.Works != "" {
-		f.workers = (&works.Client{URL: c.Works}).Workers
+	if s != nil {
+		f.workers = func(ctx context.Context) ([]model.Worker, error) {
+			workers, err := s.Works.Workers(ctx)
+			if err != nil {
+				return nil, err
+			}
+			return s.Mark(workers)
+		}
 	}
 	return f
 }
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -28,6 +28,7 @@
 	Admin     string        `default:"127.0.0.1:0" help:"Address of the operators' listener."`
 	Store     string        `help:"URL of the platform's store. Without it, requests with a key are refused and there is no configuration."`
 	Works     string        `help:"URL of the platform's worker service. Without it, the entry schedules nothing."`
+	Cells     string        `default:"region" enum:"region,centre" help:"Layout of the cells that the first entry stores: one for each region, or for each data centre where a region has more than 2,000 workers."`
 	Drain     time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
 }
 
--- a/core/homes/homes.go
+++ b/core/homes/homes.go
@@ -10,8 +10,9 @@
 	"wagtailhoist/core/plan"
 )
 
-// Cell returns the cell of a worker.
-func Cell(w model.Worker) model.CellID { return model.CellID(w.Centre) }
+// maxChecks bounds the search for an assignment that moves few guarantees, in placements of a cell: 0.5 s at 2,000
+// workers a cell.
+const maxChecks = 100
 
 // Assign returns the cell of each guarantee of d, by team/guarantee. Those that d.Homes names stay where they are, but
 // for those that are in the way of others. The error is a *plan.ConflictError. Lost workers count, since they may
@@ -26,19 +27,39 @@
 	if homes, ok := f.spread(d, kept); ok {
 		return homes, nil
 	}
-	for {
-		places, err := plan.Place(workers, pin(d, kept))
-		if err == nil {
-			out := make(map[string]model.CellID, len(places))
-			for ref, slots := range places {
-				out[ref.String()] = f.cells[slots[0].Worker]
+	places, err := plan.Place(workers, d)
+	if err != nil {
+		return nil, err
+	}
+	if homes, ok := f.moveFew(d, kept); ok {
+		return homes, nil
+	}
+	out := make(map[string]model.CellID, len(places))
+	for ref, slots := range places {
+		out[ref.String()] = f.cells[slots[0].Worker]
+	}
+	return out, nil
+}
+
+// moveFew looks for an assignment in which all kept guarantees stay, or all but one.
+func (f fleet) moveFew(d model.Declaration, kept map[plan.Ref]model.CellID) (map[string]model.CellID, bool) {
+	all, left := items(d), maxChecks
+	for n := -1; n < len(all) && left > 0; n++ {
+		former := maps.Clone(kept)
+		if n >= 0 {
+			if _, ok := kept[all[n].ref]; !ok {
+				continue
 			}
-			return out, nil
+			delete(former, all[n].ref)
 		}
-		if !release(kept, err) {
-			return nil, err
+		s := newSearch(f)
+		s.left = left
+		if rest := s.keep(all, former); s.place(rest) {
+			return s.result(), true
 		}
+		left = s.left
 	}
+	return nil, false
 }
 
 // fleet is the workers by cell.
@@ -59,103 +80,50 @@
 }
 
 // kept returns the homes in d that can stay.
-func (f fleet) kept(d model.Declaration) map[plan.Ref]model.Centre {
-	out := map[plan.Ref]model.Centre{}
+func (f fleet) kept(d model.Declaration) map[plan.Ref]model.CellID {
+	out := map[plan.Ref]model.CellID{}
 	for _, t := range d.Teams {
 		for _, g := range t.Guarantees {
 			ref := plan.Ref{Team: t.Name, Guarantee: g.Name}
 			home := d.Homes[ref.String()]
-			if f.workers[home] != nil && (g.Centre == "" || model.CellID(g.Centre) == home) {
-				out[ref] = model.Centre(home)
+			if f.workers[home] != nil && f.has(home, g.Centre) {
+				out[ref] = home
 			}
 		}
 	}
 	return out
 }
 
+// has reports whether a cell has workers of a data centre; empty means any.
+func (f fleet) has(id model.CellID, centre model.Centre) bool {
+	return centre == "" || slices.ContainsFunc(f.workers[id], func(w model.Worker) bool { return w.Centre == centre })
+}
+
 // spread puts the guarantees without a home on the cells with the most accelerators left, the largest first, and
 // reports whether each cell can hold its part.
-func (f fleet) spread(d model.Declaration, kept map[plan.Ref]model.Centre) (map[string]model.CellID, bool) {
-	free := map[model.CellID]int{}
-	for id, workers := range f.workers {
-		for _, w := range workers {
-			free[id] += w.GPUs
-		}
-	}
-	parts := map[model.CellID]*model.Declaration{}
-	homes := map[string]model.CellID{}
-	put := func(ref plan.Ref, g model.Guarantee, id model.CellID) {
-		if parts[id] == nil {
-			parts[id] = &model.Declaration{}
-		}
-		parts[id].Teams = append(parts[id].Teams, model.TeamSpec{Name: ref.Team, Guarantees: []model.Guarantee{g}})
-		homes[ref.String()] = id
-		free[id] -= g.Shape.Size()
-	}
-	type item struct {
-		ref       plan.Ref
-		guarantee model.Guarantee
-	}
+func (f fleet) spread(d model.Declaration, kept map[plan.Ref]model.CellID) (map[string]model.CellID, bool) {
+	s := newSearch(f)
 	var rest []item
-	for _, t := range d.Teams {
-		for _, g := range t.Guarantees {
-			ref := plan.Ref{Team: t.Name, Guarantee: g.Name}
-			centre := g.Centre
-			if home, ok := kept[ref]; ok {
-				centre = home
-			}
-			if centre == "" {
-				rest = append(rest, item{ref, g})
-			} else {
-				put(ref, g, model.CellID(centre))
-			}
+	for _, i := range items(d) {
+		if id, ok := kept[i.ref]; ok {
+			s.add(id, i)
+		} else {
+			rest = append(rest, i)
 		}
 	}
-	slices.SortStableFunc(rest, func(a, b item) int {
-		return cmp.Compare(b.guarantee.Shape.Size(), a.guarantee.Shape.Size())
-	})
 	for _, i := range rest {
-		if len(f.ids) == 0 {
+		ids := s.candidates(i)
+		if len(ids) == 0 {
 			return nil, false
 		}
-		put(i.ref, i.guarantee, slices.MaxFunc(f.ids, func(a, b model.CellID) int { return cmp.Compare(free[a], free[b]) }))
+		s.add(ids[len(ids)-1], i)
 	}
-	for id, part := range parts {
-		if _, err := plan.Place(f.workers[id], *part); err != nil {
+	for id, held := range s.held {
+		if !s.fits(id, held) {
 			return nil, false
 		}
 	}
-	return homes, true
-}
-
-// pin returns d with the data centres of the kept guarantees that name none.
-func pin(d model.Declaration, kept map[plan.Ref]model.Centre) model.Declaration {
-	out := model.Declaration{Teams: make([]model.TeamSpec, len(d.Teams))}
-	for i, t := range d.Teams {
-		guarantees := make([]model.Guarantee, len(t.Guarantees))
-		for k, g := range t.Guarantees {
-			if g.Centre == "" {
-				g.Centre = kept[plan.Ref{Team: t.Name, Guarantee: g.Name}]
-			}
-			guarantees[k] = g
-		}
-		t.Guarantees = guarantees
-		out.Teams[i] = t
-	}
-	return out
-}
-
-// release lets the guarantees of a conflict move and reports whether any of them was kept.
-func release(kept map[plan.Ref]model.Centre, err error) bool {
-	before := len(kept)
-	var conflict *plan.ConflictError
-	if errors.As(err, &conflict) {
-		delete(kept, conflict.Ref)
-		for _, ref := range conflict.With {
-			delete(kept, ref)
-		}
-	}
-	return len(kept) < before
+	return s.result(), true
 }
 
 // Move returns homes in which guarantees that their cells can't hold after the loss of workers have other cells, and
@@ -187,16 +155,6 @@
 	return held.Homes, moved
 }
 
-func refs(d model.Declaration) []plan.Ref {
-	var out []plan.Ref
-	for _, t := range d.Teams {
-		for _, g := range t.Guarantees {
-			out = append(out, plan.Ref{Team: t.Name, Guarantee: g.Name})
-		}
-	}
-	return out
-}
-
 // split returns the guarantees that their cells can hold, and those that they can't and that may move, the largest
 // first. Each is in a team of its own.
 func (f fleet) split(d model.Declaration) (held model.Declaration, short []model.TeamSpec) {
--- a/core/homes/homes_test.go
+++ b/core/homes/homes_test.go
@@ -75,6 +75,15 @@
 func TestGuaranteesFitTheirCells(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		workers := centres(rapid.SliceOfN(rapid.IntRange(1, 7), 1, 4).Draw(t, "cells")...)
+		if rapid.Bool().Draw(t, "two data centres a cell") {
+			for i := range workers {
+				workers[i].Region = "west"
+				if workers[i].Centre >= "c2" {
+					workers[i].Region = "east"
+				}
+			}
+			workers = Mark(ByRegion, workers)
+		}
 		d := declare(rapid.SliceOfN(rapid.IntRange(1, 3), 1, 7).Draw(t, "tasks")...)
 		got, err := Assign(workers, d)
 		for id, list := range cells(workers) {
--- a/core/model/spec.go
+++ b/core/model/spec.go
@@ -82,6 +82,8 @@
 	GPUs   int `cbor:"7,keyasint" json:"gpus"`
 	// Up is false while the platform reports the worker as lost.
 	Up bool `cbor:"8,keyasint" json:"up"`
+	// Cell is the cell of the worker; empty means that of its data centre.
+	Cell CellID `cbor:"9,keyasint,omitempty" json:"cell,omitempty"`
 }
 
 // Policy holds the declared weights of the scheduler.
--- a/io/sched/balance_test.go
+++ b/io/sched/balance_test.go
@@ -8,16 +8,16 @@
 	"wagtailhoist/core/model"
 )
 
-// Guards against jobs that wait in their cell while another one has room, and against a job that runs in both: the
-// cells have different owners, and every job is submitted again at the other one while it moves.
+// Guards against jobs that wait in their cell while another one has room, and against a job that runs in both: each
+// process is near one of the cells, and every job is submitted again at the other one while it moves.
 func TestWaitingJobsFillOtherCells(t *testing.T) {
 	const jobs = 6
 	r := newRig(t, "lausanne=3,chur=3")
 	west, _ := r.startIn("ch-west", "e1")
 	east, _ := r.startIn("ch-east", "e2")
-	r.until("both own a cell", func() bool {
+	r.until("both cells have owners", func() bool {
 		a, b := west.Snapshot().Cells, east.Snapshot().Cells
-		return len(a) == 2 && len(b) == 2 && a[1].Owned && b[0].Owned
+		return len(a) == 2 && len(b) == 2 && (a[0].Owned || b[0].Owned) && (a[1].Owned || b[1].Owned)
 	})
 	names := make([]model.JobID, jobs)
 	for i := range names {
--- a/io/sched/errors.go
+++ b/io/sched/errors.go
@@ -67,3 +67,11 @@
 
 // Error names the jobs.
 func (e *UnknownJobsError) Error() string { return fmt.Sprintf("unknown jobs %q", e.Jobs) }
+
+// LayoutError reports that the layout of the cells was not read from the store yet.
+type LayoutError struct{}
+
+// Error says what is missing.
+func (e *LayoutError) Error() string {
+	return "the layout of the cells was not read from the store yet"
+}
--- a/io/sched/exec.go
+++ b/io/sched/exec.go
@@ -22,6 +22,7 @@
 
 // KeyValue is the part of the store that cells need.
 type KeyValue interface {
+	Get(ctx context.Context, key string) (store.Item, error)
 	Put(ctx context.Context, key string, value []byte, version, lease uint64) (uint64, error)
 	List(ctx context.Context, prefix string) ([]store.Item, uint64, error)
 	Watch(ctx context.Context, prefix string, after uint64) ([]store.Item, uint64, error)
--- a/io/sched/home.go
+++ b/io/sched/home.go
@@ -86,8 +86,12 @@
 		return id, s.workers[id] != nil
 	}
 	if g.Centre != "" {
-		id := model.CellID(g.Centre)
-		return id, s.workers[id] != nil
+		for id, list := range s.workers {
+			if slices.ContainsFunc(list, func(w model.Worker) bool { return w.Centre == g.Centre }) {
+				return id, true
+			}
+		}
+		return "", false
 	}
 	return s.pick("guarantee/"+ref.String(), g.Shape)
 }
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -45,6 +45,8 @@
 	Declaration func() (model.Declaration, bool)
 	// NewDecider returns a Decider for a cell; nil means that of core/plan.
 	NewDecider func() Decider
+	// Layout is the layout of the cells to use if the store has none yet; zero means one cell for each data centre.
+	Layout homes.Layout
 	// Rehome writes other cells of the guarantees to the declaration in force; nil means that they stay.
 	Rehome func(ctx context.Context, homes func(former map[string]model.CellID) (map[string]model.CellID, error)) error
 	// Log takes the log; nil means none.
@@ -61,6 +63,8 @@
 	whole model.Declaration
 	// homes holds the cells of the guarantees, as of whole.
 	homes map[string]model.CellID
+	// agreed says that Layout is the stored one.
+	agreed bool
 	// met is when workers were listed first.
 	met time.Time
 	// rehoming says that cells of guarantees are being changed.
@@ -94,20 +98,18 @@
 // Run controls the cells of the workers that the worker service lists, until ctx ends.
 func (s *Sched) Run(ctx context.Context) {
 	s.wait.Go(func() { s.watchUsage(ctx) })
-	for {
+	s.agree(ctx)
+	for ctx.Err() == nil {
 		began := time.Now()
 		if workers, err := s.Works.Workers(ctx); err != nil {
 			s.logger().Warn("listing workers", "error", err.Error())
 		} else {
-			s.meet(ctx, workers)
+			s.meet(ctx, homes.Mark(s.Layout, workers))
 			s.rehome(ctx)
 		}
 		pause(ctx, max(workersEvery, listPart*time.Since(began)))
-		if ctx.Err() != nil {
-			s.wait.Wait()
-			return
-		}
 	}
+	s.wait.Wait()
 }
 
 // meet takes a list of the workers and starts the control of new cells. A worker that is no longer listed
--- a/io/sched/sched_test.go
+++ b/io/sched/sched_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"wagtailhoist/core/cell"
+	"wagtailhoist/core/homes"
 	"wagtailhoist/core/model"
 	"wagtailhoist/core/plan"
 	"wagtailhoist/io/sched"
@@ -68,13 +69,25 @@
 
 // startIn is start in a region.
 func (r *rig) startIn(region model.Region, name model.NodeID) (*sched.Sched, func()) {
+	s := r.make(name, homes.ByCentre)
+	s.Region = region
+	return s, r.run(s)
+}
+
+// make returns a controller that is not running yet.
+func (r *rig) make(name model.NodeID, layout homes.Layout) *sched.Sched {
 	client := &http.Client{Transport: &http.Transport{}}
-	s := &sched.Sched{
-		Self: name, Region: region,
+	r.t.Cleanup(client.CloseIdleConnections)
+	return &sched.Sched{
+		Self: name, Region: "ch-west", Layout: layout,
 		Store:       &store.Client{URL: r.url, HTTP: client},
 		Works:       &works.Client{URL: r.url, HTTP: client},
 		Declaration: func() (model.Declaration, bool) { return declared, true },
 	}
+}
+
+// run runs a controller; the returned function drains and ends it.
+func (r *rig) run(s *sched.Sched) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); s.Run(ctx) }()
@@ -85,11 +98,10 @@
 			s.Drain(ctx)
 			cancel()
 			<-done
-			client.CloseIdleConnections()
 		}
 	}
 	r.t.Cleanup(end)
-	return s, end
+	return end
 }
 
 func (r *rig) until(what string, ok func() bool) {
--- a/proof/gang_test.go
+++ b/proof/gang_test.go
@@ -73,7 +73,7 @@
 // plan reads the plan of the cell.
 func (g *gangs) plan() (*cell.Plan, []cell.Batch, uint64) {
 	g.t.Helper()
-	items, _, err := g.store.List(context.Background(), "cells/lausanne/plan/")
+	items, _, err := g.store.List(context.Background(), "cells/ch-west/plan/")
 	if err != nil {
 		return &cell.Plan{}, nil, 0
 	}
@@ -108,7 +108,7 @@
 			Revision: plan.Revision + 1, Writer: "proof", Number: 1,
 			Changes: []cell.Change{{Kind: cell.Submitted, Spec: &spec, At: time.Now().UnixMilli()}},
 		})
-		_, err := g.store.Put(g.t.Context(), "cells/lausanne/plan/log", cell.EncodeLog(after, batches), version, 0)
+		_, err := g.store.Put(g.t.Context(), "cells/ch-west/plan/log", cell.EncodeLog(after, batches), version, 0)
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
 			continue
@@ -330,7 +330,7 @@
 	g.entry("a")
 	eventually(t, gangWait, "a owns the cell", func() bool { p, _, _ := g.plan(); return p.Owner == "a" })
 	g.submit()
-	g.fault(map[string]any{"mode": "lost", "of": "store", "method": "PUT", "path": "/kv/cells/lausanne/plan", "count": 3})
+	g.fault(map[string]any{"mode": "lost", "of": "store", "method": "PUT", "path": "/kv/cells/ch-west/plan", "count": 3})
 	g.settle("a")
 }
 
--- a/proof/outage_test.go
+++ b/proof/outage_test.go
@@ -47,7 +47,7 @@
 	g.fault(map[string]any{"mode": "clear"})
 	g.entry("c").ready("link")
 	eventually(t, gangWait, "the owner holds the cell again", func() bool {
-		items, _, err := g.store.List(t.Context(), "cells/lausanne/owner")
+		items, _, err := g.store.List(t.Context(), "cells/ch-west/owner")
 		return err == nil && len(items) == 1
 	})
 	// Longer than contenders wait and adopt.
--- a/proof/reclaim_test.go
+++ b/proof/reclaim_test.go
@@ -119,7 +119,7 @@
 		{name: "worker lost before", before: func(g *gangs, _ *process) { g.lose() }},
 		{name: "worker lost after", after: func(g *gangs, _ *process) { g.lose() }},
 		{name: "store answers lost", before: func(g *gangs, _ *process) {
-			g.fault(map[string]any{"mode": "lost", "of": "store", "method": "PUT", "path": "/kv/cells/lausanne/plan", "count": 3})
+			g.fault(map[string]any{"mode": "lost", "of": "store", "method": "PUT", "path": "/kv/cells/ch-west/plan", "count": 3})
 		}},
 		{name: "worker service answers lost", before: func(g *gangs, _ *process) {
 			g.fault(map[string]any{"mode": "lost", "of": "works", "method": "DELETE", "count": 3})
--- a/proof/rehome_test.go
+++ b/proof/rehome_test.go
@@ -72,6 +72,7 @@
 			if home == "" {
 				t.Fatal("the stored configuration names no cell of the guarantee")
 			}
+			centre := map[model.CellID]string{"ch-west": "lausanne", "ch-east": "chur"}[home]
 			claim := func() {
 				eventually(t, gangWait, "the claim is accepted", func() bool {
 					_, err := command(t, entries[1], "query", "job", "timetable", "of", "plans", "3x8", "adjacent", "rack", "checkpoint", "grace", "1s", "guarantee", "night")
@@ -87,7 +88,7 @@
 				}
 				return workers
 			}
-			lost := string(home) + "-w1"
+			lost := centre + "-w1"
 			if tc.running {
 				claim()
 				eventually(t, gangWait, "the claim runs", func() bool { return len(runs()) == 3 })
@@ -116,8 +117,8 @@
 			eventually(t, gangWait, "the claim runs in the other data centre", func() bool { return len(runs()) >= before+3 })
 			t.Logf("moved after %v, ran after %v on %v", moved, g.clock()-began, runs())
 			again := runs()[before:]
-			if len(again) != 3 || slices.ContainsFunc(again, func(w string) bool { return strings.HasPrefix(w, string(home)) }) {
-				t.Errorf("tasks after the move: got %v, want three outside %s", again, home)
+			if len(again) != 3 || slices.ContainsFunc(again, func(w string) bool { return strings.HasPrefix(w, centre) }) {
+				t.Errorf("tasks after the move: got %v, want three outside %s", again, centre)
 			}
 			out, err := command(t, entries[1], "query", "show", "jobs")
 			if n := strings.Count(out, "timetable"); err != nil || n != 1 {
--- a/proof/rest_test.go
+++ b/proof/rest_test.go
@@ -64,7 +64,7 @@
 	var join []string
 	for n := range entries {
 		p := start(b, "wagtailhoist", append([]string{
-			"entry", "--id", fmt.Sprintf("entry-%d", n), "--store", platform.url("listen"), "--works", platform.url("listen"),
+			"entry", "--id", fmt.Sprintf("entry-%d", n), "--store", platform.url("listen"), "--works", platform.url("listen"), "--cells", "centre",
 		}, node...)...)
 		all = append(all, p.ready("link"))
 		join = append(join, p.addr("link"))
@@ -102,7 +102,7 @@
 			platform := start(b, "stand", "platform", "--centres", strings.Join(centres, ","))
 			for n := range tc.entries {
 				start(b, "wagtailhoist", "entry", "--id", fmt.Sprintf("entry-%d", n), "--region", "west", "--centre", "c0",
-					"--store", platform.url("listen"), "--works", platform.url("listen"), "--token", testToken).ready("link")
+					"--store", platform.url("listen"), "--works", platform.url("listen"), "--cells", "centre", "--token", testToken).ready("link")
 			}
 			time.Sleep(5 * time.Second)
 			before := storeCalls(b, platform)
