Count a slow borrower on an anchor once against the headroom

Anchors and all slow borrowers were added up, although a slow borrower on an anchor leaves for the claim. Large jobs with a grace of 30 s or 10 min waited 555 min, others 326. Ruled out: quotas (24 min), the rack kept clean (0.2 min), stops and reruns (4 min). Change: each worker counts its anchors and slow work up to its capacity. A job that the headroom keeps off takes workers where it costs nothing. An anchor moves only if the headroom stays. Slow work leaves 4 accelerators of its team's quota: without that, an urgent job at the quota waited up to 3,900 s.

--- a/core/plan/claim.go
+++ b/core/plan/claim.go
@@ -112,10 +112,11 @@
 	if at == nil || (!failed && q.cost(span{}, at)+restart.Seconds() >= p.displaceCost(here, Each(j.Spec.Shape), grace)) {
 		return false
 	}
-	p.untie(i, a)
 	b := *a
 	b.Slots = slotsOf(p.view, a.Guarantee.Shape, at)
-	p.tie(i, &b)
+	if !p.shift(i, a, &b) {
+		return false
+	}
 	p.moved[i] = &b
 	p.d.Actions = append(p.d.Actions, Action{Verb: Anchored, Team: a.Team, Guarantee: a.Guarantee.Name, Slots: b.Slots})
 	at = p.claimSearch(&b, j).best()
@@ -127,6 +128,22 @@
 	return true
 }
 
+// shift ties an anchor to other workers, unless that takes from the headroom what it needs: slow
+// borrowers on the workers that the anchor leaves no longer leave for its claim.
+func (p *pass) shift(i int, a, b *Anchor) bool {
+	old := p.bound
+	p.untie(i, a)
+	p.tie(i, b)
+	p.bound = p.boundNow()
+	if p.bound <= old || p.lacking() <= 0 {
+		return true
+	}
+	p.untie(i, b)
+	p.tie(i, a)
+	p.bound = old
+	return false
+}
+
 // claimSearch returns the search for the spots of a claim on the unused part of an anchor.
 func (p *pass) claimSearch(a *Anchor, j *Job) *search {
 	q := &search{v: p.view, shape: j.Spec.Shape, each: Each(j.Spec.Shape)}
--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -45,9 +45,11 @@
 	tries int
 	// booked holds the jobs with a reservation.
 	booked []*Job
-	// size counts the usable accelerators, tied those of anchors, and slow those of borrowers that
-	// can't leave for urgent work in time.
-	size, tied, slow int
+	// size counts the usable accelerators, and bound those that urgent work can't have in time if all
+	// guarantees are claimed.
+	size, bound int
+	// slowOf counts the slow accelerators of each team; nil until it is needed.
+	slowOf map[model.Team]int
 	// slowFirst is the slow job that others of its kind wait for.
 	slowFirst *Job
 	// idle counts the free accelerators; -1 until it is needed.
@@ -57,6 +59,8 @@
 type missKey struct {
 	shape model.Shape
 	off   bool
+	// spared is set for jobs that the headroom keeps off some workers.
+	spared bool
 }
 
 // miss is a search that failed; a job that is slower to stop and runs longer fails too.
@@ -112,10 +116,7 @@
 			continue
 		}
 		p.size += n.cap.GPUs
-		p.slow += n.slow
-		for _, t := range n.ties {
-			p.tied += t.amount.GPUs
-		}
+		p.bound += n.bound(0)
 	}
 	p.clean, p.cleanSize = p.cleanest()
 	for _, j := range sortedJobs(p.moving) {
@@ -310,6 +311,12 @@
 	c.Phase, c.Slots, c.Anchored, c.Started = Starting, slotsOf(p.view, j.Spec.Shape, at), anchored, p.now
 	c.Run++
 	c.Expected = p.st.remaining(j)
+	if !anchored {
+		p.bound += p.binds(j, at)
+		if p.slowOf != nil && !brisk(j) {
+			p.slowOf[j.Spec.Team] += j.Spec.Shape.Size()
+		}
+	}
 	for _, s := range at {
 		for k := range p.nodes[s.node].holds {
 			h := &p.nodes[s.node].holds[k]
--- a/core/plan/queue.go
+++ b/core/plan/queue.go
@@ -151,11 +151,12 @@
 		p.waits[id] = r
 		return false
 	}
-	if p.crowds(j) {
-		p.waits[id] = Reason{Code: Headroom, Need: j.Spec.Shape.Size(), Have: max(p.size-p.tied-p.slow, 0)}
+	if p.tight(j) {
+		p.waits[id] = Reason{Code: Headroom, Need: j.Spec.Shape.Size(), Have: max(p.st.Team(j.Spec.Team).Quota-headroomLeast-p.slowOf[j.Spec.Team], 0)}
 		return false
 	}
-	key := missKey{shape: j.Spec.Shape, off: p.keptOff(j)}
+	spared := p.spared(j)
+	key := missKey{shape: j.Spec.Shape, off: p.keptOff(j), spared: spared}
 	if key.off {
 		p.d.wake(j.Submitted.Add(p.patience()))
 	}
@@ -164,7 +165,15 @@
 		p.waits[id] = p.searched(j, old.kept)
 		return false
 	}
-	at := p.placeSearch(j).best()
+	q := p.placeSearch(j)
+	if spared {
+		q.room = p.spareRoom(q.room)
+	}
+	at := q.best()
+	if at == nil && spared && p.placeSearch(j).best() != nil {
+		p.waits[id] = Reason{Code: Headroom, Need: j.Spec.Shape.Size(), Have: max(p.size-p.bound, 0)}
+		return false
+	}
 	if at == nil {
 		own.kept = key.off && p.fitsClean(j)
 		if len(j.Failed) == 0 {
@@ -174,8 +183,5 @@
 		return false
 	}
 	p.start(j, at, false)
-	if !brisk(j) {
-		p.slow += j.Spec.Shape.Size()
-	}
 	return true
 }
