Rank jobs that take most of a rack higher, also for the reservation

They are displaced 0.8 times each, mostly for other jobs of 16 and 24 accelerators, and wait for a whole rack again. Two thirds of the wait pass without the reservation, which went to the longest wait. Change: the reservation goes to the first job in order. Jobs of three quarters of the largest rack and more have 3.5 times the score.

--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -20,6 +20,9 @@
 	depth = 2000
 	// shareStrength is the weight of the teams' shares against response ratios.
 	shareStrength = 0.1
+	// wideWeight is the weight of jobs that take most of a rack. They wait for a whole rack each time
+	// they are displaced; by response ratio alone they waited longer than with plain backfill.
+	wideWeight = 3.5
 )
 
 // pass works out one decision.
@@ -48,6 +51,8 @@
 	// size counts the usable accelerators, and bound those that urgent work can't have in time if all
 	// guarantees are claimed.
 	size, bound int
+	// wide is the number of accelerators from which a job takes most of a rack.
+	wide int
 	// slowOf counts the slow accelerators of each team; nil until it is needed.
 	slowOf map[model.Team]int
 	// slowFirst is the slow job that others of its kind wait for.
@@ -118,6 +123,9 @@
 		p.size += n.cap.GPUs
 		p.bound += n.bound(0)
 	}
+	for _, b := range p.racks {
+		p.wide = max(p.wide, p.rackSize(b)*3/4)
+	}
 	p.clean, p.cleanSize = p.cleanest()
 	for _, j := range sortedJobs(p.moving) {
 		p.holdNow(j, p.targetSpots(j))
@@ -406,11 +414,26 @@
 }
 
 // score returns the rank of a job among spare work; higher is served first. It is the response
-// ratio that the job would have if started now, weighted by the share of its team.
+// ratio that the job would have if started now, weighted by the share of its team and by its size.
 func (p *pass) score(j *Job) float64 {
 	run := p.st.remaining(j).Seconds()
 	wait := p.now.Sub(j.Submitted).Seconds()
-	return (wait + run) / run * p.share(j)
+	ratio := (wait + run) / run * p.share(j)
+	if j.Spec.Shape.Size() >= p.wide {
+		ratio *= wideWeight
+	}
+	return ratio
+}
+
+// rackSize counts the usable accelerators of a rack.
+func (v *view) rackSize(b span) int {
+	sum := 0
+	for i := b.lo; i < b.hi; i++ {
+		if n := &v.nodes[i]; n.ok {
+			sum += n.cap.GPUs
+		}
+	}
+	return sum
 }
 
 // share returns the preference of a job's team: its weight against its use.
--- a/core/plan/queue.go
+++ b/core/plan/queue.go
@@ -107,7 +107,7 @@
 }
 
 // fill starts jobs in order on free accelerators. Jobs with a reservation come first; when there are
-// fewer than reservations, the large jobs that have waited longest get one.
+// fewer than reservations, the large jobs that come first in order get one.
 func (p *pass) fill(jobs []*Job) {
 	var blocked []*Job
 	p.chooseSlow(jobs)
@@ -133,7 +133,6 @@
 			blocked = append(blocked, j)
 		}
 	}
-	slices.SortStableFunc(blocked, bySequence)
 	for _, j := range blocked {
 		if len(p.booked) < reservations {
 			p.book(j)
