Weigh jobs that take most of a rack by the declared measure

One weight doesn't suit both declared measures. Change: the weight is 2 at compact 0 and 3.5 at compact 1. At compact 0 jobs that take most of a rack don't keep off the cleanest rack. Cycling at compact 1 is unchanged.

--- a/core/plan/clean.go
+++ b/core/plan/clean.go
@@ -10,9 +10,14 @@
 	patienceMost = time.Hour
 )
 
-// patience returns how long a job keeps off the cleanest rack.
-func (p *pass) patience() time.Duration {
-	return patienceLeast + time.Duration(p.st.Policy.Compact*float64(patienceMost))
+// patience returns how long a job keeps off the cleanest rack. A job that takes most of a rack fits on few
+// others, so it waits by the weight of fragmentation only.
+func (p *pass) patience(j *Job) time.Duration {
+	most := patienceLeast + time.Duration(p.st.Policy.Compact*float64(patienceMost))
+	if j.Spec.Shape.Size() >= p.wide {
+		most = time.Duration(p.st.Policy.Compact * float64(most))
+	}
+	return most
 }
 
 // cleanest returns the rack with the most accelerators that are free or hold movable work and
@@ -40,6 +45,6 @@
 // that can't be moved, so that a large block can be had at any time. A job that is too large for
 // the other racks, or that has a reservation, isn't kept waiting.
 func (p *pass) keptOff(j *Job) bool {
-	return p.clean >= 0 && !movable(j) && !j.Spec.Urgent && p.now.Sub(j.Submitted) < p.patience() &&
+	return p.clean >= 0 && !movable(j) && !j.Spec.Urgent && p.now.Sub(j.Submitted) < p.patience(j) &&
 		len(j.Target) == 0 && j.Spec.Shape.Size() <= p.size-p.cleanSize
 }
--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -20,9 +20,12 @@
 	depth = 2000
 	// shareStrength is the weight of the teams' shares against response ratios.
 	shareStrength = 0.1
-	// wideWeight is the weight of jobs that take most of a rack. They wait for a whole rack each time
-	// they are displaced; by response ratio alone they waited longer than with plain backfill.
-	wideWeight = 3.5
+	// wideWeight is the weight of jobs that take most of a rack if only completion time counts. They
+	// wait for a whole rack each time they are displaced; by response ratio alone they waited longer
+	// than with plain backfill.
+	wideWeight = 2.0
+	// wideCompact is added to it if only fragmentation counts.
+	wideCompact = 1.5
 )
 
 // pass works out one decision.
@@ -424,7 +427,7 @@
 	wait := p.now.Sub(j.Submitted).Seconds()
 	ratio := (wait + run) / run * p.share(j)
 	if j.Spec.Shape.Size() >= p.wide {
-		ratio *= wideWeight
+		ratio *= wideWeight + wideCompact*p.st.Policy.Compact
 	}
 	return ratio
 }
--- a/core/plan/queue.go
+++ b/core/plan/queue.go
@@ -35,7 +35,7 @@
 // searched returns the reason of a job after a search without result.
 func (p *pass) searched(j *Job, kept bool) Reason {
 	if kept {
-		return Reason{Code: KeptOff, Until: j.Submitted.Add(p.patience())}
+		return Reason{Code: KeptOff, Until: j.Submitted.Add(p.patience(j))}
 	}
 	return p.noRoom(j)
 }
@@ -157,7 +157,7 @@
 	spared := p.spared(j)
 	key := missKey{shape: j.Spec.Shape, off: p.keptOff(j), spared: spared}
 	if key.off {
-		p.d.wake(j.Submitted.Add(p.patience()))
+		p.d.wake(j.Submitted.Add(p.patience(j)))
 	}
 	own := miss{grace: j.Spec.Grace, run: p.st.remaining(j)}
 	if old := p.missed(key, own); old != nil && len(j.Failed) == 0 {
