--- a/core/model/ids.go
+++ b/core/model/ids.go
@@ -23,7 +23,7 @@
 // JobID names a job; it is unique across all teams.
 type JobID string
 
-// CellID names a cell, a group of racks inside one data centre.
+// CellID names a cell, a group of workers with one owner.
 type CellID string
 
 // Incarnation numbers the starts of a process; a later start has a higher number.
--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -20,6 +20,12 @@
 	depth = 2000
 	// shareStrength is the weight of the teams' shares against response ratios.
 	shareStrength = 0.1
+	// wideWeight is the weight of jobs that take most of a rack if only completion time counts. They
+	// wait for a whole rack each time they are displaced; by response ratio alone they waited longer
+	// than with plain backfill.
+	wideWeight = 2.0
+	// wideCompact is added to it if only fragmentation counts.
+	wideCompact = 1.5
 )
 
 // pass works out one decision.
@@ -45,9 +51,13 @@
 	tries int
 	// booked holds the jobs with a reservation.
 	booked []*Job
-	// size counts the usable accelerators, tied those of anchors, and slow those of borrowers that
-	// can't leave for urgent work in time.
-	size, tied, slow int
+	// size counts the usable accelerators, slow those of borrowers that can't leave for urgent work in
+	// time, and bound those that urgent work can't have in time if all guarantees are claimed.
+	size, slow, bound int
+	// wide is the number of accelerators from which a job takes most of a rack.
+	wide int
+	// slowOf counts the slow accelerators of each team; nil until it is needed.
+	slowOf map[model.Team]int
 	// slowFirst is the slow job that others of its kind wait for.
 	slowFirst *Job
 	// idle counts the free accelerators; -1 until it is needed.
@@ -57,6 +67,8 @@
 type missKey struct {
 	shape model.Shape
 	off   bool
+	// spared is set for jobs that the headroom keeps off some workers.
+	spared bool
 }
 
 // miss is a search that failed; a job that is slower to stop and runs longer fails too.
@@ -114,9 +126,10 @@
 		}
 		p.size += n.cap.GPUs
 		p.slow += n.slow
-		for _, t := range n.ties {
-			p.tied += t.amount.GPUs
-		}
+		p.bound += n.bound(0)
+	}
+	for _, b := range p.racks {
+		p.wide = max(p.wide, p.rackSize(b)*3/4)
 	}
 	p.clean, p.cleanSize = p.cleanest()
 	for _, j := range sortedJobs(p.moving) {
@@ -318,6 +331,15 @@
 	c.Phase, c.Slots, c.Anchored, c.Started = Starting, slotsOf(p.view, j.Spec.Shape, at), anchored, p.now
 	c.Run++
 	c.Expected = p.st.remaining(j)
+	if !anchored {
+		p.bound += p.binds(j, at)
+		if !brisk(j) {
+			p.slow += j.Spec.Shape.Size()
+			if p.slowOf != nil {
+				p.slowOf[j.Spec.Team] += j.Spec.Shape.Size()
+			}
+		}
+	}
 	for _, s := range at {
 		for k := range p.nodes[s.node].holds {
 			h := &p.nodes[s.node].holds[k]
@@ -407,11 +429,26 @@
 }
 
 // score returns the rank of a job among spare work; higher is served first. It is the response
-// ratio that the job would have if started now, weighted by the share of its team.
+// ratio that the job would have if started now, weighted by the share of its team and by its size.
 func (p *pass) score(j *Job) float64 {
 	run := p.st.remaining(j).Seconds()
 	wait := p.now.Sub(j.Submitted).Seconds()
-	return (wait + run) / run * p.share(j)
+	ratio := (wait + run) / run * p.share(j)
+	if j.Spec.Shape.Size() >= p.wide {
+		ratio *= wideWeight + wideCompact*p.st.Policy.Compact
+	}
+	return ratio
+}
+
+// rackSize counts the usable accelerators of a rack.
+func (v *view) rackSize(b span) int {
+	sum := 0
+	for i := b.lo; i < b.hi; i++ {
+		if n := &v.nodes[i]; n.ok {
+			sum += n.cap.GPUs
+		}
+	}
+	return sum
 }
 
 // share returns the preference of a job's team: its weight against its use.
--- a/core/plan/queue.go
+++ b/core/plan/queue.go
@@ -35,7 +35,7 @@
 // searched returns the reason of a job after a search without result.
 func (p *pass) searched(j *Job, kept bool) Reason {
 	if kept {
-		return Reason{Code: KeptOff, Until: j.Submitted.Add(p.patience())}
+		return Reason{Code: KeptOff, Until: j.Submitted.Add(p.patience(j))}
 	}
 	return p.noRoom(j)
 }
@@ -107,7 +107,7 @@
 }
 
 // fill starts jobs in order on free accelerators. Jobs with a reservation come first; when there are
-// fewer than reservations, the large jobs that have waited longest get one.
+// fewer than reservations, the large jobs that come first in order get one.
 func (p *pass) fill(jobs []*Job) {
 	var blocked []*Job
 	p.chooseSlow(jobs)
@@ -133,7 +133,6 @@
 			blocked = append(blocked, j)
 		}
 	}
-	slices.SortStableFunc(blocked, bySequence)
 	for _, j := range blocked {
 		if len(p.booked) < reservations {
 			p.book(j)
@@ -151,20 +150,29 @@
 		p.waits[id] = r
 		return false
 	}
-	if p.crowds(j) {
-		p.waits[id] = Reason{Code: Headroom, Need: j.Spec.Shape.Size(), Have: max(p.size-p.tied-p.slow, 0)}
+	if p.tight(j) {
+		p.waits[id] = Reason{Code: Headroom, Need: j.Spec.Shape.Size(), Have: max(p.st.Team(j.Spec.Team).Quota-headroomLeast-p.slowOf[j.Spec.Team], 0)}
 		return false
 	}
-	key := missKey{shape: j.Spec.Shape, off: p.keptOff(j)}
+	spared := p.spared(j)
+	key := missKey{shape: j.Spec.Shape, off: p.keptOff(j), spared: spared}
 	if key.off {
-		p.d.wake(j.Submitted.Add(p.patience()))
+		p.d.wake(j.Submitted.Add(p.patience(j)))
 	}
 	own := miss{grace: j.Spec.Grace, run: p.st.remaining(j)}
 	if old := p.missed(key, own); old != nil && len(j.Failed) == 0 {
 		p.waits[id] = p.searched(j, old.kept)
 		return false
 	}
-	at := p.placeSearch(j).best()
+	q := p.placeSearch(j)
+	if spared {
+		q.room = p.spareRoom(q.room)
+	}
+	at := q.best()
+	if at == nil && spared && p.placeSearch(j).best() != nil {
+		p.waits[id] = Reason{Code: Headroom, Need: j.Spec.Shape.Size(), Have: max(p.size-p.bound, 0)}
+		return false
+	}
 	if at == nil {
 		own.kept = key.off && p.fitsClean(j)
 		if len(j.Failed) == 0 {
@@ -174,8 +182,5 @@
 		return false
 	}
 	p.start(j, at, false)
-	if !brisk(j) {
-		p.slow += j.Spec.Shape.Size()
-	}
 	return true
 }
