Test claims with the store down in separate processes

Cause: no test with processes showed that a guarantee can be claimed while the store is down.

Ruled out: a claim at an entry that doesn't own the cell, which refuses it; the test of the kept decisions covers that.

--- a/proof/reclaim_test.go
+++ b/proof/reclaim_test.go
@@ -135,6 +135,9 @@
 			owner.signal(syscall.SIGKILL)
 		}},
 		{name: "store down before the claim", outage: true},
+		{name: "store down without answers before the claim", outage: true, before: func(g *gangs, _ *process) {
+			g.fault(map[string]any{"mode": "silent", "of": "store"})
+		}},
 		{name: "store down before the claim and worker lost after", outage: true, after: func(g *gangs, _ *process) { g.lose() }},
 		{name: "store down before the claim, back after it, and owner killed", outage: true, after: func(g *gangs, owner *process) {
 			g.fault(map[string]any{"mode": "clear"})
