Measure an entry to which 1,500 agents announce

Cause: the processor time of an entry at the target size was worked out from a slope over 8 to 128 agents. That slope contains the wake-ups of a mostly idle process, which many agents share.

Ruled out: more agent processes, which the machine can't hold.

Change: BenchmarkEntryOfMany runs three entries as processes and 500 or 1,500 light agents in the test process, each announcing to all three.

--- a/proof/rest_test.go
+++ b/proof/rest_test.go
@@ -1,14 +1,21 @@
 package proof
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/agent"
+	"wagtailhoist/io/link"
 )
 
 // restTime is how long a process is watched at rest; the processor time is counted in ticks of 10 ms.
@@ -80,17 +87,57 @@
 	return all
 }
 
-func reportRest(b *testing.B, p *process) {
+// reportRest reports the means of the processes.
+func reportRest(b *testing.B, all ...*process) {
 	b.Helper()
+	sum := func() (used time.Duration) {
+		for _, p := range all {
+			used += cpu(b, p)
+		}
+		return used
+	}
 	time.Sleep(5 * time.Second) // links and first heartbeats
-	used := cpu(b, p)
+	used := sum()
 	time.Sleep(restTime)
-	used = cpu(b, p) - used
-	b.ReportMetric(100*used.Seconds()/restTime.Seconds(), "%core")
-	b.ReportMetric(resident(b, p)/(1<<20), "MiB")
+	used = sum() - used
+	var memory float64
+	for _, p := range all {
+		memory += resident(b, p)
+	}
+	b.ReportMetric(100*used.Seconds()/restTime.Seconds()/float64(len(all)), "%core")
+	b.ReportMetric(memory/(1<<20)/float64(len(all)), "MiB")
 	b.ReportMetric(0, "ns/op")
 }
 
+// BenchmarkEntryOfMany measures the processor time of one of three entries to each of which all agents announce; the
+// agents are light ones in this process, because the machine can't hold as many processes.
+func BenchmarkEntryOfMany(b *testing.B) {
+	for _, agents := range []int{500, 1500} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			entries := restFleet(b, 3, 0)
+			var join []string
+			for _, e := range entries {
+				join = append(join, e.addr("link"))
+			}
+			ctx, cancel := context.WithCancel(b.Context())
+			var wait sync.WaitGroup
+			for n := range agents {
+				rec := model.Record{
+					ID: model.NodeID(fmt.Sprintf("agent-%d", n)), Incarnation: model.NewIncarnation(time.Now()), Region: "west",
+					Centre: "one", Address: "127.0.0.1:9", Service: "default", Load: model.Load{Slots: 8},
+				}
+				self := link.Hello{Node: rec.ID, Incarnation: rec.Incarnation, Role: link.RoleAgent, Region: "west", Centre: "one"}
+				a := agent.New(rec, nil, slog.New(slog.DiscardHandler))
+				wait.Go(func() { a.Join(ctx, join, link.Settings{Self: self, Token: testToken}) })
+				time.Sleep(time.Millisecond) // spreads the announcements over the second, as in a real fleet
+			}
+			reportRest(b, entries...)
+			cancel()
+			wait.Wait()
+		})
+	}
+}
+
 // BenchmarkStoreAtRest counts the calls of entries without requests, by kind, against the number of entries and cells.
 func BenchmarkStoreAtRest(b *testing.B) {
 	for _, tc := range []struct{ entries, cells int }{{1, 1}, {2, 1}, {4, 1}, {8, 1}, {4, 2}, {4, 4}, {4, 8}} {
