Send records to one entry of each other region, which passes them on

Cause: each entry told its records to every entry of other regions. When a region returns after a partition, 5,000 records of 150 B went to each of 50 entries: 37 MB over links that are billed by volume.

Ruled out: one gate for all entries of a region (it would carry all records, and its loss would repeat all); choosing by rank at each opened link (links that come and go would repeat the transfer, about three times for ten entries); losses through the gate alone (a gate that can't reach an entry of its region would keep a lost agent a candidate there).

Change: an entry sends records to one entry of each other region, its gate; the gate passes them on with the field region of Announce and tells entries that join. Losses go directly and through the gate.

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -54,6 +54,9 @@
 	slot  slot
 }
 
+// Loss returns the loss report that covers the record, if there is one.
+func (r *Row) Loss() (Loss, bool) { return r.loss, r.Lost }
+
 // slot is the place of a row in the index by service and nearness.
 type slot struct {
 	key   poolKey
--- a/io/link/frames.go
+++ b/io/link/frames.go
@@ -81,6 +81,8 @@
 	Records []model.Record `cbor:"1,keyasint,omitempty"`
 	// Lost reports records of the sender's region that it hears no longer; entries send it to other regions.
 	Lost []member.Loss `cbor:"2,keyasint,omitempty"`
+	// Region is set by an entry that passes on what another region sent to it; empty means the sender's own.
+	Region model.Region `cbor:"3,keyasint,omitempty"`
 }
 
 // Entry is the address of an entry's link listener.
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -54,7 +54,7 @@
 	a := model.Attempt{Entry: 1, Sequence: 2}
 	when := time.UnixMilli(1_700_000_000_123)
 	for _, f := range []Frame{
-		Announce{[]model.Record{{ID: "a", Incarnation: 3, State: model.Draining}}, []member.Loss{{ID: "b", Incarnation: 1, Sequence: 2}}},
+		Announce{Records: []model.Record{{ID: "a", Incarnation: 3, State: model.Draining}}, Lost: []member.Loss{{ID: "b", Incarnation: 1, Sequence: 2}}},
 		Known{[]Entry{{"e", "r", "127.0.0.1:1"}}, 4},
 		Begin{Attempt: a, Deadline: when, Method: "POST", Path: "/", Header: map[string][]string{"A": {"b"}}, Length: 1, Body: []byte("x")},
 		Data{a, 5, []byte("y")},
--- a/io/peers/check_test.go
+++ b/io/peers/check_test.go
@@ -66,7 +66,7 @@
 	for n := range maxRecords + 10 {
 		records = append(records, model.Record{ID: model.NodeID(fmt.Sprint(n)), Incarnation: 1, Region: "w"})
 	}
-	if got := p.Members.fromEntry(now, "w", records, nil); got != 10 || p.Members.Table.Len() != maxRecords {
+	if got := p.Members.fromEntry(now, "w", "w", records, nil); got != 10 || p.Members.Table.Len() != maxRecords {
 		t.Errorf("records past the bound: got %d refused and %d held, want 10 and %d", got, p.Members.Table.Len(), maxRecords)
 	}
 	if _, got := p.Members.fromAgent(now, records[:1]); got != 0 {
--- a/io/peers/members.go
+++ b/io/peers/members.go
@@ -18,6 +18,8 @@
 	Relay  member.Relay
 
 	mu sync.Mutex
+	// gate holds the nodes of other regions whose records were sent to this entry as their gate.
+	gate map[model.NodeID]bool
 }
 
 // Pick chooses an agent as route.Router.Pick does.
@@ -70,19 +72,25 @@
 	return material, refused
 }
 
-// fromEntry takes records and losses that an entry of the region sent, and counts the records for which there is no room.
-func (m *Members) fromEntry(now time.Time, region model.Region, records []model.Record, lost []member.Loss) (refused int) {
+// fromEntry takes records and losses of a region that an entry of the region sender sent, and counts the records for which there is no room.
+func (m *Members) fromEntry(now time.Time, sender, region model.Region, records []model.Record, lost []member.Loss) (refused int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.Table.Heard(now, region)
+	m.Table.Heard(now, sender)
 	for _, rec := range records {
 		if !m.room(rec.ID) {
 			refused++
 			continue
 		}
 		m.Table.Merge(now, rec)
-		if region == m.Table.Region {
+		switch {
+		case region == m.Table.Region:
 			m.Relay.Relayed(now, rec.ID)
+		case sender == region:
+			if m.gate == nil {
+				m.gate = map[model.NodeID]bool{}
+			}
+			m.gate[rec.ID] = true
 		}
 	}
 	for _, loss := range lost {
@@ -114,3 +122,43 @@
 func (m *Members) own(now time.Time) []model.Record {
 	return slices.DeleteFunc(m.Records(now), func(r model.Record) bool { return r.Region != m.Table.Region })
 }
+
+// gated returns the records of other regions that were sent to this entry as their gate, and their losses, by region.
+func (m *Members) gated() map[model.Region]passed {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[model.Region]passed{}
+	for id := range m.gate {
+		row := m.Table.Row(id)
+		if row == nil {
+			delete(m.gate, id)
+			continue
+		}
+		all := out[row.Record.Region]
+		all.records = append(all.records, row.Record)
+		if loss, ok := row.Loss(); ok {
+			all.lost = append(all.lost, loss)
+		}
+		out[row.Record.Region] = all
+	}
+	return out
+}
+
+// gatedLosses returns the losses of records that were sent to this entry as their gate.
+func (m *Members) gatedLosses(lost []member.Loss) (out []member.Loss) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, loss := range lost {
+		if m.gate[loss.ID] {
+			out = append(out, loss)
+		}
+	}
+	return out
+}
+
+// Len returns the number of known records.
+func (m *Members) Len() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Table.Len()
+}
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -61,6 +61,9 @@
 	begun  time.Time
 	synced bool
 	work   sync.WaitGroup
+	// gate holds the link to the gate of each other region, passing what this entry passes on as a gate.
+	gate    map[model.Region]*wire
+	passing map[model.Region]passed
 	// soon asks for a tick before the next second, because a record changed.
 	soon chan struct{}
 	once sync.Once
@@ -200,7 +203,7 @@
 	case link.Announce:
 		full := &RecordError{Field: "table", Reason: "is full"}
 		if peer.Role == link.RoleEntry {
-			p.refuse(peer, full, p.Members.fromEntry(now, peer.Region, p.sound(now, peer, f.Records), f.Lost))
+			p.refuse(peer, full, p.take(now, peer, f))
 			p.markSynced(l)
 			return
 		}
@@ -215,7 +218,7 @@
 		}
 	case link.Known:
 		if peer.Role == link.RoleEntry {
-			p.Members.fromEntry(now, peer.Region, nil, nil)
+			p.Members.fromEntry(now, peer.Region, peer.Region, nil, nil)
 			p.hear(now, f.Entries)
 		}
 	}
@@ -302,16 +305,17 @@
 		others = append(others, w.link.Peer().Address)
 	}
 	toNear, toFar, lost := p.Members.tick(now, others)
-	announce(near, toNear, nil)
-	announce(far, toFar, lost)
+	announce(near, toNear, nil, "")
+	p.pass(near)
+	p.cross(far, toFar, lost)
 	p.publish(now)
 }
 
-// announce sends records and losses in frames of bounded size.
-func announce(to []*wire, records []model.Record, lost []member.Loss) {
+// announce sends records and losses of a region, empty for the own one, in frames of bounded size.
+func announce(to []*wire, records []model.Record, lost []member.Loss, region model.Region) {
 	for len(records)+len(lost) > 0 {
 		r, l := min(len(records), frameRecords), min(len(lost), frameRecords)
-		frame := link.Announce{Records: records[:r], Lost: lost[:l]}
+		frame := link.Announce{Records: records[:r], Lost: lost[:l], Region: region}
 		records, lost = records[r:], lost[l:]
 		for _, w := range to {
 			w.send(frame)
--- a/io/peers/synced.go
+++ b/io/peers/synced.go
@@ -47,14 +47,19 @@
 // sendRecords sends a peer what this entry knows of the agents, so that a new entry needs no second
 // to hear of them. The frame is sent even if it is empty, because the peer waits for it.
 func (p *Peers) sendRecords(w *wire) {
-	records, lost := p.Members.told()
-	if w.link.Peer().Region == p.Settings.Self.Region {
-		records, lost = p.Members.own(time.Now()), nil
+	if w.link.Peer().Region != p.Settings.Self.Region {
+		_, lost := p.Members.told()
+		w.send(link.Announce{})
+		announce([]*wire{w}, nil, lost, "")
+		p.hurry() // the tick sends the records if the entry is the gate
+		return
 	}
-	if len(records)+len(lost) == 0 {
+	records := p.Members.own(time.Now())
+	if len(records) == 0 {
 		w.send(link.Announce{})
 	}
-	announce([]*wire{w}, records, lost)
+	announce([]*wire{w}, records, nil, "")
+	p.sendFar(w)
 }
 
 // markSynced notes that an entry has sent its records.
