--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -54,7 +54,7 @@
 	a := model.Attempt{Entry: 1, Sequence: 2}
 	when := time.UnixMilli(1_700_000_000_123)
 	for _, f := range []Frame{
-		Announce{[]model.Record{{ID: "a", Incarnation: 3, State: model.Draining}}, []member.Loss{{ID: "b", Incarnation: 1, Sequence: 2}}},
+		Announce{Records: []model.Record{{ID: "a", Incarnation: 3, State: model.Draining}}, Lost: []member.Loss{{ID: "b", Incarnation: 1, Sequence: 2}}},
 		Known{[]Entry{{"e", "r", "127.0.0.1:1"}}, 4},
 		Begin{Attempt: a, Deadline: when, Method: "POST", Path: "/", Header: map[string][]string{"A": {"b"}}, Length: 1, Body: []byte("x")},
 		Data{a, 5, []byte("y")},
@@ -153,7 +153,7 @@
 // A connection can go silent for ever without being closed.
 func TestSilentLinkIsGivenUp(t *testing.T) {
 	s := Settings{Token: "t", Counters: new(Counters), Silence: 200 * time.Millisecond}
-	near, _ := pair(t, s) // the default heartbeat of 1 s is longer than this silence
+	near, _ := pair(t, s) // the least time between heartbeats of 1 s is longer than this silence
 	start := time.Now()
 	if _, err := near.Receive(); err == nil {
 		t.Fatal("Receive: got a frame, want an error")
@@ -168,11 +168,15 @@
 
 // An idle link without heartbeats would be taken for a silent one.
 func TestHeartbeatsKeepIdleLink(t *testing.T) {
-	s := Settings{Token: "t", Silence: 1500 * time.Millisecond}
-	near, far := pair(t, s)
-	time.AfterFunc(3*time.Second, func() { _ = far.Send(Done{}) })
-	if _, err := near.Receive(); err != nil {
-		t.Errorf("Receive: %v", err)
+	for _, silence := range []time.Duration{1500 * time.Millisecond, Silence} {
+		t.Run(silence.String(), func(t *testing.T) {
+			t.Parallel()
+			near, far := pair(t, Settings{Token: "t", Silence: silence})
+			time.AfterFunc(2*silence, func() { _ = far.Send(Done{}) })
+			if _, err := near.Receive(); err != nil {
+				t.Errorf("Receive: %v", err)
+			}
+		})
 	}
 }
 
