Replay several cells, and let jobs start that no cell could hold

The replay of several cells showed jobs that never start: large ones that can't leave in time for the guarantees of their only rack, and jobs that failed once on a worker of the only rack that holds them, because a job never returned to such a worker.

Ruled out: a missing wake-up (the decision at the end of the replay still found no place on idle workers); quotas (none was reached).

Change: an owner also sends away jobs that could not start even on its empty workers (plan.Fits). A job keeps off a worker on which it failed only as long as the others could hold it. TestCellsShareJobs replays cells and fails if a job never starts or if sending jobs brings nothing.

--- a/core/plan/blame.go
+++ b/core/plan/blame.go
@@ -130,3 +130,27 @@
 		}
 	}
 }
+
+// avoids reports whether a job keeps off a worker on which it failed. It doesn't where the other workers can't hold it
+// even when they are empty: it would wait for ever, in particular in a cell with a single rack.
+func (p *pass) avoids(j *Job, id model.WorkerID) bool {
+	if !slices.Contains(j.Failed, id) {
+		return false
+	}
+	cornered, known := p.cornered[j.Spec.ID]
+	if !known {
+		q := search{v: p.view, shape: j.Spec.Shape, each: Each(j.Spec.Shape), room: func(i int) Amount {
+			n := &p.nodes[i]
+			if !n.ok || slices.Contains(j.Failed, n.id) {
+				return Amount{}
+			}
+			if len(n.levels) > 0 {
+				return n.lend(n.cap, j.Spec.Grace)
+			}
+			return n.cap
+		}}
+		cornered = q.total() < j.Spec.Shape.Tasks
+		p.cornered[j.Spec.ID] = cornered
+	}
+	return !cornered
+}
--- /dev/null
+++ b/core/plan/cells_test.go
@@ -0,0 +1,190 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wagtailhoist/core/model"
+)
+
+// layout groups the data centres c00 (four workers), c01 and c02 (three) into cells.
+type layout struct {
+	name  string
+	cells map[model.Centre]string
+	// homes has the cells of the guarantees of the first two teams.
+	homes [2]string
+	// balance sends waiting jobs to other cells, as io/sched does.
+	balance bool
+}
+
+var (
+	byCentre = map[model.Centre]string{"c00": "a", "c01": "b", "c02": "c"}
+	layouts  = []layout{
+		{"one cell", map[model.Centre]string{"c00": "a", "c01": "a", "c02": "a"}, [2]string{"a", "a"}, false},
+		{"centres, jobs stay", byCentre, [2]string{"a", "b"}, false},
+		{"centres", byCentre, [2]string{"a", "b"}, true},
+		{"regions", map[model.Centre]string{"c00": "a", "c01": "a", "c02": "b"}, [2]string{"a", "b"}, true},
+	}
+)
+
+// replays returns one replay for each cell; jobs go to a cell by weighted rendezvous hashing.
+func (l layout) replays(s site, seed uint64) []*replay {
+	weight, names := map[string]float64{}, []string{}
+	for _, w := range fleet(10, 3) {
+		id := l.cells[w.Centre]
+		if weight[id]++; weight[id] == 1 {
+			names = append(names, id)
+		}
+	}
+	var out []*replay
+	for _, id := range names {
+		d := model.Declaration{Policy: model.Policy{Compact: s.compact}, Teams: slices.Clone(s.teams)}
+		for i := range d.Teams {
+			if i > 1 || l.homes[i] != id {
+				d.Teams[i].Guarantees = nil
+			}
+		}
+		takes := func(a arrival) bool {
+			if a.spec.Guarantee != "" {
+				return slices.ContainsFunc(d.Teams, func(t model.TeamSpec) bool { return t.Name == a.spec.Team && t.Guarantees != nil })
+			}
+			best, score := "", math.Inf(-1)
+			for _, c := range names {
+				u := (float64(xxhash.Sum64String(fmt.Sprint(seed, a.spec.ID, c))>>11) + 1) / (1 << 53)
+				if this := -weight[c] / math.Log(u); this > score {
+					best, score = c, this
+				}
+			}
+			return best == id
+		}
+		has := func(w model.Worker) bool { return l.cells[w.Centre] == id }
+		out = append(out, newCellReplay(s, seed, Decide, d, has, takes))
+	}
+	return out
+}
+
+// playCells plays replays at one time.
+func playCells(cells []*replay, balance bool) {
+	last := make([]Decision, len(cells))
+	for {
+		next := -1
+		for i, r := range cells {
+			if len(r.agenda) > 0 && (next < 0 || r.agenda[0].at.Before(cells[next].agenda[0].at)) {
+				next = i
+			}
+		}
+		if next < 0 {
+			return
+		}
+		now := cells[next].agenda[0].at
+		cells[next].advance(now)
+		last[next] = cells[next].settle()
+		for i := range cells {
+			if jobs := cells[i].stuck(last[i]); balance && len(jobs) > 0 {
+				sendAway(cells, last, i, jobs, now)
+			}
+		}
+	}
+}
+
+// stuck returns the first 16 jobs that wait and may be sent away.
+func (r *replay) stuck(d Decision) []model.JobSpec {
+	var jobs []*Job
+	for _, w := range d.Waiting {
+		j := r.s.Jobs[w.Job]
+		if j != nil && j.Phase == Queued && j.Run == 0 && j.Spec.Guarantee == "" && !w.Reason.Final() &&
+			w.Reason.Code != Reclaiming && w.Reason.Code != Quota {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, bySequence)
+	var out []model.JobSpec
+	for _, j := range jobs[:min(len(jobs), 16)] {
+		out = append(out, j.Spec)
+	}
+	return out
+}
+
+func sendAway(cells []*replay, last []Decision, from int, jobs []model.JobSpec, now time.Time) {
+	move := func(to int, taken []model.JobID) {
+		if len(taken) == 0 {
+			return
+		}
+		for _, i := range []int{from, to} {
+			cells[i].advance(now)
+		}
+		for _, id := range taken {
+			t := cells[from].jobs[id]
+			delete(cells[from].jobs, id)
+			cells[from].apply(Event{Kind: Cancelled, Jobs: []model.JobID{id}})
+			delete(cells[from].s.Cancelled, id)
+			cells[to].expect(t, now)
+		}
+		jobs = slices.DeleteFunc(jobs, func(j model.JobSpec) bool { return slices.Contains(taken, j.ID) })
+		cells[to].advance(now)
+		last[from], last[to] = cells[from].settle(), cells[to].settle()
+	}
+	for k := 1; k < len(cells) && len(jobs) > 0; k++ {
+		to := (from + k) % len(cells)
+		move(to, Takes(now, &cells[to].s, jobs))
+	}
+	if len(jobs) == 0 {
+		return
+	}
+	fitting := Fits(now, &cells[from].s, jobs)
+	jobs = slices.DeleteFunc(jobs, func(j model.JobSpec) bool { return slices.Contains(fitting, j.ID) })
+	for k := 1; k < len(cells) && len(jobs) > 0; k++ {
+		to := (from + k) % len(cells)
+		move(to, Fits(now, &cells[to].s, jobs))
+	}
+}
+
+// Guards against jobs that wait in one cell while another has room, and against jobs that never start because their
+// cell can't hold them. With -v it prints the table of docs/CELLS.md; PLAN_SEEDS changes the seeds as for the policy.
+func TestCellsShareJobs(t *testing.T) {
+	if os.Getenv("PLAN_SEEDS") == "" {
+		t.Setenv("PLAN_SEEDS", "1 3")
+	}
+	for _, s := range sites {
+		mean := map[string]float64{}
+		for _, l := range layouts {
+			var all, large []float64
+			starved := 0
+			for _, seed := range replaySeeds() {
+				cells := l.replays(s, seed)
+				playCells(cells, l.balance)
+				for _, r := range cells {
+					for id, x := range r.jobs {
+						if x.finished.IsZero() {
+							if j := r.s.Jobs[id]; j != nil && j.Phase == Queued {
+								starved++
+							}
+							continue
+						}
+						c := x.finished.Sub(epoch.Add(x.at)).Minutes()
+						all = append(all, c)
+						if x.spec.Shape.Size() >= 24 && x.spec.Guarantee == "" {
+							large = append(large, c-x.arrival.run.Minutes())
+						}
+					}
+				}
+			}
+			mean[l.name] = average(all)
+			t.Logf("| %s, %s | %.1f | %.1f | %d |", s.name, l.name, mean[l.name], average(large), starved)
+			if l.balance && starved > 0 {
+				t.Errorf("%s, %s: %d jobs never started", s.name, l.name, starved)
+			}
+		}
+		for _, name := range []string{"centres", "regions"} {
+			if mean[name] >= mean["centres, jobs stay"] {
+				t.Errorf("%s: mean completion with %s: got %.1f min, want less than %.1f, where jobs stay", s.name, name, mean[name], mean["centres, jobs stay"])
+			}
+		}
+	}
+}
--- a/core/plan/claim.go
+++ b/core/plan/claim.go
@@ -111,7 +111,7 @@
 	q := p.anchorSearch(i, nil)
 	q.room = func(k int) Amount {
 		n := &p.nodes[k]
-		if !n.ok || slices.Contains(j.Failed, n.id) {
+		if !n.ok || p.avoids(j, n.id) {
 			return Amount{}
 		}
 		return n.anchorable(grace, i).smaller(p.cleared(k, grace, false))
@@ -377,7 +377,7 @@
 // clearable returns the room for a job on a node once work that can leave within a time has left.
 func (p *pass) clearable(i int, j *Job, within time.Duration) Amount {
 	n := &p.nodes[i]
-	if !n.ok || slices.Contains(j.Failed, n.id) {
+	if !n.ok || p.avoids(j, n.id) {
 		return Amount{}
 	}
 	return n.lend(p.cleared(i, within, true), j.Spec.Grace)
--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -62,6 +62,8 @@
 	slowFirst *Job
 	// idle counts the free accelerators; -1 until it is needed.
 	idle int
+	// cornered says of jobs that failed before whether the other workers can't hold them.
+	cornered map[model.JobID]bool
 }
 
 type missKey struct {
@@ -117,7 +119,7 @@
 	p := &pass{
 		view: s.scratch(now), misses: map[missKey][]miss{}, ending: map[model.JobID]bool{},
 		started: map[model.JobID]bool{}, waits: map[model.JobID]Reason{},
-		moved: map[int]*Anchor{}, promises: map[promiseKey]Amount{}, idle: -1,
+		moved: map[int]*Anchor{}, promises: map[promiseKey]Amount{}, idle: -1, cornered: map[model.JobID]bool{},
 	}
 	for i := range p.nodes {
 		n := &p.nodes[i]
@@ -303,7 +305,7 @@
 // room returns what a job that runs for run may take on a node now.
 func (p *pass) room(i int, j *Job, run time.Duration) Amount {
 	n := &p.nodes[i]
-	if !n.ok || slices.Contains(j.Failed, n.id) {
+	if !n.ok || p.avoids(j, n.id) {
 		return Amount{}
 	}
 	if n.rack == p.clean && p.keptOff(j) {
--- a/core/plan/defrag.go
+++ b/core/plan/defrag.go
@@ -66,7 +66,7 @@
 // lifted returns the jobs to move from a node so that need tasks of each fit, the cheapest first.
 func (p *pass) lifted(j *Job, i int) (uses []use, room Amount) {
 	n := &p.nodes[i]
-	if !n.ok || slices.Contains(j.Failed, n.id) {
+	if !n.ok || p.avoids(j, n.id) {
 		return nil, Amount{}
 	}
 	room = n.free()
--- a/core/plan/replay_test.go
+++ b/core/plan/replay_test.go
@@ -78,20 +78,30 @@
 func (r *replay) apply(e ...Event) { r.s.Apply(r.now, e...) }
 
 func newReplay(s site, seed uint64, decide func(time.Time, *State) Decision, d model.Declaration) *replay {
+	return newCellReplay(s, seed, decide, d, func(model.Worker) bool { return true }, func(arrival) bool { return true })
+}
+
+// newCellReplay is newReplay for some of the workers and jobs.
+func newCellReplay(
+	s site, seed uint64, decide func(time.Time, *State) Decision, d model.Declaration,
+	has func(model.Worker) bool, takes func(arrival) bool,
+) *replay {
 	r := &replay{now: epoch, decide: decide, jobs: map[model.JobID]*truth{}, horizon: epoch.Add(time.Duration(s.hours) * time.Hour), bad: "w00005"}
 	workers := fleet(10, 3)
 	for i := range workers {
-		r.apply(Event{Kind: WorkerSeen, Worker: &workers[i]})
+		if has(workers[i]) {
+			r.apply(Event{Kind: WorkerSeen, Worker: &workers[i]})
+		}
 	}
 	r.apply(Event{Kind: Declared, Declaration: &d})
 	for _, a := range s.stream(seed, len(workers)) {
-		t := &truth{arrival: a}
-		r.jobs[a.spec.ID] = t
-		r.at(epoch.Add(a.at), func() { r.apply(Event{Kind: Submitted, Job: &t.spec}) })
-		if a.cancelled > 0 {
-			r.at(epoch.Add(a.cancelled), func() { r.apply(Event{Kind: Cancelled, Jobs: []model.JobID{t.spec.ID}}) })
+		if takes(a) {
+			r.expect(&truth{arrival: a}, epoch.Add(a.at))
 		}
 	}
+	if !has(workers[8]) {
+		return r
+	}
 	// One worker is lost for three hours.
 	r.at(epoch.Add(20*time.Hour), func() {
 		for _, j := range r.s.Jobs {
@@ -107,6 +117,20 @@
 	return r
 }
 
+// expect submits a job at a time, and cancels it if it is to be.
+func (r *replay) expect(t *truth, at time.Time) {
+	id := t.spec.ID
+	r.jobs[id] = t
+	r.at(at, func() { r.apply(Event{Kind: Submitted, Job: &t.spec}) })
+	if t.cancelled > 0 {
+		r.at(epoch.Add(t.cancelled), func() {
+			if r.jobs[id] == t {
+				r.apply(Event{Kind: Cancelled, Jobs: []model.JobID{id}})
+			}
+		})
+	}
+}
+
 // lose counts work of a job that has to be done again.
 func (r *replay) lose(j *Job, ran time.Duration) {
 	r.lostWork += ran.Hours() * float64(j.Spec.Shape.Size())
@@ -115,32 +139,41 @@
 
 func (r *replay) play() {
 	for len(r.agenda) > 0 {
-		h := heap.Pop(&r.agenda).(happening)
-		r.measure(h.at)
-		if h.at.Sub(r.horizon) > 60*24*time.Hour {
-			panic(fmt.Sprintf("jobs still wait: %+v", r.decide(r.now, &r.s)))
-		}
-		r.now = h.at
-		h.do()
-		for len(r.agenda) > 0 && r.agenda[0].at.Equal(r.now) {
-			heap.Pop(&r.agenda).(happening).do()
-		}
-		for _, t := range r.jobs {
-			if t.blocked {
-				t.claimable = r.now
-			}
-		}
-		d := r.decide(r.now, &r.s)
-		r.carryOut(r.s.Accept(r.now, d.Actions))
-		for _, w := range d.Waiting {
-			c := w.Reason.Code
-			r.jobs[w.Job].blocked = c == InUse || c == Short
-		}
-		if !d.Wake.IsZero() && d.Wake.After(r.now) && len(r.s.Jobs) > 0 && (!r.wake.After(r.now) || d.Wake.Before(r.wake)) {
-			r.wake = d.Wake
-			r.at(d.Wake, func() { r.apply() })
+		r.advance(r.agenda[0].at)
+		r.settle()
+	}
+}
+
+// advance does what happens until a time.
+func (r *replay) advance(to time.Time) {
+	r.measure(to)
+	if to.Sub(r.horizon) > 60*24*time.Hour {
+		panic(fmt.Sprintf("jobs still wait: %+v", r.decide(r.now, &r.s)))
+	}
+	r.now = to
+	for len(r.agenda) > 0 && !r.agenda[0].at.After(to) {
+		heap.Pop(&r.agenda).(happening).do()
+	}
+}
+
+// settle carries out a decision.
+func (r *replay) settle() Decision {
+	for _, t := range r.jobs {
+		if t.blocked {
+			t.claimable = r.now
 		}
 	}
+	d := r.decide(r.now, &r.s)
+	r.carryOut(r.s.Accept(r.now, d.Actions))
+	for _, w := range d.Waiting {
+		c := w.Reason.Code
+		r.jobs[w.Job].blocked = c == InUse || c == Short
+	}
+	if !d.Wake.IsZero() && d.Wake.After(r.now) && len(r.s.Jobs) > 0 && (!r.wake.After(r.now) || d.Wake.Before(r.wake)) {
+		r.wake = d.Wake
+		r.at(d.Wake, func() { r.apply() })
+	}
+	return d
 }
 
 func (r *replay) carryOut(actions []Action) {
--- a/core/plan/takes.go
+++ b/core/plan/takes.go
@@ -23,3 +23,15 @@
 	}
 	return out
 }
+
+// Fits returns those of the jobs that would start on the workers if no other job was there. A job that can't leave in
+// time for the guarantees may fit nowhere, however long it waits.
+func Fits(now time.Time, s *State, jobs []model.JobSpec) []model.JobID {
+	var out []model.JobID
+	for _, j := range jobs {
+		empty := s.Clone()
+		empty.Jobs = nil
+		out = append(out, Takes(now, empty, []model.JobSpec{j})...)
+	}
+	return out
+}
--- a/core/plan/takes_test.go
+++ b/core/plan/takes_test.go
@@ -36,6 +36,16 @@
 	if len(s.Jobs) != 1 || s.Jobs["first"].Phase != Queued {
 		t.Errorf("jobs after the trial: got %v, want the first one alone, waiting", s.Jobs)
 	}
+	claimed := model.Declaration{Teams: []model.TeamSpec{{Name: "t", Weight: 1, Guarantees: []model.Guarantee{{
+		Name: "g", Grace: time.Minute, Shape: model.Shape{Tasks: 2, GPUs: 8, Adjacent: model.SameRack},
+	}}}}}
+	guarded := s.Clone()
+	guarded.Apply(epoch, Event{Kind: Declared, Declaration: &claimed})
+	slow := spec("slow", 3)
+	slow.Checkpoint, slow.Grace = false, 10*time.Minute
+	if got, want := Fits(epoch, guarded, []model.JobSpec{spec("a", 3), slow, spec("wide", 4)}), []model.JobID{"a"}; !slices.Equal(got, want) {
+		t.Errorf("jobs that fit the empty workers beside a guarantee: got %v, want %v", got, want)
+	}
 	submit(urgent("second"))
 	starts := 0
 	for _, a := range Decide(epoch.Add(time.Minute), s).Actions {
--- a/core/plan/usage_replay_test.go
+++ b/core/plan/usage_replay_test.go
@@ -5,7 +5,6 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -140,9 +139,6 @@
 // both always, fails here. With -v it prints the table of docs/POLICY.md, "Usage".
 func TestUsageRuleBeatsBoth(t *testing.T) {
 	seeds := replaySeeds()
-	if os.Getenv("PLAN_SEEDS") == "" {
-		seeds = seeds[:4]
-	}
 	for _, s := range sites {
 		lines := []string{"| " + s.name + " | overloaded worker h | mean min | p95 min | GPU h lost | stops for memory | claim s |", "|" + strings.Repeat(" --- |", 7)}
 		type figures struct{ over, mean, p95, lost, stops, claim float64 }
--- a/io/sched/balance.go
+++ b/io/sched/balance.go
@@ -20,9 +20,10 @@
 	balanceJobs = 16
 )
 
-// taker tells which jobs a cell would start at once.
+// taker tells which jobs a cell would start at once, and which it could start if it was empty.
 type taker interface {
 	Takes(now time.Time, in Input, jobs []model.JobSpec) []model.JobID
+	Fits(now time.Time, in Input, jobs []model.JobSpec) []model.JobID
 }
 
 // Takes makes a trial decision on a cell, with jobs that are submitted to it now.
@@ -32,7 +33,15 @@
 	return plan.Takes(now, d.state, jobs)
 }
 
-// balance sends jobs that wait here to cells that would start them at once.
+// Fits makes trial decisions on a cell without its jobs.
+func (d *driver) Fits(now time.Time, in Input, jobs []model.JobSpec) []model.JobID {
+	in.Plan = settledPlan(in.Plan)
+	d.sync(now, in)
+	return plan.Fits(now, d.state, jobs)
+}
+
+// balance sends jobs that wait here to cells that would start them at once, and those that can't ever start here to
+// cells where they can.
 func (c *control) balance(ctx context.Context) {
 	now := c.sched.clock()
 	if !c.cell.Owns(now) || c.cell.Detached() || now.Before(c.nextBalance) || c.balancing.Load() {
@@ -85,31 +94,49 @@
 // placeElsewhere returns the actions that send jobs to other cells than from. The order of the cells differs by the
 // sender, so that senders don't fill the same cell first.
 func (s *Sched) placeElsewhere(ctx context.Context, from *control, jobs []model.JobSpec) []cell.Action {
-	all := s.all()
-	i := slices.Index(all, from)
 	var out []cell.Action
-	for _, next := range slices.Concat(all[i+1:], all[:i]) {
-		if len(jobs) == 0 {
-			break
-		}
-		decider, ok := s.newDecider().(taker)
-		if !ok || !next.upToDate(ctx) {
-			continue
-		}
-		in, ok := s.inputs(next.id)
-		p := next.view.Load().plan
-		if !ok || p.Epoch == 0 {
-			continue
-		}
-		taken := decider.Takes(s.clock(), Input{Cell: next.id, Plan: p, Workers: in.workers, Declaration: in.declaration}, jobs)
+	send := func(next *control, taken []model.JobID) {
 		for _, id := range taken {
 			out = append(out, cell.Action{Job: id, To: next.id})
 		}
 		jobs = slices.DeleteFunc(jobs, func(j model.JobSpec) bool { return slices.Contains(taken, j.ID) })
 	}
+	all := s.all()
+	i := slices.Index(all, from)
+	others := slices.Concat(all[i+1:], all[:i])
+	for _, next := range others {
+		if t, in, ok := s.trial(ctx, next); ok && len(jobs) > 0 {
+			send(next, t.Takes(s.clock(), in, jobs))
+		}
+	}
+	if len(jobs) == 0 {
+		return out
+	}
+	here, in, ok := s.trial(ctx, from)
+	if !ok {
+		return out
+	}
+	fitting := here.Fits(s.clock(), in, jobs)
+	jobs = slices.DeleteFunc(jobs, func(j model.JobSpec) bool { return slices.Contains(fitting, j.ID) })
+	for _, next := range others {
+		if t, in, ok := s.trial(ctx, next); ok && len(jobs) > 0 {
+			send(next, t.Fits(s.clock(), in, jobs))
+		}
+	}
 	return out
 }
 
+// trial returns what a trial decision on a cell needs, if its plan could be read and has an owner.
+func (s *Sched) trial(ctx context.Context, c *control) (taker, Input, bool) {
+	t, ok := s.newDecider().(taker)
+	if !ok || !c.upToDate(ctx) {
+		return nil, Input{}, false
+	}
+	in, ok := s.inputs(c.id)
+	p := c.view.Load().plan
+	return t, Input{Cell: c.id, Plan: p, Workers: in.workers, Declaration: in.declaration}, ok && p.Epoch > 0
+}
+
 // upToDate reads the plan of a cell with another owner, and reports whether the view shows the present one.
 func (c *control) upToDate(ctx context.Context) bool {
 	if c.owned.Load() {
