--- a/core/plan/takes.go
+++ b/core/plan/takes.go
@@ -7,6 +7,9 @@
 	"wagtailhoist/core/model"
 )
 
+// longWait is longer than any job keeps off the cleanest rack.
+const longWait = 24 * time.Hour
+
 // Takes returns those of the jobs that would start at once if they were submitted now, beside the jobs that wait.
 func Takes(now time.Time, s *State, jobs []model.JobSpec) []model.JobID {
 	trial := s.Clone()
@@ -15,23 +18,32 @@
 		events[i] = Event{Kind: Submitted, Job: &jobs[i]}
 	}
 	trial.Apply(now, events...)
-	var out []model.JobID
-	for _, a := range Decide(now, trial).Actions {
-		if a.Verb == Start && slices.ContainsFunc(jobs, func(j model.JobSpec) bool { return j.ID == a.Job }) {
-			out = append(out, a.Job)
-		}
-	}
-	return out
+	return starts(now, trial, jobs)
 }
 
-// Fits returns those of the jobs that would start on the workers if no other job was there. A job that can't leave in
-// time for the guarantees may fit nowhere, however long it waits.
+// Fits returns those of the jobs that would start on the workers, perhaps after a wait, if no other job was there. A job
+// that can't leave in time for the guarantees may fit nowhere, however long it waits.
 func Fits(now time.Time, s *State, jobs []model.JobSpec) []model.JobID {
 	var out []model.JobID
 	for _, j := range jobs {
 		empty := s.Clone()
 		empty.Jobs = nil
-		out = append(out, Takes(now, empty, []model.JobSpec{j})...)
+		empty.Apply(now, Event{Kind: Submitted, Job: &j})
+		if known := empty.Jobs[j.ID]; known != nil {
+			known.Submitted = now.Add(-longWait)
+		}
+		out = append(out, starts(now, empty, []model.JobSpec{j})...)
+	}
+	return out
+}
+
+// starts returns those of the jobs that a decision starts.
+func starts(now time.Time, s *State, jobs []model.JobSpec) []model.JobID {
+	var out []model.JobID
+	for _, a := range Decide(now, s).Actions {
+		if a.Verb == Start && slices.ContainsFunc(jobs, func(j model.JobSpec) bool { return j.ID == a.Job }) {
+			out = append(out, a.Job)
+		}
 	}
 	return out
 }
