--- a/proof/rehome_test.go
+++ b/proof/rehome_test.go
@@ -14,22 +14,12 @@
 	"wagtailhoist/core/model"
 )
 
-const (
-	// rehomeBound is the stated time from the loss of a worker until another cell has its guarantee: 1 s to list the
-	// workers, 2 s between decisions, 5 s of shortfall, and 1 s to write and spread the revision.
-	rehomeBound = 9 * time.Second
-	// rehomeDocument guarantees three whole workers of one rack, in whichever data centre.
-	rehomeDocument = `teams:
-  - name: stock
-    weight: 1
-  - name: plans
-    weight: 1
-    guarantees:
-      - name: night
-        shape: {tasks: 3, gpus: 8, adjacent: rack}
-        grace: 5s
-`
-)
+// rehomeDocument is reclaimDocument with a guarantee in whichever data centre.
+var rehomeDocument = strings.Replace(reclaimDocument, "        centre: lausanne\n", "", 1)
+
+// rehomeBound is the stated time from the loss of a worker until another cell has its guarantee: 1 s to list the
+// workers, 2 s between decisions, 5 s of shortfall, and 1 s to write and spread the revision.
+const rehomeBound = 9 * time.Second
 
 // homes returns the cells of the guarantees as the store has them.
 func (g *gangs) homes() map[string]model.CellID {
