Use the usual terms for the state of an outage

Cause: names such as absence, keeper, sure, makeWay and handOn don't say what they hold or do. Change: outage, lastOwner, ownerKnown, yieldToOwner, requeueAccepted, applyUnwritten, detectPause, storeMissed and storeAnswered in core/cell, holder in io/sched. No behaviour changes; the tests of core/cell pass. Ruled out: nothing.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -54,7 +54,7 @@
 	lease    uint64
 	leaseEnd time.Time
 	renewing bool
-	absence
+	outage
 	// held says that the owner's key was seen; retry is when to try again whatever was seen.
 	held     bool
 	retry    time.Time
@@ -93,18 +93,18 @@
 
 // Step takes an event at now and returns what to do.
 func (c *Cell) Step(now time.Time, e Event) []Effect {
-	c.notice(now)
+	c.detectPause(now)
 	switch e := e.(type) {
 	case Tick:
 		c.tick(now)
 	case OwnerSeen:
 		c.down = false
 		if e.Owner != "" {
-			c.keeper = e.Owner
+			c.lastOwner = e.Owner
 		}
 		c.ownerSeen(now, e.Held)
 	case StoreMissed:
-		c.missed()
+		c.storeMissed()
 	case PlanSeen:
 		c.journal.seen(e.Version)
 	case Request:
@@ -193,7 +193,7 @@
 func (c *Cell) ownerSeen(now time.Time, held bool) {
 	was := c.held
 	c.held = held
-	c.sure = c.sure || held
+	c.ownerKnown = c.ownerKnown || held
 	switch {
 	case c.role != idle:
 	case held:
@@ -220,7 +220,7 @@
 		c.emit(RevokeLease{Lease: c.lease})
 	}
 	c.role, c.lease, c.renewing, c.strays = idle, 0, false, false
-	c.absence.end()
+	c.outage.end()
 	c.retry = now.Add(c.OwnerTTL)
 	if c.held {
 		c.retry = now.Add(heldFor * c.OwnerTTL)
@@ -240,12 +240,12 @@
 	if c.draining && c.role == owner && c.journal.idle() {
 		c.emit(RevokeLease{Lease: c.lease})
 		c.role, c.lease, c.renewing, c.strays = idle, 0, false, false
-		c.absence.end()
+		c.outage.end()
 	}
 }
 
 func (c *Cell) answer(now time.Time, a Answer) {
-	c.reached(a)
+	c.storeAnswered(a)
 	switch to := a.To.(type) {
 	case GrantLease:
 		c.granted(now, a)
@@ -351,8 +351,8 @@
 	plan := c.journal.plan
 	switch c.role {
 	case reading:
-		if !c.sure && plan.Epoch > 0 {
-			c.makeWay(now)
+		if !c.ownerKnown && plan.Epoch > 0 {
+			c.yieldToOwner(now)
 			return
 		}
 		c.next, c.role = plan.Epoch+1, claiming
--- a/core/cell/detach.go
+++ b/core/cell/detach.go
@@ -14,14 +14,14 @@
 	maxBatch = 256 << 10
 	// pauseAfter is how many control intervals without a step count as a pause of the process.
 	pauseAfter = 3
-	// makeWayFor is how many ttl of the owner's lease a contender leaves the cell to an owner that may be detached.
+	// yieldTTLs is how many ttl of the owner's lease a contender leaves the cell to an owner that may be detached.
 	// Such an owner asks the store in each interval (250 ms), gives a call up after 300 ms, and then needs one read
 	// and one write.
-	makeWayFor = 1
+	yieldTTLs = 1
 )
 
-// absence is what a process knows about the store being unavailable.
-type absence struct {
+// outage is what a process knows about the store being unavailable.
+type outage struct {
 	// detached owners decide without the store.
 	detached bool
 	// missRenew and missRead say that the last renewal and the last read of the plan since awake found the store
@@ -34,21 +34,21 @@
 	regainEnd time.Time
 	// down says that the last that was heard of the store is that it did not answer.
 	down bool
-	// sure says that the owner's key was seen since the store was last unavailable, or that a detached owner had
+	// ownerKnown says that the owner's key was seen since the store was last unavailable, or that a detached owner had
 	// the time to write. Otherwise the key may be missing only because the store was down.
-	sure bool
-	// keeper is the owner that the key named last.
-	keeper model.NodeID
+	ownerKnown bool
+	// lastOwner is the owner that the key named last.
+	lastOwner model.NodeID
 }
 
 // end forgets what concerns an owner.
-func (a *absence) end() {
-	a.detached, a.missRenew, a.missRead, a.regaining = false, false, false, false
+func (o *outage) end() {
+	o.detached, o.missRenew, o.missRead, o.regaining = false, false, false, false
 }
 
-// notice detects a pause of the process. What was known of the store before it says nothing, so that an owner asks
+// detectPause detects a pause of the process. What was known of the store before it says nothing, so that an owner asks
 // the store again before it decides.
-func (c *Cell) notice(now time.Time) {
+func (c *Cell) detectPause(now time.Time) {
 	if !c.last.IsZero() && now.Sub(c.last) > pauseAfter*c.Interval {
 		c.awake = now
 		c.detached, c.missRenew, c.missRead = false, false, false
@@ -56,16 +56,16 @@
 	c.last = now
 }
 
-// missed notes that the store did not answer.
-func (c *Cell) missed() {
+// storeMissed notes that the store did not answer.
+func (c *Cell) storeMissed() {
 	c.down = true
 	if c.role != owner {
-		c.sure = false
+		c.ownerKnown = false
 	}
 }
 
-// reached notes what an answer tells about the store.
-func (c *Cell) reached(a Answer) {
+// storeAnswered notes what an answer tells about the store.
+func (c *Cell) storeAnswered(a Answer) {
 	miss := a.Code == Unknown
 	switch a.To.(type) {
 	case RenewLease, GrantLease:
@@ -86,7 +86,7 @@
 		return
 	}
 	again := c.down
-	c.missed()
+	c.storeMissed()
 	if _, read := a.To.(LoadPlan); read && again && c.role != owner {
 		// Two reads in a row tell an outage from a lost answer.
 		var kept []Request
@@ -123,7 +123,7 @@
 
 // refuse answers a request that was not sent to the store, and will not be.
 func (c *Cell) refuse(r Request) {
-	to := c.keeper
+	to := c.lastOwner
 	if to == "" {
 		to = c.journal.plan.Owner
 	}
@@ -133,10 +133,10 @@
 	c.emit(Reply{Number: r.Number, Refused: true, Owner: to})
 }
 
-// makeWay leaves the cell to an owner that may be detached, for the time that it needs to write.
-func (c *Cell) makeWay(now time.Time) {
+// yieldToOwner leaves the cell to an owner that may be detached, for the time that it needs to write.
+func (c *Cell) yieldToOwner(now time.Time) {
 	c.abandon(now)
-	c.sure, c.retry = true, now.Add(makeWayFor*c.OwnerTTL+c.Delay)
+	c.ownerKnown, c.retry = true, now.Add(yieldTTLs*c.OwnerTTL+c.Delay)
 }
 
 // regain takes a new lease for an owner whose lease has ended during an outage. Its epoch stays: the change log
@@ -191,21 +191,21 @@
 		l.plan = l.stored.Clone()
 	}
 	for _, ch := range changes[l.applied:] {
-		l.ahead(ch)
+		l.applyUnwritten(ch)
 		l.bytes += len(encode(ch))
 	}
 	l.applied = len(changes)
 	return true
 }
 
-func (l *journal) ahead(ch Change) {
+func (l *journal) applyUnwritten(ch Change) {
 	l.plan.apply(ch)
 	l.plan.Revision++
 }
 
-// handOn keeps the submissions and cancellations that a detached owner has accepted as requests to the later owner. A
+// requeueAccepted keeps the submissions and cancellations that a detached owner has accepted as requests to the later owner. A
 // job that has ended meanwhile is not submitted again, so that it doesn't run twice.
-func (l *journal) handOn() {
+func (l *journal) requeueAccepted() {
 	if l.applied == 0 {
 		return
 	}
@@ -236,7 +236,7 @@
 	}
 	l.plan = l.stored.Clone()
 	for _, ch := range l.own[:l.applied] {
-		l.ahead(ch)
+		l.applyUnwritten(ch)
 	}
 }
 
--- a/core/cell/log.go
+++ b/core/cell/log.go
@@ -92,7 +92,7 @@
 
 // drop forgets the changes of an owner that has lost the cell, except those that any process may make.
 func (l *journal) drop() {
-	l.handOn()
+	l.requeueAccepted()
 	l.own, l.stale, l.cut = nil, true, l.flight != nil
 	l.plan, l.applied, l.bytes = l.stored, 0, 0
 }
--- a/core/cell/watch.go
+++ b/core/cell/watch.go
@@ -202,7 +202,7 @@
 // the list shows all tasks that there will be. A gang that runs as a whole goes on; every other placement is
 // stopped, since nothing tells how far its former owner had come.
 func (c *Cell) adopt(now time.Time, a Answer) {
-	c.role, c.sure = owner, true
+	c.role, c.ownerKnown = owner, true
 	clear(c.gangs)
 	tasks := make(map[string]Task, len(a.Tasks))
 	for _, t := range a.Tasks {
--- a/io/sched/home.go
+++ b/io/sched/home.go
@@ -26,7 +26,7 @@
 		id, ok = s.pick("job/"+string(spec.ID), spec.Shape)
 	} else if g, declared := find(d, spec); declared {
 		s.divide(d)
-		id, ok = s.keeper(spec.Team, g)
+		id, ok = s.holder(spec.Team, g)
 	} else if known {
 		return "", &InvalidError{Job: spec.ID, Reason: fmt.Sprintf("team %q has no guarantee %q", spec.Team, spec.Guarantee)}
 	}
@@ -78,9 +78,9 @@
 	return true
 }
 
-// keeper returns the cell that holds a guarantee. One that fits nowhere is given to some cell, which reports the
+// holder returns the cell that holds a guarantee. One that fits nowhere is given to some cell, which reports the
 // shortfall.
-func (s *Sched) keeper(team model.Team, g model.Guarantee) (model.CellID, bool) {
+func (s *Sched) holder(team model.Team, g model.Guarantee) (model.CellID, bool) {
 	ref := plan.Ref{Team: team, Guarantee: g.Name}
 	if id := s.homes[ref.String()]; id != "" {
 		return id, s.workers[id] != nil
@@ -134,7 +134,7 @@
 	for i, t := range out.Teams {
 		out.Teams[i].Guarantees = nil
 		for _, g := range t.Guarantees {
-			if at, ok := s.keeper(t.Name, g); ok && at == id {
+			if at, ok := s.holder(t.Name, g); ok && at == id {
 				out.Teams[i].Guarantees = append(out.Teams[i].Guarantees, g)
 			}
 		}
