--- /dev/null
+++ b/cmds/desk.go
@@ -0,0 +1,208 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+
+	"wagtailhoist/core/batch"
+	"wagtailhoist/core/board"
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/desk"
+	"wagtailhoist/io/link"
+	"wagtailhoist/io/mirror"
+	"wagtailhoist/io/owner"
+	"wagtailhoist/platform"
+)
+
+const (
+	// watchWait is how long a watch of an entry waits for a change; a connection that went silent is found after it.
+	watchWait = 2 * time.Second
+	// deskMemory is the soft limit of an entry's memory in bytes, of the 184 MB that its smallest VM has.
+	deskMemory = 120 << 20
+	// leaseReserve is the part of the longest lease that is left for the way of an extension.
+	leaseReserve = 500 * time.Millisecond
+	// shutdownLimit bounds the wait for requests in progress after the drain time.
+	shutdownLimit = 3 * time.Second
+	// linkSilence is the time without a received byte after which a link is given up.
+	linkSilence = 2 * time.Second
+)
+
+type deskCmd struct {
+	nodeFlags
+	Listen string        `required:"" help:"Address of the callers' listener."`
+	Ready  string        `required:"" help:"Address of the balancer's readiness listener."`
+	Link   string        `required:"" help:"Address of the link listener."`
+	Store  string        `required:"" help:"IP:port of the platform's store."`
+	Hold   time.Duration `default:"10s" help:"Longest lease of a worker without an extension."`
+	Early  time.Duration `default:"0s" help:"How long before its due time an occurrence of a job may be placed."`
+	Remote float64       `default:"3" help:"Factor by which work away from its data is slower."`
+	Keep   time.Duration `default:"2m" help:"How long the state of an ended job can be read."`
+	Drain  time.Duration `default:"2200ms" help:"Time that the balancer needs to see that the entry is not ready."`
+}
+
+func (c *deskCmd) check(k *checks) {
+	c.nodeFlags.check(k)
+	k.listen("listen", c.Listen)
+	k.listen("ready", c.Ready)
+	k.listen("link", c.Link)
+	k.distinct("listen", c.Listen, "ready", c.Ready, "link", c.Link)
+	k.join("store", []string{c.Store})
+	k.duration("hold", c.Hold, 2*time.Second, 10*time.Minute)
+	k.duration("early", c.Early, 0, time.Minute)
+	k.duration("keep", c.Keep, time.Second, 24*time.Hour)
+	k.duration("drain", c.Drain, 0, time.Minute)
+	if c.Remote < 1 {
+		k.fail("remote", "", "a number of at least 1")
+	}
+}
+
+// Run serves until the process is told to stop.
+func (c *deskCmd) Run(s streams) error {
+	s.err = s.out
+	return serve(s, c.Level,
+		fx.Supply(c),
+		fx.Provide(newPlatformStore, newWatcher, newMirror, newOwner, newDesk),
+		fx.Invoke(startDesk),
+	)
+}
+
+func newPlatformStore(c *deskCmd) *platform.Store {
+	return &platform.Store{Address: c.Store, HTTP: platform.NewHTTP()}
+}
+
+func newWatcher(s *platform.Store, log *slog.Logger) *platform.Watcher {
+	return &platform.Watcher{Store: s, Wait: watchWait, Log: log}
+}
+
+func newMirror(s *platform.Store, log *slog.Logger) *mirror.Mirror {
+	return &mirror.Mirror{Store: s, Wait: watchWait, Log: log}
+}
+
+func newOwner(c *deskCmd, s *platform.Store, m *mirror.Mirror, w *platform.Watcher, log *slog.Logger) *owner.Owner {
+	return &owner.Owner{
+		Store: s, Mirror: m, Self: mirror.Lead{ID: c.ID, Address: c.Link}, Log: log,
+		Settings: board.Settings{
+			Lease: c.Hold - leaseReserve, Early: c.Early / 2, Remote: c.Remote, Keep: c.Keep + c.Keep/2,
+		},
+		Terms: func() (batch.Terms, uint64) {
+			if d := w.Desired(); d != nil {
+				return d.Terms, d.Revision
+			}
+			return batch.Terms{}, 0
+		},
+	}
+}
+
+func newDesk(s *platform.Store, m *mirror.Mirror, log *slog.Logger) *desk.Desk {
+	return &desk.Desk{Store: s, Mirror: m, Log: log}
+}
+
+// deskParts are the parts of an entry for jobs that startDesk runs.
+type deskParts struct {
+	fx.In
+
+	Watcher *platform.Watcher
+	Mirror  *mirror.Mirror
+	Owner   *owner.Owner
+	Desk    *desk.Desk
+}
+
+func startDesk(life fx.Lifecycle, c *deskCmd, p deskParts, log *slog.Logger) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(deskMemory)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ruling, abdicate := context.WithCancel(ctx)
+	var stopping atomic.Bool
+	front := &platform.Front{Desk: p.Desk, Desired: p.Watcher.Desired, Log: log}
+	callers := &http.Server{
+		Handler: front, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: callersIdle, MaxHeaderBytes: 16 << 10,
+	}
+	ready := &http.Server{Handler: readiness(func() bool {
+		_, _, synced := p.Mirror.Status()
+		return synced && p.Watcher.Desired() != nil && !stopping.Load()
+	}), ReadHeaderTimeout: 5 * time.Second}
+	links := deskLinks(c, p.Owner)
+	var running sync.WaitGroup
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			open, err := listenAll(c.Listen, c.Ready, c.Link)
+			if err != nil {
+				return err
+			}
+			log.Info("listening", "listen", c.Listen, "ready", c.Ready, "link", c.Link, "store", c.Store, "hold", c.Hold)
+			for i, s := range []*http.Server{callers, ready, links} {
+				go serveHTTP(s, open[i], log)
+			}
+			running.Go(func() { p.Watcher.Run(ctx) })
+			running.Go(func() { p.Mirror.Run(ctx) })
+			running.Go(func() { p.Owner.Run(ruling) })
+			go ignoreReload(ctx, log)
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			log.Info("draining")
+			stopping.Store(true)
+			front.Closing.Store(true)
+			abdicate()
+			time.Sleep(c.Drain)
+			stop, done := context.WithTimeout(stop, shutdownLimit)
+			defer done()
+			err := callers.Shutdown(stop)
+			cancel()
+			running.Wait()
+			_, _ = links.Close(), ready.Close()
+			log.Info("stopped")
+			return err
+		},
+	})
+}
+
+// deskLinks returns the server that accepts the links of agents.
+func deskLinks(c *deskCmd, o *owner.Owner) *http.Server {
+	self := link.Hello{
+		Node: model.NodeID(c.ID), Incarnation: entryIncarnation(time.Now()), Role: link.RoleEntry,
+		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: c.Link,
+	}
+	s := link.Settings{Self: self, Token: c.Token, Silence: linkSilence}
+	return linkServer(s, o.Serve, func() bool { return true })
+}
+
+func readiness(ready func() bool) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	return r
+}
+
+// ignoreReload logs each SIGHUP: all settings come from flags and variables, which hold until the process ends.
+func ignoreReload(ctx context.Context, log *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			log.Info("reload: the settings of this process are fixed at its start")
+		}
+	}
+}
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -17,6 +17,8 @@
 type commands struct {
 	Entry   entryCmd   `cmd:"" help:"Run an entry."`
 	Agent   agentCmd   `cmd:"" help:"Run an agent."`
+	Desk    deskCmd    `cmd:"" help:"Run an entry that takes jobs by id, on the users' platform."`
+	Runner  runnerCmd  `cmd:"" help:"Run the agent of a worker that runs the tasks of jobs, on the users' platform."`
 	Check   checkCmd   `cmd:"" help:"Check a declaration."`
 	Apply   applyCmd   `cmd:"" help:"Apply a declaration."`
 	Query   queryCmd   `cmd:"" help:"Answer a query or carry out a change."`
--- a/cmds/settings.go
+++ b/cmds/settings.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"wagtailhoist/platform"
 )
 
 // envPrefix begins the environment variable of each setting.
@@ -188,7 +190,7 @@
 	sort.Strings(environ)
 	for _, entry := range environ {
 		name, value, _ := strings.Cut(entry, "=")
-		if !strings.HasPrefix(name, envPrefix+"_") {
+		if !strings.HasPrefix(name, envPrefix+"_") || name == platform.SettingsVariable {
 			continue
 		}
 		if !known[name] {
--- /dev/null
+++ b/core/batch/orders.go
@@ -0,0 +1,131 @@
+package batch
+
+import "time"
+
+// Readiness is what a worker says of itself.
+type Readiness uint8
+
+// Readiness of a worker.
+const (
+	Ready Readiness = iota
+	// Draining workers finish what they run and take nothing new.
+	Draining
+	// Gone workers have left; nothing runs there any more.
+	Gone
+)
+
+// Worker describes one incarnation of a worker.
+type Worker struct {
+	// ID names the incarnation: it is never used again.
+	ID string `cbor:"1,keyasint"`
+	// Node names the process beside the worker; two incarnations of a node don't live at a time.
+	Node     string   `cbor:"2,keyasint"`
+	Service  string   `cbor:"3,keyasint"`
+	Centre   string   `cbor:"4,keyasint,omitempty"`
+	Labels   []string `cbor:"5,keyasint,omitempty"`
+	Capacity Amount   `cbor:"6,keyasint"`
+	// Readiness and Left apply together: Left is the least time that a draining worker goes on.
+	Readiness Readiness     `cbor:"7,keyasint,omitempty"`
+	Left      time.Duration `cbor:"8,keyasint,omitempty"`
+	// Born orders the incarnations of a node, in milliseconds since 1970.
+	Born int64 `cbor:"9,keyasint,omitempty"`
+}
+
+// RunID names a run of a task.
+type RunID struct {
+	Task TaskID `cbor:"1,keyasint"`
+	Run  int    `cbor:"2,keyasint"`
+}
+
+// Listing is a run that a worker lists.
+type Listing struct {
+	RunID
+	Checkpoint string `cbor:"3,keyasint,omitempty"`
+	Percent    int    `cbor:"4,keyasint,omitempty"`
+	// Load is the tail latency in ms of a lasting task, or the thousandths of a core in use.
+	Load float64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Cause says how a run ended.
+type Cause string
+
+// Causes of the end of a run.
+const (
+	EndDone    Cause = "done"
+	EndFailed  Cause = "failed"
+	EndStopped Cause = "stopped"
+	// EndLapsed runs were not kept alive by their owner.
+	EndLapsed Cause = "lapsed"
+	// EndBroken runs ended with another member of their gang, EndAlone runs waited too long for one.
+	EndBroken Cause = "broken"
+	EndAlone  Cause = "alone"
+	// EndLost runs were on a worker that is gone or whose lease has run out.
+	EndLost Cause = "lost"
+	// EndAbsent runs never began and never will.
+	EndAbsent Cause = "absent"
+)
+
+// End is the end of a run that a worker lists until it is acknowledged.
+type End struct {
+	// Number counts the ends of a worker's incarnation from 1.
+	Number uint64 `cbor:"1,keyasint"`
+	RunID
+	Cause      Cause  `cbor:"4,keyasint"`
+	Checkpoint string `cbor:"5,keyasint,omitempty"`
+}
+
+// Refusal reasons that workers and agents give.
+const (
+	RefusedFence    = "fence"
+	RefusedRoom     = "room"
+	RefusedOld      = "old"
+	RefusedLate     = "late"
+	RefusedTicket   = "ticket"
+	RefusedDraining = "draining"
+	// RefusedBusy is the answer of a worker that is unhealthy.
+	RefusedBusy = "busy"
+	// RefusedStopped confirms the stop of a run that never began.
+	RefusedStopped = "stopped"
+	RefusedInvalid = "invalid"
+)
+
+// Refusal reports a run that isn't on the worker and never will be.
+type Refusal struct {
+	RunID
+	Reason string `cbor:"3,keyasint"`
+}
+
+// Report is what an agent tells the owner of its worker.
+type Report struct {
+	// Beat numbers the reports of a session; the lease that answers it counts from its sending.
+	Beat   uint64 `cbor:"1,keyasint"`
+	Worker Worker `cbor:"2,keyasint"`
+	// Listed says that the lists below are from the worker, under the owner's fence.
+	Listed  bool      `cbor:"3,keyasint,omitempty"`
+	Running []Listing `cbor:"4,keyasint,omitempty"`
+	Ended   []End     `cbor:"5,keyasint,omitempty"`
+	Refused []Refusal `cbor:"6,keyasint,omitempty"`
+}
+
+// Start orders a run.
+type Start struct {
+	RunID
+	Spec       string `cbor:"3,keyasint,omitempty"`
+	Checkpoint string `cbor:"4,keyasint,omitempty"`
+	Ticket     string `cbor:"5,keyasint,omitempty"`
+}
+
+// Orders are what the owner tells an agent.
+type Orders struct {
+	// Fence is the owner's fencing token; higher ones take precedence.
+	Fence uint64 `cbor:"1,keyasint"`
+	// Beat is the report that the lease answers, 0 if none; Lease counts from the sending of that report.
+	Beat  uint64        `cbor:"2,keyasint,omitempty"`
+	Lease time.Duration `cbor:"3,keyasint,omitempty"`
+	// Worker is the incarnation that the rest is meant for.
+	Worker string `cbor:"4,keyasint,omitempty"`
+	// Seen acknowledges the ends up to this number.
+	Seen   uint64  `cbor:"5,keyasint,omitempty"`
+	Starts []Start `cbor:"6,keyasint,omitempty"`
+	Stops  []RunID `cbor:"7,keyasint,omitempty"`
+}
--- /dev/null
+++ b/core/batch/progress.go
@@ -0,0 +1,106 @@
+package batch
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"wagtailhoist/core/model"
+)
+
+// TaskID names a task of a job.
+type TaskID struct {
+	Job model.JobID `cbor:"1,keyasint"`
+	// Occurrence is 0 for a job without times.
+	Occurrence int `cbor:"2,keyasint,omitempty"`
+	Step       int `cbor:"3,keyasint,omitempty"`
+	Index      int `cbor:"4,keyasint,omitempty"`
+}
+
+// String formats the task as JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
+
+// ParseTaskID reads the form that String writes.
+func ParseTaskID(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("task %q has %d parts instead of 4", s, len(parts))
+	}
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return TaskID{}, fmt.Errorf("task %q: part %q is not a number", s, part)
+		}
+		numbers[i] = n
+	}
+	return TaskID{model.JobID(parts[0]), numbers[0], numbers[1], numbers[2]}, nil
+}
+
+// Phase is the state of a task.
+type Phase uint8
+
+// Phases of a task.
+const (
+	// Waiting tasks have no run.
+	Waiting Phase = iota
+	// Placed tasks have a run that was ordered on a worker and may exist there.
+	Placed
+	// Done tasks have a run that ended well.
+	Done
+	// Failed tasks have used up their attempts.
+	Failed
+)
+
+// Task is the progress of a task that has been placed at least once.
+type Task struct {
+	Occurrence int   `cbor:"1,keyasint,omitempty"`
+	Step       int   `cbor:"2,keyasint,omitempty"`
+	Index      int   `cbor:"3,keyasint,omitempty"`
+	Phase      Phase `cbor:"4,keyasint,omitempty"`
+	// Run numbers the starts of the task, from 1.
+	Run int `cbor:"5,keyasint,omitempty"`
+	// Worker is the incarnation of the worker that has the run of a placed task.
+	Worker string `cbor:"6,keyasint,omitempty"`
+	Fails  int    `cbor:"7,keyasint,omitempty"`
+	// Checkpoint resumes the next run; empty means from the beginning.
+	Checkpoint string `cbor:"8,keyasint,omitempty"`
+	// Began records that a run was seen at work.
+	Began bool `cbor:"9,keyasint,omitempty"`
+}
+
+// Progress is how far a job has come.
+type Progress struct {
+	Tasks []Task `cbor:"1,keyasint,omitempty"`
+	// Outcome is empty until the job has ended.
+	Outcome State `cbor:"2,keyasint,omitempty"`
+	// Ended is when the job ended, in milliseconds since 1970.
+	Ended int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Began reports whether any task has begun.
+func (p *Progress) Began() bool {
+	if p == nil {
+		return false
+	}
+	for i := range p.Tasks {
+		if t := &p.Tasks[i]; t.Began || t.Phase == Done || t.Fails > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// State is the state of a job as callers see it.
+type State string
+
+// States of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Broken    State = "failed"
+	Cancelled State = "cancelled"
+)
--- /dev/null
+++ b/core/board/unit.go
@@ -0,0 +1,137 @@
+package board
+
+import (
+	"sort"
+	"time"
+
+	"wagtailhoist/core/batch"
+	"wagtailhoist/core/model"
+)
+
+// lateFactor times the objective is the age after which a job's completion is of no more use to its caller.
+const lateFactor = 3
+
+// unit is the waiting tasks of a step whose turn has come; those of a gang are placed together.
+type unit struct {
+	job   *job
+	step  *batch.Step
+	tasks []*task
+	queue batch.Queue
+	// guaranteed units fit into the guarantee of their team.
+	guaranteed bool
+	class      class
+	// deadline is when the job misses its objective.
+	deadline time.Time
+}
+
+// class orders units by what their callers can still gain.
+type class int
+
+const (
+	inTime class = iota
+	late
+	useless
+)
+
+// units returns the units that may be placed at now, the most urgent first. It answers bursts: work that can
+// still meet its objective goes before work that can't, and that before work of no more use.
+func (b *Board) units(now, wall time.Time) []*unit {
+	covered := b.covered(wall)
+	var all []*unit
+	for _, id := range b.sortedJobs() {
+		j := b.jobs[id]
+		if j.cancelled || j.broken || j.outcome != "" {
+			continue
+		}
+		for k := range j.job.Occurrences() {
+			for s := range j.job.Steps {
+				if !j.turn(k, s, wall, b.Settings.Early) {
+					continue
+				}
+				if u := b.unit(now, wall, j, k, s); u != nil {
+					u.guaranteed = covered[id]
+					all = append(all, u)
+				}
+			}
+		}
+	}
+	sort.SliceStable(all, func(x, y int) bool { return all[x].before(all[y]) })
+	return all
+}
+
+func (b *Board) unit(now, wall time.Time, j *job, occurrence, step int) *unit {
+	u := &unit{job: j, step: &j.job.Steps[step], queue: b.terms.Queue(&j.job)}
+	placed := 0
+	for i := range u.step.Count {
+		switch t := j.tasks[slot{occurrence, step, i}]; t.Phase {
+		case batch.Waiting:
+			u.tasks = append(u.tasks, t)
+		case batch.Placed:
+			placed++
+		}
+	}
+	if len(u.tasks) == 0 || u.step.Gang && placed > 0 {
+		return nil
+	}
+	since := j.seen
+	if j.job.Timed() {
+		since = now.Add(j.job.Due(occurrence).Sub(wall))
+	}
+	objective := u.queue.Objective(&j.job)
+	u.deadline = since.Add(objective)
+	switch {
+	case now.Sub(since) > lateFactor*objective:
+		u.class = useless
+	case now.Add(u.step.Estimate / 2).After(u.deadline):
+		u.class = late
+	}
+	return u
+}
+
+func (u *unit) before(v *unit) bool {
+	if u.guaranteed != v.guaranteed {
+		return u.guaranteed
+	}
+	if u.class != v.class {
+		return u.class < v.class
+	}
+	if u.queue.Priority != v.queue.Priority {
+		return u.queue.Priority < v.queue.Priority
+	}
+	return u.deadline.Before(v.deadline)
+}
+
+// covered returns the jobs of priority 0 that fit into their team's guarantee, oldest first.
+func (b *Board) covered(wall time.Time) map[model.JobID]bool {
+	var urgent []*job
+	for _, id := range b.sortedJobs() {
+		j := b.jobs[id]
+		if j.outcome == "" && !j.cancelled && b.terms.Queue(&j.job).Priority == 0 && !wall.Add(b.Settings.Early).Before(j.job.Due(0)) {
+			urgent = append(urgent, j)
+		}
+	}
+	sort.SliceStable(urgent, func(x, y int) bool { return urgent[x].seen.Before(urgent[y].seen) })
+	used := map[model.Team]int64{}
+	covered := map[model.JobID]bool{}
+	for _, j := range urgent {
+		team, ok := b.terms.Teams[j.job.Team]
+		if !ok || team.Guarantee == 0 {
+			continue
+		}
+		if widest := j.widest(); used[team.Name]+widest <= team.Guarantee {
+			used[team.Name] += widest
+			covered[j.job.ID] = true
+		}
+	}
+	return covered
+}
+
+// widest returns the most accelerators that a step of the job takes.
+func (j *job) widest() int64 {
+	var most int64
+	for i := range j.job.Steps {
+		s := &j.job.Steps[i]
+		most = max(most, s.Need.GPU*int64(s.Count))
+	}
+	return most
+}
--- /dev/null
+++ b/io/boot/doc.go
@@ -0,0 +1,2 @@
+// Package boot reads the clock by which leases are judged.
+package boot
--- a/io/link/frames.go
+++ b/io/link/frames.go
@@ -28,6 +28,8 @@
 	KindAttach
 	KindDone
 	KindConfig
+	KindReport
+	KindOrders
 )
 
 // Frame is a message on a link.
@@ -50,6 +52,8 @@
 	KindAttach:   decode[Attach],
 	KindDone:     decode[Done],
 	KindConfig:   decode[Config],
+	KindReport:   decode[Report],
+	KindOrders:   decode[Orders],
 }
 
 // Role says what kind of process is at an end of a link.
--- /dev/null
+++ b/io/mirror/doc.go
@@ -0,0 +1,2 @@
+// Package mirror keeps a copy of a part of the store current by a list and watches.
+package mirror
--- /dev/null
+++ b/io/mirror/mirror.go
@@ -0,0 +1,172 @@
+package mirror
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"wagtailhoist/core/batch"
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/boot"
+	"wagtailhoist/io/store"
+)
+
+// LeadPrefix holds the keys that tell who runs the system: the owner and the entries.
+const LeadPrefix = batch.Root + "lead/"
+
+// OwnerKey holds the Lead of the present owner, under its lease.
+const OwnerKey = LeadPrefix + "owner"
+
+// EntryPrefix holds the Lead of each entry, under its lease.
+const EntryPrefix = LeadPrefix + "entry/"
+
+// Lead is the identity of an entry.
+type Lead struct {
+	ID string `cbor:"1,keyasint"`
+	// Address is where the entry accepts links.
+	Address string `cbor:"2,keyasint"`
+}
+
+// Mirror is a copy of the jobs and of the keys below LeadPrefix. Its zero value with a Store is ready to run.
+type Mirror struct {
+	Store Store
+	// Prefix limits what is copied; empty means all that the system stores.
+	Prefix string
+	// Wait is how long a watch waits for a change.
+	Wait time.Duration
+	Log  *slog.Logger
+
+	mu       sync.Mutex
+	book     batch.Book
+	leads    map[string]store.Item
+	revision uint64
+	synced   bool
+	heard    time.Time
+	changed  map[model.JobID]bool
+	all      bool
+	wake     chan struct{}
+}
+
+// Run keeps the copy current until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	prefix := m.Prefix
+	if prefix == "" {
+		prefix = batch.Root
+	}
+	f := &Follower{Store: m.Store, Prefix: prefix, Wait: m.Wait, Apply: m.apply, Heard: m.touch, Log: m.Log}
+	f.Run(ctx)
+}
+
+func (m *Mirror) touch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard = boot.Now()
+}
+
+func (m *Mirror) apply(items []store.Item, revision uint64, full bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if full {
+		m.book.Reset()
+		m.leads = map[string]store.Item{}
+		m.all = true
+	}
+	if m.changed == nil {
+		m.changed = map[model.JobID]bool{}
+	}
+	for _, item := range items {
+		if strings.HasPrefix(item.Key, LeadPrefix) {
+			m.applyLead(item)
+			continue
+		}
+		id, err := m.book.Apply(item.Key, item.Value, item.Version)
+		if err != nil {
+			m.Log.Error("record not readable", "key", item.Key, "version", item.Version, "error", err)
+			continue
+		}
+		m.changed[id] = true
+	}
+	m.revision, m.synced = revision, true
+	m.signal()
+}
+
+func (m *Mirror) applyLead(item store.Item) {
+	if item.Version == 0 {
+		delete(m.leads, item.Key)
+		return
+	}
+	m.leads[item.Key] = item
+}
+
+func (m *Mirror) signal() {
+	select {
+	case m.wakeLocked() <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Mirror) wakeLocked() chan struct{} {
+	if m.wake == nil {
+		m.wake = make(chan struct{}, 1)
+	}
+	return m.wake
+}
+
+// Wake receives after changes; it has one reader.
+func (m *Mirror) Wake() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.wakeLocked()
+}
+
+// Changed calls fn with the jobs that changed since the last call; all says that any of them may have.
+func (m *Mirror) Changed(fn func(book *batch.Book, ids []model.JobID, all bool)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ids := make([]model.JobID, 0, len(m.changed))
+	for id := range m.changed {
+		ids = append(ids, id)
+	}
+	all := m.all
+	m.changed, m.all = nil, false
+	fn(&m.book, ids, all)
+}
+
+// View calls fn with the jobs; fn must not keep the book.
+func (m *Mirror) View(fn func(*batch.Book)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.book.Jobs == nil {
+		m.book.Reset()
+	}
+	fn(&m.book)
+}
+
+// Status returns the revision of the copy, when the store last answered, and whether the first list is there.
+func (m *Mirror) Status() (revision uint64, heard time.Time, synced bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision, m.heard, m.synced
+}
+
+// Lead returns the item of a key below LeadPrefix, with version 0 if there is none.
+func (m *Mirror) Lead(key string) store.Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leads[key]
+}
+
+// Leads returns the items below a prefix of LeadPrefix.
+func (m *Mirror) Leads(prefix string) []store.Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var items []store.Item
+	for key, item := range m.leads {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, item)
+		}
+	}
+	return items
+}
--- /dev/null
+++ b/io/owner/owner.go
@@ -0,0 +1,224 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wagtailhoist/core/batch"
+	"wagtailhoist/core/board"
+	"wagtailhoist/io/boot"
+	"wagtailhoist/io/link"
+	"wagtailhoist/io/mirror"
+	"wagtailhoist/io/store"
+)
+
+// Store is what the owner needs of the store.
+type Store interface {
+	Commit(ctx context.Context, c store.Change) (uint64, error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Renew(ctx context.Context, lease uint64) error
+	Revoke(ctx context.Context, lease uint64) error
+}
+
+const (
+	// leaseTime is the owner's lease: a killed owner is replaced after it at the latest. It bears two renewals
+	// that are lost or a store that takes 250 ms.
+	leaseTime = 2 * time.Second
+	// renewEvery is the interval of renewals.
+	renewEvery = 500 * time.Millisecond
+	// leaseMargin is how much earlier than the store the owner takes its lease as ended.
+	leaseMargin = 100 * time.Millisecond
+	// electEvery is the interval at which a vacancy is looked for besides changes.
+	electEvery = 100 * time.Millisecond
+	// handicap times the round trip to the store is how long an entry leaves a vacancy to nearer ones.
+	handicap = 6
+	// longestHandicap bounds that time.
+	longestHandicap = 400 * time.Millisecond
+	// freshLimit is the age up to which the copy of the store can prove a vacancy: a watch's wait and a second.
+	freshLimit = 3 * time.Second
+)
+
+// Owner takes part in the election and decides while it is elected.
+type Owner struct {
+	Store    Store
+	Mirror   *mirror.Mirror
+	Self     mirror.Lead
+	Settings board.Settings
+	Log      *slog.Logger
+	// Terms returns the declared queues and teams, and their revision; the revision is 0 before the first.
+	Terms func() (batch.Terms, uint64)
+
+	mu    sync.Mutex
+	reign *reign
+	// until is the end of the lease on the clock of boot, in nanoseconds.
+	until atomic.Int64
+	// trip is the last round trip to the store in nanoseconds.
+	trip atomic.Int64
+}
+
+// Run takes part in elections until ctx ends, and then gives up the ownership.
+func (o *Owner) Run(ctx context.Context) {
+	var vacant time.Time
+	for ctx.Err() == nil {
+		if !o.vacant() {
+			vacant = time.Time{}
+			sleep(ctx, electEvery)
+			continue
+		}
+		if vacant.IsZero() {
+			vacant = boot.Now()
+		}
+		if boot.Now().Sub(vacant) < o.handicap() {
+			sleep(ctx, electEvery/4)
+			continue
+		}
+		o.campaign(ctx)
+		vacant = time.Time{}
+	}
+}
+
+func (o *Owner) handicap() time.Duration {
+	return min(longestHandicap, handicap*time.Duration(o.trip.Load()))
+}
+
+// vacant reports whether the copy of the store shows that nobody owns the system.
+func (o *Owner) vacant() bool {
+	_, heard, synced := o.Mirror.Status()
+	_, declared := o.Terms()
+	return synced && declared != 0 && boot.Now().Sub(heard) < freshLimit && o.Mirror.Lead(mirror.OwnerKey).Version == 0
+}
+
+// campaign tries to become the owner and decides until the ownership ends.
+func (o *Owner) campaign(ctx context.Context) {
+	begun := boot.Now()
+	lease, err := o.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		o.Log.Warn("no lease for the ownership", "error", err)
+		sleep(ctx, electEvery+rand.N(electEvery))
+		return
+	}
+	o.trip.Store(int64(boot.Now().Sub(begun)))
+	value, err := batch.Encode(o.Self)
+	if err != nil {
+		o.Log.Error("encode the owner's record", "error", err)
+		return
+	}
+	fence, err := o.Store.Commit(ctx, store.Change{
+		Checks: []store.Check{{Key: mirror.OwnerKey}},
+		Sets:   []store.Set{{Key: mirror.OwnerKey, Value: value, Lease: lease}},
+	})
+	if err != nil {
+		o.Log.Info("not elected", "error", err)
+		// A write without an answer may still happen; without the lease it can't.
+		if err := o.Store.Revoke(ctx, lease); err != nil {
+			o.Log.Warn("lease not ended", "lease", lease, "error", err)
+		}
+		sleep(ctx, electEvery+rand.N(electEvery))
+		return
+	}
+	o.until.Store(begun.Add(leaseTime - leaseMargin).UnixNano())
+	o.rule(ctx, fence, lease)
+}
+
+// Held reports whether the ownership certainly lasts at now.
+func (o *Owner) Held(now time.Time) bool { return now.UnixNano() < o.until.Load() }
+
+// rule decides until the lease is lost or ctx ends.
+func (o *Owner) rule(ctx context.Context, fence, lease uint64) {
+	o.Log.Info("elected", "fence", fence, "lease", lease)
+	ruling, stop := context.WithCancel(ctx)
+	defer stop()
+	r := newReign(o, fence)
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		defer stop()
+		o.renew(ruling, lease)
+	}()
+	if o.awaitCopy(ruling, fence) {
+		o.mu.Lock()
+		o.reign = r
+		o.mu.Unlock()
+		r.run(ruling)
+		o.mu.Lock()
+		o.reign = nil
+		o.mu.Unlock()
+	}
+	stop()
+	<-renewed
+	o.until.Store(0)
+	r.close()
+	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	if err := o.Store.Revoke(ending, lease); err != nil {
+		o.Log.Warn("lease not ended", "lease", lease, "error", err)
+	}
+	o.Log.Info("ownership ended", "fence", fence)
+}
+
+// awaitCopy waits until the copy of the store holds all that earlier owners wrote.
+func (o *Owner) awaitCopy(ctx context.Context, fence uint64) bool {
+	for ctx.Err() == nil {
+		if revision, _, _ := o.Mirror.Status(); revision >= fence {
+			return true
+		}
+		sleep(ctx, 2*time.Millisecond)
+	}
+	return false
+}
+
+// renew extends the lease until it is lost.
+func (o *Owner) renew(ctx context.Context, lease uint64) {
+	for {
+		sleep(ctx, renewEvery)
+		if ctx.Err() != nil {
+			return
+		}
+		begun := boot.Now()
+		call, cancel := context.WithTimeout(ctx, leaseTime/2)
+		err := o.Store.Renew(call, lease)
+		cancel()
+		var ended *store.LeaseError
+		switch {
+		case err == nil:
+			o.until.Store(begun.Add(leaseTime - leaseMargin).UnixNano())
+			o.trip.Store(int64(boot.Now().Sub(begun)))
+		case errors.As(err, &ended):
+			o.Log.Warn("ownership lost: lease ended", "lease", lease)
+			return
+		case !o.Held(boot.Now()):
+			o.Log.Warn("ownership lost: lease not renewed", "lease", lease, "error", err)
+			return
+		}
+		if err != nil {
+			sleep(ctx, 100*time.Millisecond)
+		}
+	}
+}
+
+// Serve answers an agent's link until it is closed.
+func (o *Owner) Serve(l *link.Link) {
+	o.mu.Lock()
+	r := o.reign
+	o.mu.Unlock()
+	if r == nil {
+		l.Close()
+		return
+	}
+	r.serve(l)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/io/owner/reign.go
@@ -0,0 +1,366 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wagtailhoist/core/batch"
+	"wagtailhoist/core/board"
+	"wagtailhoist/core/model"
+	"wagtailhoist/io/boot"
+	"wagtailhoist/io/link"
+	"wagtailhoist/io/mirror"
+	"wagtailhoist/io/store"
+)
+
+const (
+	// tick is the interval at which time-driven decisions are looked at.
+	tick = 100 * time.Millisecond
+	// replan is the longest interval between two plans while work waits.
+	replan = 300 * time.Millisecond
+	// batchLimit is the number of records in a change: the store takes 32 entries, two for a record and one for the fence.
+	batchLimit = 15
+	// outbox bounds the orders that wait for an agent; one that doesn't read them loses its link.
+	outbox = 64
+	// commitPause is the pause after a change that failed.
+	commitPause = 60 * time.Millisecond
+	// forgetEvery is the interval at which ended jobs are deleted.
+	forgetEvery = 5 * time.Second
+)
+
+// session is an agent's link.
+type session struct {
+	number uint64
+	link   *link.Link
+	out    chan link.Orders
+	worker string
+	// answer is the report that has to be answered with a lease.
+	answer uint64
+}
+
+type arrival struct {
+	session *session
+	report  *batch.Report
+}
+
+// committed is the result of a change.
+type committed struct {
+	records  []board.Record
+	values   [][]byte
+	revision uint64
+	err      error
+}
+
+// reign is the time of one ownership.
+type reign struct {
+	owner *Owner
+	fence uint64
+	board board.Board
+
+	arrivals chan arrival
+	results  chan committed
+	sessions sync.Map // *session
+	last     atomic.Uint64
+	// done is closed when the reign has ended.
+	done chan struct{}
+
+	// The rest belongs to the goroutine of run.
+	byWorker map[string]*session
+	versions map[model.JobID]uint64
+	writing  bool
+	pause    time.Time
+	planned  time.Time
+	forgot   time.Time
+	terms    uint64
+}
+
+func newReign(o *Owner, fence uint64) *reign {
+	r := &reign{
+		owner: o, fence: fence, arrivals: make(chan arrival, 256), results: make(chan committed, 1),
+		done:     make(chan struct{}),
+		byWorker: map[string]*session{}, versions: map[model.JobID]uint64{},
+	}
+	r.board.Settings = o.Settings
+	r.board.Trace = func(e board.Event) {
+		o.Log.Info(e.What, "task", e.Run.Task.String(), "run", e.Run.Run, "worker", e.Worker, "detail", e.Detail, "fence", fence)
+	}
+	return r
+}
+
+func (r *reign) run(ctx context.Context) {
+	now, wall := boot.Now(), time.Now()
+	r.owner.Mirror.Changed(func(book *batch.Book, _ []model.JobID, _ bool) {
+		for id, e := range book.Jobs {
+			r.versions[id] = e.Version
+		}
+		r.declare()
+		r.board.Adopt(now, wall, book)
+	})
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-r.arrivals:
+			r.arrive(a)
+			r.drain()
+		case result := <-r.results:
+			if !r.settle(result) {
+				return
+			}
+		case <-r.owner.Mirror.Wake():
+			r.update()
+		case <-ticker.C:
+			r.update()
+			r.board.Expire(boot.Now(), time.Now())
+		}
+		r.advance(ctx)
+	}
+}
+
+// drain takes the reports that have arrived meanwhile, so that one plan serves them all.
+func (r *reign) drain() {
+	for {
+		select {
+		case a := <-r.arrivals:
+			r.arrive(a)
+		default:
+			return
+		}
+	}
+}
+
+func (r *reign) declare() {
+	if terms, revision := r.owner.Terms(); revision != r.terms {
+		r.terms = revision
+		r.board.Declare(terms)
+	}
+}
+
+// update takes the changes of the store.
+func (r *reign) update() {
+	now, wall := boot.Now(), time.Now()
+	r.declare()
+	r.owner.Mirror.Changed(func(book *batch.Book, ids []model.JobID, all bool) {
+		if all {
+			ids = ids[:0]
+			for id := range book.Jobs {
+				ids = append(ids, id)
+			}
+		}
+		for _, id := range ids {
+			r.board.Update(now, wall, id, book.Jobs[id])
+		}
+	})
+}
+
+func (r *reign) arrive(a arrival) {
+	s := a.session
+	if a.report == nil {
+		if r.byWorker[s.worker] == s {
+			delete(r.byWorker, s.worker)
+		}
+		return
+	}
+	now := boot.Now()
+	if !r.owner.Held(now) {
+		return
+	}
+	if a.report.Worker.ID == "" {
+		r.send(s, link.Orders{Orders: batch.Orders{Fence: r.fence, Beat: a.report.Beat}})
+		return
+	}
+	if !r.board.Report(now, time.Now(), a.report, s.number) {
+		r.owner.Log.Warn("report of a replaced worker", "worker", a.report.Worker.ID)
+		return
+	}
+	if s.worker != a.report.Worker.ID && r.byWorker[s.worker] == s {
+		delete(r.byWorker, s.worker)
+	}
+	s.worker = a.report.Worker.ID
+	r.byWorker[s.worker] = s
+	s.answer = a.report.Beat
+	if !a.report.Listed {
+		r.send(s, link.Orders{Orders: batch.Orders{Fence: r.fence, Beat: a.report.Beat, Worker: s.worker}})
+		s.answer = 0
+	}
+}
+
+// advance plans, stores what has changed and sends what is due.
+func (r *reign) advance(ctx context.Context) {
+	now, wall := boot.Now(), time.Now()
+	if !r.owner.Held(now) {
+		return
+	}
+	if r.board.Changed() || now.Sub(r.planned) > replan {
+		r.planned = now
+		r.board.Plan(now, wall)
+	}
+	r.write(ctx, now)
+	for worker, s := range r.byWorker {
+		orders, any := r.board.Orders(now, worker)
+		if !any && s.answer == 0 {
+			continue
+		}
+		orders.Fence = r.fence
+		if s.answer != 0 {
+			orders.Beat, orders.Lease = s.answer, r.board.Lease()
+			s.answer = 0
+		}
+		r.send(s, link.Orders{Orders: orders})
+	}
+}
+
+func (r *reign) send(s *session, o link.Orders) {
+	select {
+	case s.out <- o:
+	default:
+		r.owner.Log.Warn("agent reads too slowly, closing its link", "agent", string(s.link.Peer().Node))
+		s.link.Close()
+	}
+}
+
+// write stores the records that have changed, one change at a time.
+func (r *reign) write(ctx context.Context, now time.Time) {
+	if r.writing || now.Before(r.pause) {
+		return
+	}
+	records := r.board.Dirty(batchLimit)
+	if len(records) == 0 {
+		r.forget(ctx, now)
+		return
+	}
+	change := store.Change{Checks: []store.Check{{Key: mirror.OwnerKey, Version: r.fence}}}
+	values := make([][]byte, 0, len(records))
+	for i := range records {
+		value, err := batch.Encode(&records[i].Progress)
+		if err != nil {
+			r.owner.Log.Error("encode progress", "job", string(records[i].Job), "error", err)
+			return
+		}
+		key := batch.ProgressKey(records[i].Job)
+		change.Checks = append(change.Checks, store.Check{Key: key, Version: r.versions[records[i].Job]})
+		change.Sets = append(change.Sets, store.Set{Key: key, Value: value})
+		values = append(values, value)
+	}
+	r.writing = true
+	go func() {
+		revision, err := r.owner.Store.Commit(ctx, change)
+		r.results <- committed{records, values, revision, err}
+	}()
+}
+
+// settle takes the result of a change; it returns false if the ownership is lost.
+func (r *reign) settle(c committed) bool {
+	r.writing = false
+	if c.err == nil {
+		for _, record := range c.records {
+			r.versions[record.Job] = c.revision
+			r.board.Saved(record)
+		}
+		return true
+	}
+	var differ *store.CheckError
+	if !errors.As(c.err, &differ) {
+		r.owner.Log.Warn("progress not stored", "jobs", len(c.records), "error", c.err)
+		r.pause = boot.Now().Add(commitPause)
+		return true
+	}
+	present := map[string]store.Item{}
+	for _, item := range differ.Items {
+		present[item.Key] = item
+	}
+	if present[mirror.OwnerKey].Version != r.fence {
+		r.owner.Log.Warn("ownership lost: another fence", "fence", r.fence, "found", present[mirror.OwnerKey].Version)
+		return false
+	}
+	for i, record := range c.records {
+		item := present[batch.ProgressKey(record.Job)]
+		r.versions[record.Job] = item.Version
+		if item.Version != 0 && bytes.Equal(item.Value, c.values[i]) {
+			// An earlier try of the same change had been carried out.
+			r.board.Saved(record)
+		}
+	}
+	return true
+}
+
+// forget deletes jobs that ended long ago.
+func (r *reign) forget(ctx context.Context, now time.Time) {
+	if now.Sub(r.forgot) < forgetEvery {
+		return
+	}
+	r.forgot = now
+	old := r.board.Expired(time.Now())
+	if len(old) > batchLimit/2 {
+		old = old[:batchLimit/2]
+	}
+	if len(old) == 0 {
+		return
+	}
+	change := store.Change{Checks: []store.Check{{Key: mirror.OwnerKey, Version: r.fence}}}
+	for _, id := range old {
+		change.Deletes = append(change.Deletes, batch.JobKey(id), batch.ProgressKey(id), batch.CancelKey(id))
+	}
+	r.writing = true
+	go func() {
+		_, err := r.owner.Store.Commit(ctx, change)
+		r.results <- committed{err: err}
+	}()
+}
+
+// serve reads an agent's reports until its link is closed.
+func (r *reign) serve(l *link.Link) {
+	s := &session{number: r.last.Add(1), link: l, out: make(chan link.Orders, outbox)}
+	r.sessions.Store(s, true)
+	defer r.sessions.Delete(s)
+	log := r.owner.Log.With("agent", string(l.Peer().Node), "fence", r.fence)
+	log.Info("agent linked")
+	go func() {
+		for {
+			select {
+			case <-l.Done():
+				return
+			case o := <-s.out:
+				if err := l.Send(o); err != nil {
+					log.Warn("orders not sent", "error", err)
+					return
+				}
+			}
+		}
+	}()
+	for {
+		f, err := l.Receive()
+		if err != nil {
+			log.Info("agent lost", "error", err)
+			r.deliver(arrival{session: s})
+			return
+		}
+		if report, ok := f.(link.Report); ok {
+			r.deliver(arrival{s, &report.Report})
+		}
+	}
+}
+
+func (r *reign) deliver(a arrival) {
+	select {
+	case r.arrivals <- a:
+	case <-r.done:
+		a.session.link.Close()
+	}
+}
+
+// close ends all sessions.
+func (r *reign) close() {
+	close(r.done)
+	r.sessions.Range(func(key, _ any) bool {
+		key.(*session).link.Close()
+		return true
+	})
+}
--- /dev/null
+++ b/io/runner/runner.go
@@ -0,0 +1,569 @@
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"wagtailhoist/core/batch"
+	"wagtailhoist/io/boot"
+	"wagtailhoist/io/link"
+)
+
+// Beat is what a worker says of itself.
+type Beat struct {
+	// Instance names the worker to calls; Worker.ID names the incarnation.
+	Instance string
+	Worker   batch.Worker
+}
+
+// Target says which incarnation a call is meant for, and under which fence.
+type Target struct {
+	Instance string
+	Fence    uint64
+}
+
+// Listing is the answer of a worker that was asked for its runs.
+type Listing struct {
+	// Clock is the worker's clock in ms, Born the start of the incarnation that answered.
+	Clock, Born int64
+	Running     []batch.Listing
+	Ended       []batch.End
+}
+
+// Verdict is the outcome of an order that the worker answered.
+type Verdict struct {
+	// Reason is empty if the order was carried out.
+	Reason string
+	Clock  int64
+}
+
+// Worker is the worker beside the agent. A call that returns an error may have been carried out, or may be later.
+type Worker interface {
+	Start(ctx context.Context, t Target, s batch.Start, deadline int64) (Verdict, error)
+	Stop(ctx context.Context, t Target, run batch.RunID) (Verdict, error)
+	// Hold extends the lease of all runs to deadline, on the worker's clock (0: not at all), forgets the ends up
+	// to seen, and waits for an end.
+	Hold(ctx context.Context, t Target, seen uint64, deadline int64, wait time.Duration) (Listing, error)
+}
+
+const (
+	// reportEvery is the longest interval between reports; each is answered with a new lease.
+	reportEvery = 800 * time.Millisecond
+	// reportPause is the shortest.
+	reportPause = 10 * time.Millisecond
+	// answerLimit is how long an owner may leave reports unanswered before the link is given up.
+	answerLimit = 1800 * time.Millisecond
+	// redial is the pause between tries to reach the owner.
+	redial = 100 * time.Millisecond
+	// holdWait is how long the worker may wait for an end before it answers.
+	holdWait = time.Second
+	// holdSlack is how much longer than its wait a look may take before its connection counts as silent.
+	holdSlack = 400 * time.Millisecond
+	// holdPause is the pause after a failed look, and between looks while ends wait for their acknowledgement.
+	holdPause = 60 * time.Millisecond
+	// listedLimit is the age up to which lists count as the worker's own.
+	listedLimit = holdWait + holdSlack + 300*time.Millisecond
+	// orderLimit bounds a call that carries out an order; a worker answers in about a millisecond.
+	orderLimit = 300 * time.Millisecond
+	// orderPause is the pause between tries of an order.
+	orderPause = 50 * time.Millisecond
+)
+
+// Runner is the agent of a worker.
+type Runner struct {
+	Worker   Worker
+	Node     string
+	Settings link.Settings
+	// Owner returns the address of the present owner, or an empty string.
+	Owner func() string
+	Log   *slog.Logger
+
+	mu   sync.Mutex
+	beat Beat
+	// fence is the highest that an owner has used.
+	fence uint64
+	// lease is the end of the lease on the clock of boot.
+	lease time.Time
+	// clock and sampled relate the worker's clock to the clock of boot.
+	clock   int64
+	sampled time.Time
+	// listed is the last list, with the fence under which it was got and when.
+	list      Listing
+	listFence uint64
+	listedAt  time.Time
+	seen      uint64
+	orders    map[batch.RunID]*order
+	refused   []batch.Refusal
+	sent      map[uint64]time.Time
+	beats     uint64
+	answered  time.Time
+	kick      chan struct{}
+	look      chan struct{}
+}
+
+// order is an order that is being carried out.
+type order struct {
+	stop   bool
+	cancel context.CancelFunc
+}
+
+// Run serves until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	r.init()
+	var wait sync.WaitGroup
+	wait.Add(2)
+	go func() {
+		defer wait.Done()
+		r.watch(ctx)
+	}()
+	go func() {
+		defer wait.Done()
+		r.glance(ctx)
+	}()
+	for ctx.Err() == nil {
+		if address := r.Owner(); address != "" {
+			r.session(ctx, address)
+		}
+		sleep(ctx, redial)
+	}
+	wait.Wait()
+}
+
+func (r *Runner) init() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.kick == nil {
+		r.kick, r.look = make(chan struct{}, 1), make(chan struct{}, 1)
+		r.orders = map[batch.RunID]*order{}
+		r.sent = map[uint64]time.Time{}
+	}
+}
+
+// Announce takes a status report of the worker. It returns false for one of an incarnation that was replaced.
+func (r *Runner) Announce(b Beat) bool {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.beat.Worker
+	if old.ID != "" && b.Worker.Born < old.Born {
+		return false
+	}
+	b.Worker.Node = r.Node
+	if old.ID != b.Worker.ID {
+		r.Log.Info("worker found", "worker", b.Worker.ID, "before", old.ID, "service", b.Worker.Service)
+		r.reset()
+	}
+	if old.ID != b.Worker.ID || old.Readiness != b.Worker.Readiness || old.Capacity != b.Worker.Capacity {
+		signal(r.kick)
+	}
+	r.beat = b
+	signal(r.look)
+	return true
+}
+
+// Leave takes the worker's word that it is going.
+func (r *Runner) Leave(instance string) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.beat.Instance != instance {
+		return
+	}
+	r.Log.Info("worker left", "worker", r.beat.Worker.ID)
+	r.beat.Worker.Readiness = batch.Gone
+	signal(r.kick)
+}
+
+// reset forgets all that concerns the last incarnation.
+func (r *Runner) reset() {
+	for run, o := range r.orders {
+		o.cancel()
+		delete(r.orders, run)
+	}
+	r.refused, r.list, r.listFence, r.listedAt = nil, Listing{}, 0, time.Time{}
+	r.seen, r.clock, r.sampled = 0, 0, time.Time{}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// sample relates the worker's clock to the clock of boot. An answer is younger than the clock that it
+// carries, so that a lease worked out from it ends no later than granted.
+func (r *Runner) sample(clock int64, now time.Time) {
+	if clock > 0 {
+		r.clock, r.sampled = clock, now
+	}
+}
+
+// deadline is the lease's end on the worker's clock, 0 if there is none.
+func (r *Runner) deadline() int64 {
+	if r.sampled.IsZero() || r.lease.IsZero() {
+		return 0
+	}
+	return r.clock + r.lease.Sub(r.sampled).Milliseconds()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// session reports to an owner and takes its orders until the link ends.
+func (r *Runner) session(ctx context.Context, address string) {
+	l, err := link.Dial(ctx, address, r.Settings)
+	if err != nil {
+		r.Log.Debug("owner not reached", "address", address, "error", err)
+		return
+	}
+	defer l.Close()
+	r.mu.Lock()
+	r.sent = map[uint64]time.Time{}
+	r.answered = boot.Now()
+	r.mu.Unlock()
+	r.Log.Info("owner reached", "address", address)
+	session, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		for {
+			f, err := l.Receive()
+			if err != nil {
+				r.Log.Info("owner lost", "address", address, "error", err)
+				return
+			}
+			if o, ok := f.(link.Orders); ok && !r.obey(ctx, &o.Orders) {
+				return
+			}
+		}
+	}()
+	r.reports(session, l, address)
+}
+
+// reports sends a report at each change and at least each reportEvery.
+func (r *Runner) reports(ctx context.Context, l *link.Link, address string) {
+	for ctx.Err() == nil {
+		if r.Owner() != address && r.Owner() != "" {
+			return
+		}
+		report, silent := r.report(boot.Now())
+		if silent {
+			r.Log.Warn("owner doesn't answer", "address", address)
+			return
+		}
+		if err := l.Send(link.Report{Report: report}); err != nil {
+			r.Log.Info("report not sent", "address", address, "error", err)
+			return
+		}
+		sleep(ctx, reportPause)
+		timer := time.NewTimer(reportEvery)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-r.kick:
+		}
+		timer.Stop()
+	}
+}
+
+// report returns the next report, and whether the owner has left reports unanswered for too long.
+func (r *Runner) report(now time.Time) (batch.Report, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.beats++
+	r.sent[r.beats] = now
+	p := batch.Report{Beat: r.beats, Worker: r.beat.Worker}
+	if r.listFence == r.fence && r.fence != 0 && now.Sub(r.listedAt) < listedLimit && r.list.Born == r.beat.Worker.Born {
+		p.Listed, p.Running, p.Ended, p.Refused = true, r.list.Running, r.list.Ended, r.refused
+		r.refused = nil
+	}
+	return p, now.Sub(r.answered) > answerLimit
+}
+
+// obey takes an owner's orders; it returns false if a later owner is known.
+func (r *Runner) obey(ctx context.Context, o *batch.Orders) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.Fence < r.fence {
+		r.Log.Warn("orders of an earlier owner", "fence", o.Fence, "known", r.fence)
+		return false
+	}
+	if o.Fence > r.fence {
+		r.Log.Info("new owner", "fence", o.Fence, "before", r.fence)
+		for run, pending := range r.orders {
+			pending.cancel()
+			delete(r.orders, run)
+		}
+		r.fence, r.refused = o.Fence, nil
+		signal(r.look)
+	}
+	r.lend(o)
+	if o.Worker != r.beat.Worker.ID {
+		return true
+	}
+	if o.Seen > r.seen {
+		r.seen = o.Seen
+		signal(r.look)
+	}
+	for _, s := range o.Starts {
+		r.accept(ctx, s.RunID, false, s)
+	}
+	for _, run := range o.Stops {
+		r.accept(ctx, run, true, batch.Start{})
+	}
+	return true
+}
+
+// lend extends the lease by the answer to a report; it counts from the report's sending.
+func (r *Runner) lend(o *batch.Orders) {
+	at, ok := r.sent[o.Beat]
+	if !ok {
+		return
+	}
+	r.answered = boot.Now()
+	for beat := range r.sent {
+		if beat <= o.Beat {
+			delete(r.sent, beat)
+		}
+	}
+	if end := at.Add(o.Lease); o.Lease > 0 && end.After(r.lease) {
+		r.lease = end
+	}
+}
+
+// accept begins to carry out an order; a stop replaces the start of the same run.
+func (r *Runner) accept(ctx context.Context, run batch.RunID, stop bool, s batch.Start) {
+	if pending := r.orders[run]; pending != nil {
+		if pending.stop || !stop {
+			return
+		}
+		pending.cancel()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	o := &order{stop: stop, cancel: cancel}
+	r.orders[run] = o
+	target := Target{r.beat.Instance, r.fence}
+	go func() {
+		defer cancel()
+		if stop {
+			r.stop(ctx, target, run, o, batch.RefusedStopped)
+		} else {
+			r.start(ctx, target, s, o)
+		}
+	}()
+}
+
+// start carries out a start. A refused run is stopped before that is reported, since an earlier try without an
+// answer may still be carried out.
+func (r *Runner) start(ctx context.Context, t Target, s batch.Start, o *order) {
+	for tries := 1; ctx.Err() == nil; tries++ {
+		r.mu.Lock()
+		deadline, lapsed, draining := r.deadline(), !boot.Now().Before(r.lease), r.beat.Worker.Readiness != batch.Ready
+		r.mu.Unlock()
+		if deadline == 0 || lapsed || draining {
+			reason := batch.RefusedLate
+			if draining {
+				reason = batch.RefusedDraining
+			}
+			r.Log.Info("start refused by the agent", "task", s.Task.String(), "run", s.Run, "reason", reason)
+			r.stop(ctx, t, s.RunID, o, reason)
+			return
+		}
+		v, err := r.try(ctx, func(ctx context.Context) (Verdict, error) { return r.Worker.Start(ctx, t, s, deadline) })
+		switch {
+		case err != nil:
+			r.Log.Warn("start not answered", "task", s.Task.String(), "run", s.Run, "tries", tries, "error", err)
+			sleep(ctx, orderPause)
+		case v.Reason == "":
+			r.Log.Info("started", "task", s.Task.String(), "run", s.Run, "deadline", deadline, "clock", v.Clock, "tries", tries)
+			r.began(s, o, v.Clock)
+			return
+		case v.Reason == batch.RefusedFence:
+			r.Log.Warn("start refused: fence", "task", s.Task.String(), "run", s.Run, "fence", t.Fence)
+			r.finish(s.RunID, o, nil)
+			return
+		default:
+			r.Log.Info("start refused", "task", s.Task.String(), "run", s.Run, "reason", v.Reason)
+			r.stop(ctx, t, s.RunID, o, v.Reason)
+			return
+		}
+	}
+}
+
+// stop carries out a stop; a run that never began is reported as refused.
+func (r *Runner) stop(ctx context.Context, t Target, run batch.RunID, o *order, reason string) {
+	for ctx.Err() == nil {
+		v, err := r.try(ctx, func(ctx context.Context) (Verdict, error) { return r.Worker.Stop(ctx, t, run) })
+		if err != nil || v.Reason != "" && v.Reason != batch.RefusedFence {
+			r.Log.Warn("stop not answered", "task", run.Task.String(), "run", run.Run, "reason", v.Reason, "error", err)
+			sleep(ctx, orderPause)
+			continue
+		}
+		if v.Reason == batch.RefusedFence {
+			r.finish(run, o, nil)
+			return
+		}
+		r.Log.Info("stopped", "task", run.Task.String(), "run", run.Run, "reason", reason)
+		r.finish(run, o, &batch.Refusal{RunID: run, Reason: reason})
+		return
+	}
+}
+
+func (r *Runner) try(ctx context.Context, call func(context.Context) (Verdict, error)) (Verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	v, err := call(ctx)
+	if err == nil {
+		r.mu.Lock()
+		r.sample(v.Clock, boot.Now())
+		r.mu.Unlock()
+	}
+	return v, err
+}
+
+// finish ends an order. A refusal is reported with the next list that doesn't show the run.
+func (r *Runner) finish(run batch.RunID, o *order, refusal *batch.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.orders[run] != o {
+		return
+	}
+	delete(r.orders, run)
+	if refusal != nil {
+		r.refused = append(r.refused, *refusal)
+		// Only a list that was asked for after the stop tells whether the run is there.
+		r.listedAt = time.Time{}
+	}
+	signal(r.look)
+}
+
+// began ends a start that was carried out: the run is listed at once, without another look at the worker.
+func (r *Runner) began(s batch.Start, o *order, clock int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.orders[s.RunID] != o {
+		return
+	}
+	delete(r.orders, s.RunID)
+	if clock < r.list.Clock {
+		return
+	}
+	for i := range r.list.Running {
+		if r.list.Running[i].RunID == s.RunID {
+			return
+		}
+	}
+	r.list.Clock = clock
+	r.list.Running = append(r.list.Running[:len(r.list.Running):len(r.list.Running)], batch.Listing{RunID: s.RunID, Checkpoint: s.Checkpoint})
+	signal(r.kick)
+}
+
+// view is what a look at the worker is based on.
+type view struct {
+	target         Target
+	worker         string
+	seen           uint64
+	deadline       int64
+	asked          int
+	fresh, waiting bool
+}
+
+// view returns false while there is no worker to look at or no owner.
+func (r *Runner) view() (view, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := view{
+		target: Target{r.beat.Instance, r.fence}, worker: r.beat.Worker.ID, seen: r.seen, deadline: r.deadline(), asked: len(r.refused),
+	}
+	v.fresh = r.listFence == r.fence && !r.listedAt.IsZero()
+	v.waiting = len(r.list.Ended) > 0 && r.list.Ended[len(r.list.Ended)-1].Number > r.seen
+	return v, v.worker != "" && v.target.Fence != 0 && r.beat.Worker.Readiness != batch.Gone
+}
+
+// watch looks at the worker again and again: each look extends the lease and waits for an end.
+func (r *Runner) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		v, ok := r.view()
+		if !ok {
+			sleep(ctx, redial)
+			continue
+		}
+		if v.waiting && v.fresh {
+			// Until the ends are acknowledged the worker would answer at once.
+			sleep(ctx, holdPause)
+			if v, ok = r.view(); !ok {
+				continue
+			}
+		}
+		r.hold(ctx, v, holdWait)
+	}
+}
+
+// glance looks at the worker without a wait each time that there is a reason to.
+func (r *Runner) glance(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.look:
+		}
+		if v, ok := r.view(); ok {
+			r.hold(ctx, v, 0)
+		}
+	}
+}
+
+func (r *Runner) hold(ctx context.Context, v view, wait time.Duration) {
+	call, cancel := context.WithTimeout(ctx, wait+holdSlack)
+	defer cancel()
+	list, err := r.Worker.Hold(call, v.target, v.seen, v.deadline, wait)
+	if err != nil {
+		r.Log.Debug("worker not heard", "worker", v.worker, "error", err)
+		sleep(ctx, holdPause)
+		if wait == 0 {
+			signal(r.look)
+		}
+		return
+	}
+	r.take(v, list, boot.Now())
+}
+
+// take accepts a list unless a later one is known: answers on different connections may overtake each other.
+func (r *Runner) take(v view, list Listing, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.beat.Worker.ID != v.worker || list.Born != 0 && list.Born != r.beat.Worker.Born || list.Clock < r.list.Clock {
+		return
+	}
+	r.sample(list.Clock, now)
+	changed := r.listFence != v.target.Fence || len(list.Ended) > 0 || !sameRuns(list.Running, r.list.Running) || v.asked > 0
+	list.Born = r.beat.Worker.Born
+	r.list, r.listFence = list, v.target.Fence
+	if v.asked == len(r.refused) {
+		r.listedAt = now
+	}
+	if changed {
+		signal(r.kick)
+	}
+}
+
+func sameRuns(a, b []batch.Listing) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].RunID != b[i].RunID {
+			return false
+		}
+	}
+	return true
+}
