--- a/core/batch/orders.go
+++ b/core/batch/orders.go
@@ -68,7 +68,7 @@
 // End is the end of a run that a worker lists until it is acknowledged.
 type End struct {
 	// Number counts the ends of a worker's incarnation from 1.
-	Number uint64 `cbor:"1,keyasint"`
+	Number uint64 `cbor:"6,keyasint"`
 	RunID
 	Cause      Cause  `cbor:"4,keyasint"`
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
