Acknowledge the end of a member only when its gang's end is stored

One member's end marked the gang as done in memory; the other members' ends then counted as those of other runs and were acknowledged at once, while the store was away and the job's progress unsaved. The next owner found no end and started the gang again. Change: an end of a known job waits for the job's present version.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -247,7 +247,8 @@
 	t := w.runs[e.Task]
 	if t == nil || t.Run != e.Run {
 		delete(w.foreign, e.RunID)
-		w.ends = append(w.ends, pendingEnd{number: e.Number})
+		// The end may be that of a member of a gang that is done: it is acknowledged once that is stored.
+		w.ends = append(w.ends, pendingEnd{number: e.Number, job: b.jobs[e.Task.Job], version: b.version(e.Task.Job)})
 		b.trace("end of another run", e.RunID, w.ID, string(e.Cause))
 		return
 	}
@@ -259,6 +260,14 @@
 	w.ends = append(w.ends, pendingEnd{number: e.Number, job: j, version: j.version})
 }
 
+// version is the version of a job's progress, 0 if the job isn't known.
+func (b *Board) version(id model.JobID) uint64 {
+	if j := b.jobs[id]; j != nil {
+		return j.version
+	}
+	return 0
+}
+
 func (b *Board) refused(now, wall time.Time, w *worker, r batch.Refusal) {
 	t := w.runs[r.Task]
 	if t == nil || t.Run != r.Run || t.confirmed {
