Call the store by way of another entry while this process is turned away

Ruled out: readiness 503 for such an entry, since callers would be sent to other zones and outages of the whole store would take all entries away. Change: io/detour makes each call through one of the other entries while the direct way fails; outcomes stay unknown where one of the tries had no answer.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -20,6 +20,7 @@
 	"wagtailhoist/core/board"
 	"wagtailhoist/core/model"
 	"wagtailhoist/io/desk"
+	"wagtailhoist/io/detour"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/mirror"
 	"wagtailhoist/io/owner"
@@ -73,24 +74,32 @@
 	s.err = s.out
 	return serve(s, c.Level,
 		fx.Supply(c),
-		fx.Provide(newPlatformStore, newWatcher, newMirror, newOwner, newDesk),
+		fx.Provide(newDeskStore, newWatcher, newOwner, newDesk),
 		fx.Invoke(startDesk),
 	)
 }
 
-func newPlatformStore(c *deskCmd) *platform.Store {
-	return &platform.Store{Address: c.Store, HTTP: platform.NewHTTP()}
+// newDeskStore returns the store with the detours by way of the other entries, and the copy that knows them.
+func newDeskStore(c *deskCmd, log *slog.Logger) (*detour.Store, *mirror.Mirror) {
+	return detoured(c.Store, c.Token, &mirror.Mirror{Wait: watchWait, Log: log}, c.Link, log)
 }
 
-func newWatcher(s *platform.Store, log *slog.Logger) *platform.Watcher {
-	return &platform.Watcher{Store: s, Wait: watchWait, Log: log}
+// detoured connects a store with the copy from which it knows the entries. self is left out of these.
+func detoured(address, token string, m *mirror.Mirror, self string, log *slog.Logger) (*detour.Store, *mirror.Mirror) {
+	s := &detour.Store{
+		Direct: &platform.Store{Address: address, HTTP: platform.NewHTTP()},
+		Token:  token, HTTP: platform.NewHTTP(), Log: log,
+		Peers: func() []string { return m.Entries(self) },
+	}
+	m.Store = s
+	return s, m
 }
 
-func newMirror(s *platform.Store, log *slog.Logger) *mirror.Mirror {
-	return &mirror.Mirror{Store: s, Wait: watchWait, Log: log}
+func newWatcher(s *detour.Store, log *slog.Logger) *platform.Watcher {
+	return &platform.Watcher{Store: s, Wait: watchWait, Log: log}
 }
 
-func newOwner(c *deskCmd, s *platform.Store, m *mirror.Mirror, w *platform.Watcher, log *slog.Logger) *owner.Owner {
+func newOwner(c *deskCmd, s *detour.Store, m *mirror.Mirror, w *platform.Watcher, log *slog.Logger) *owner.Owner {
 	return &owner.Owner{
 		Store: s, Mirror: m, Self: mirror.Lead{ID: c.ID, Address: c.Link}, Log: log,
 		Settings: board.Settings{
@@ -105,7 +114,7 @@
 	}
 }
 
-func newDesk(s *platform.Store, m *mirror.Mirror, log *slog.Logger) *desk.Desk {
+func newDesk(s *detour.Store, m *mirror.Mirror, log *slog.Logger) *desk.Desk {
 	return &desk.Desk{Store: s, Mirror: m, Log: log}
 }
 
@@ -115,6 +124,7 @@
 
 	Watcher *platform.Watcher
 	Mirror  *mirror.Mirror
+	Store   *detour.Store
 	Owner   *owner.Owner
 	Desk    *desk.Desk
 }
@@ -134,7 +144,7 @@
 		_, _, synced := p.Mirror.Status()
 		return synced && p.Watcher.Desired() != nil && !stopping.Load()
 	}), ReadHeaderTimeout: 5 * time.Second}
-	links := deskLinks(c, p.Owner)
+	links := deskLinks(c, p.Owner, p.Store)
 	var running sync.WaitGroup
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -149,6 +159,7 @@
 			running.Go(func() { p.Watcher.Run(ctx) })
 			running.Go(func() { p.Mirror.Run(ctx) })
 			running.Go(func() { p.Owner.Run(ruling) })
+			running.Go(func() { p.Owner.Register(ctx) })
 			go ignoreReload(ctx, log)
 			return nil
 		},
@@ -170,14 +181,19 @@
 	})
 }
 
-// deskLinks returns the server that accepts the links of agents.
-func deskLinks(c *deskCmd, o *owner.Owner) *http.Server {
+// deskLinks returns the server that accepts the links of agents and calls of the store for other processes.
+func deskLinks(c *deskCmd, o *owner.Owner, d *detour.Store) *http.Server {
 	self := link.Hello{
 		Node: model.NodeID(c.ID), Incarnation: entryIncarnation(time.Now()), Role: link.RoleEntry,
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: c.Link,
 	}
 	s := link.Settings{Self: self, Token: c.Token, Silence: linkSilence}
-	return linkServer(s, o.Serve, func() bool { return true })
+	server := linkServer(s, o.Serve, func() bool { return true })
+	router := mux.NewRouter()
+	router.Handle(detour.Path, d)
+	router.PathPrefix("/").Handler(server.Handler)
+	server.Handler = router
+	return server
 }
 
 func readiness(ready func() bool) http.Handler {
--- a/cmds/runner.go
+++ b/cmds/runner.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/fx"
 
 	"wagtailhoist/core/model"
@@ -52,8 +51,8 @@
 }
 
 func newLeads(c *runnerCmd, log *slog.Logger) *mirror.Mirror {
-	s := &platform.Store{Address: c.Store, HTTP: platform.NewHTTP()}
-	return &mirror.Mirror{Store: s, Prefix: mirror.LeadPrefix, Wait: ownerWait, Log: log}
+	_, m := detoured(c.Store, c.Token, &mirror.Mirror{Prefix: mirror.LeadPrefix, Wait: ownerWait, Log: log}, "", log)
+	return m
 }
 
 func newRunner(c *runnerCmd, leads *mirror.Mirror, log *slog.Logger) *runner.Runner {
@@ -65,25 +64,11 @@
 		Worker:   &platform.Minion{Address: c.Worker, HTTP: platform.NewHTTP(), Log: log},
 		Node:     c.ID,
 		Settings: link.Settings{Self: self, Token: c.Token, Silence: linkSilence},
-		Owner:    func() string { return ownerAddress(leads, log) },
+		Owner:    leads.Owner,
 		Log:      log,
 	}
 }
 
-// ownerAddress returns the address of the present owner, or an empty string.
-func ownerAddress(leads *mirror.Mirror, log *slog.Logger) string {
-	item := leads.Lead(mirror.OwnerKey)
-	if item.Version == 0 {
-		return ""
-	}
-	var lead mirror.Lead
-	if err := cbor.Unmarshal(item.Value, &lead); err != nil {
-		log.Error("owner's record not readable", "version", item.Version, "error", err)
-		return ""
-	}
-	return lead.Address
-}
-
 func startRunner(life fx.Lifecycle, c *runnerCmd, leads *mirror.Mirror, r *runner.Runner, log *slog.Logger) {
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(runnerMemory)
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"sort"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"wagtailhoist/core/batch"
 	"wagtailhoist/core/model"
 	"wagtailhoist/io/boot"
@@ -158,15 +161,30 @@
 	return m.leads[key]
 }
 
-// Leads returns the items below a prefix of LeadPrefix.
-func (m *Mirror) Leads(prefix string) []store.Item {
+// Owner returns the address of the present owner, or an empty string.
+func (m *Mirror) Owner() string { return m.address(m.Lead(OwnerKey)) }
+
+// Entries returns the addresses of the entries other than self.
+func (m *Mirror) Entries(self string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var items []store.Item
+	var addresses []string
 	for key, item := range m.leads {
-		if strings.HasPrefix(key, prefix) {
-			items = append(items, item)
+		if address := m.address(item); strings.HasPrefix(key, EntryPrefix) && address != "" && address != self {
+			addresses = append(addresses, address)
 		}
 	}
-	return items
+	sort.Strings(addresses)
+	return addresses
+}
+
+func (m *Mirror) address(item store.Item) string {
+	if item.Version == 0 {
+		return ""
+	}
+	var lead Lead
+	if err := cbor.Unmarshal(item.Value, &lead); err != nil {
+		m.Log.Error("record not readable", "key", item.Key, "version", item.Version, "error", err)
+	}
+	return lead.Address
 }
