Know from a record when its worker's incarnation was replaced

Change: the name of an incarnation carries its node and birth; a later incarnation of the node ends the earlier one's runs.

--- a/core/batch/orders.go
+++ b/core/batch/orders.go
@@ -1,6 +1,10 @@
 package batch
 
-import "time"
+import (
+	"strconv"
+	"strings"
+	"time"
+)
 
 // Readiness is what a worker says of itself.
 type Readiness uint8
@@ -16,7 +20,7 @@
 
 // Worker describes one incarnation of a worker.
 type Worker struct {
-	// ID names the incarnation: it is never used again.
+	// ID names the incarnation by its node, the worker's own name and its birth (WorkerID); it is never used again.
 	ID string `cbor:"1,keyasint"`
 	// Node names the process beside the worker; two incarnations of a node don't live at a time.
 	Node     string   `cbor:"2,keyasint"`
@@ -31,6 +35,23 @@
 	Born int64 `cbor:"9,keyasint,omitempty"`
 }
 
+// WorkerID returns the name of an incarnation. It carries the node and the birth, so that an owner that finds
+// it in a record knows when a later incarnation has replaced it.
+func WorkerID(node, name string, born int64) string {
+	return node + "/" + name + "@" + strconv.FormatInt(born, 10)
+}
+
+// ParseWorkerID returns the node and the birth of an incarnation, or empty values for another form.
+func ParseWorkerID(id string) (node string, born int64) {
+	node, rest, _ := strings.Cut(id, "/")
+	_, birth, _ := strings.Cut(rest, "@")
+	born, err := strconv.ParseInt(birth, 10, 64)
+	if err != nil {
+		return "", 0
+	}
+	return node, born
+}
+
 // RunID names a run of a task.
 type RunID struct {
 	Task TaskID `cbor:"1,keyasint"`
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -138,6 +138,7 @@
 	if w == nil {
 		w = &worker{runs: map[batch.TaskID]*task{}, foreign: map[batch.RunID]batch.Amount{}, until: b.adopted.Add(b.grace())}
 		w.ID = id
+		w.Node, w.Born = batch.ParseWorkerID(id)
 		b.workers[id] = w
 	}
 	return w
@@ -145,8 +146,8 @@
 
 // Report takes what an agent said at now. It returns false for a worker that was replaced or given up.
 func (b *Board) Report(now, wall time.Time, r *batch.Report, session uint64) bool {
-	for id, other := range b.workers {
-		if other.Node != r.Worker.Node || id == r.Worker.ID {
+	for _, other := range b.sortedWorkers() {
+		if other.Node != r.Worker.Node || other.ID == r.Worker.ID {
 			continue
 		}
 		if other.Born > r.Worker.Born {
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -13,7 +13,7 @@
 
 // Beat is what a worker says of itself.
 type Beat struct {
-	// Instance names the worker to calls; Worker.ID names the incarnation.
+	// Instance names the worker to calls. The agent fills in the worker's ID and Node.
 	Instance string
 	Worker   batch.Worker
 }
@@ -146,11 +146,12 @@
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	b.Worker.Node = r.Node
+	b.Worker.ID = batch.WorkerID(r.Node, b.Instance, b.Worker.Born)
 	old := r.beat.Worker
 	if old.ID != "" && b.Worker.Born < old.Born {
 		return false
 	}
-	b.Worker.Node = r.Node
 	if old.ID != b.Worker.ID {
 		r.Log.Info("worker found", "worker", b.Worker.ID, "before", old.ID, "service", b.Worker.Service)
 		r.reset()
