Stop others for urgent work that would miss its objective

Change: a unit of priority 0 whose slack falls below the time of a stop claims room of lower priorities, if that throws away less than its own work; late work of a priority goes before in-time work two priorities down.

--- a/core/board/plan.go
+++ b/core/board/plan.go
@@ -242,7 +242,7 @@
 // claim makes room for tasks that found none: guaranteed ones stop others, the first of the rest keep workers.
 func (p *plan) claim(u *unit, tasks []*task) {
 	seats := p.claimSeats(u, tasks)
-	if seats == nil && u.guaranteed {
+	if seats == nil && (u.guaranteed || p.urgent(u)) {
 		if p.evict(u, tasks) {
 			seats = p.claimSeats(u, tasks)
 		}
@@ -273,6 +273,16 @@
 	cost  float64
 }
 
+// evictLead is how long before a unit of priority 0 must start to meet its objective others are stopped for it:
+// a stop takes up to 900 ms, and a start as long as a write of the store.
+const evictLead = 1200 * time.Millisecond
+
+// urgent reports whether a unit of priority 0 misses its objective unless others give way. It answers bursts of
+// urgent jobs that exceed their team's guarantee.
+func (p *plan) urgent(u *unit) bool {
+	return u.queue.Priority == 0 && u.class == inTime && p.now.Add(u.step.Estimate+evictLead).After(u.deadline)
+}
+
 // evict stops the runs whose loss costs least until the tasks find room. It answers a claim of guaranteed work
 // while others borrow its accelerators.
 func (p *plan) evict(u *unit, tasks []*task) bool {
@@ -295,12 +305,30 @@
 	if p.seat(u, tasks, room, candidates, false) == nil {
 		return false
 	}
-	for _, v := range p.needed(u, tasks, room, candidates, chosen) {
+	chosen = p.needed(u, tasks, room, candidates, chosen)
+	if !u.guaranteed && loss(chosen) > u.work(len(tasks)) {
+		return false
+	}
+	for _, v := range chosen {
 		p.stopVictim(u, v)
 	}
 	return true
 }
 
+// loss is what the stop of victims throws away, in core seconds.
+func loss(victims []victim) float64 {
+	sum := 0.0
+	for _, v := range victims {
+		sum += v.cost
+	}
+	return sum
+}
+
+// work is the estimated work of some of the unit's tasks, in core seconds.
+func (u *unit) work(tasks int) float64 {
+	return float64(tasks) * u.step.Estimate.Seconds() * u.step.Need.Cores()
+}
+
 // needed drops the chosen victims without which the tasks find room as well, the most expensive first.
 func (p *plan) needed(u *unit, tasks []*task, room map[*worker]batch.Amount, workers []*worker, chosen []victim) []victim {
 	sort.SliceStable(chosen, func(x, y int) bool { return chosen[x].cost > chosen[y].cost })
@@ -370,7 +398,7 @@
 				continue
 			}
 			step := &t.job.job.Steps[t.Step]
-			if step.Lasting && step.MayMiss != nil {
+			if step.Lasting && step.MayMiss != nil || !u.guaranteed && p.terms.Queue(&t.job.job).Priority <= u.queue.Priority {
 				continue
 			}
 			v := victim{tasks: []*task{t}}
--- a/core/board/unit.go
+++ b/core/board/unit.go
@@ -92,15 +92,31 @@
 	if u.guaranteed != v.guaranteed {
 		return u.guaranteed
 	}
-	if u.class != v.class {
-		return u.class < v.class
-	}
-	if u.queue.Priority != v.queue.Priority {
-		return u.queue.Priority < v.queue.Priority
+	if x, y := u.rank(), v.rank(); x != y {
+		return x < y
 	}
 	return u.deadline.Before(v.deadline)
 }
 
+const (
+	// priorityWeight is how much a step of priority counts in the order of units, lateWeight how much it counts
+	// that the objective can't be met: what is late gains a fifth to a half of what it would have, so that it goes
+	// behind the next priority in time and before the one after that.
+	priorityWeight, lateWeight = 2, 3
+	// uselessRank is behind all others.
+	uselessRank = 1 << 20
+)
+
+func (u *unit) rank() int {
+	switch u.class {
+	case useless:
+		return uselessRank + u.queue.Priority
+	case late:
+		return priorityWeight*u.queue.Priority + lateWeight
+	}
+	return priorityWeight * u.queue.Priority
+}
+
 // covered returns the jobs of priority 0 that fit into their team's guarantee, oldest first.
 func (b *Board) covered(wall time.Time) map[model.JobID]bool {
 	var urgent []*job
