Keep work from workers that stand still

Change: a worker on which every run stands still for 1.7 s gets no work for 3 s; runs below 15 % start again elsewhere.

--- a/io/owner/reign.go
+++ b/io/owner/reign.go
@@ -119,6 +119,7 @@
 		case <-ticker.C:
 			r.update()
 			r.board.Expire(boot.Now(), time.Now())
+			r.board.Unstick(boot.Now())
 		}
 		r.advance(ctx)
 	}
