--- /dev/null
+++ b/core/board/board_test.go
@@ -0,0 +1,519 @@
+package board
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/batch"
+	"wagtailhoist/core/model"
+)
+
+// start is an arbitrary time of the owner's clock and of the day.
+var start = time.UnixMilli(1_000_000)
+
+// bench is a board with workers that do what they are told.
+type bench struct {
+	*testing.T
+	board   Board
+	book    batch.Book
+	now     time.Time
+	workers map[string]*fake
+	// version counts the writes of the store.
+	version uint64
+}
+
+// fake is a worker; it lists runs until they are ended.
+type fake struct {
+	batch.Worker
+	running []batch.Listing
+	ended   []batch.End
+	number  uint64
+	refused []batch.Refusal
+	// acknowledged is the highest end that the owner acknowledged.
+	acknowledged uint64
+}
+
+func newBench(t *testing.T, teams ...batch.Team) *bench {
+	b := &bench{T: t, now: start, workers: map[string]*fake{}}
+	terms := batch.Terms{Queues: map[string]batch.Queue{}, Teams: map[model.Team]batch.Team{}}
+	for priority := range 3 {
+		name := fmt.Sprintf("p%d", priority)
+		terms.Queues[name] = batch.Queue{
+			Name: name, Service: "svc", Priority: priority, Attempts: 2, Stretch: 2, Target: time.Second,
+		}
+	}
+	for _, team := range teams {
+		terms.Teams[team.Name] = team
+	}
+	b.board.Adopt(b.now, b.now, &b.book)
+	b.board.Declare(terms)
+	return b
+}
+
+// worker adds a worker with 8 accelerators on a rack and reports it.
+func (b *bench) worker(node, rack string) *fake {
+	w := &fake{Worker: batch.Worker{
+		ID: batch.WorkerID(node, "w", 1), Node: node, Service: "svc", Labels: []string{"a", rack}, Born: 1,
+		Capacity: batch.Amount{CPU: 128000, Memory: 1 << 18, GPU: 8},
+	}}
+	b.workers[w.ID] = w
+	b.report(w)
+	return w
+}
+
+func (b *bench) report(w *fake) {
+	b.Helper()
+	r := &batch.Report{Worker: w.Worker, Listed: true, Running: w.running, Refused: w.refused}
+	for _, e := range w.ended {
+		if e.Number > w.acknowledged {
+			r.Ended = append(r.Ended, e)
+		}
+	}
+	w.refused = nil
+	b.board.Report(b.now, b.now, r, 1)
+}
+
+// submit stores a job; the board sees it at once.
+func (b *bench) submit(queue string, team model.Team, steps ...batch.Step) model.JobID {
+	b.version++
+	id := model.JobID(fmt.Sprintf("%016x", b.version))
+	job := batch.Job{ID: id, Queue: queue, Team: team, Steps: steps, Accepted: b.now.UnixMilli()}
+	job.Terms = b.board.terms.Queues[queue]
+	b.put(batch.JobKey(id), &job)
+	return id
+}
+
+func (b *bench) put(key string, record any) {
+	b.Helper()
+	value, err := batch.Encode(record)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.version++
+	id, err := b.book.Apply(key, value, b.version)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.board.Update(b.now, b.now, id, b.book.Jobs[id])
+}
+
+func (b *bench) cancel(id model.JobID) { b.put(batch.CancelKey(id), struct{}{}) }
+
+// save stores all progress.
+func (b *bench) save() {
+	for _, r := range b.board.Dirty(1000) {
+		b.put(batch.ProgressKey(r.Job), &r.Progress)
+		b.board.Saved(r)
+	}
+}
+
+// step plans, stores, and lets the workers carry out their orders.
+func (b *bench) step() {
+	b.board.Plan(b.now, b.now)
+	b.save()
+	b.obey()
+}
+
+func (b *bench) obey() {
+	for id, w := range b.workers {
+		o, _ := b.board.Orders(b.now, id)
+		w.acknowledged = max(w.acknowledged, o.Seen)
+		for _, s := range o.Starts {
+			w.running = append(w.running, batch.Listing{RunID: s.RunID})
+		}
+		for _, run := range o.Stops {
+			w.end(run, batch.EndStopped)
+		}
+	}
+	for _, w := range b.workers {
+		b.report(w)
+	}
+}
+
+func (w *fake) end(run batch.RunID, cause batch.Cause) bool {
+	for i := range w.running {
+		if w.running[i].RunID == run {
+			w.running = append(w.running[:i:i], w.running[i+1:]...)
+			w.number++
+			w.ended = append(w.ended, batch.End{Number: w.number, RunID: run, Cause: cause})
+			return true
+		}
+	}
+	return false
+}
+
+// endAll ends all runs of a job with a cause, and reports them.
+func (b *bench) endAll(id model.JobID, cause batch.Cause) {
+	for _, w := range b.workers {
+		for _, l := range append([]batch.Listing(nil), w.running...) {
+			if l.Task.Job == id {
+				w.end(l.RunID, cause)
+			}
+		}
+		b.report(w)
+	}
+}
+
+// runs returns how many runs of a job the workers list.
+func (b *bench) runs(id model.JobID) int {
+	n := 0
+	for _, w := range b.workers {
+		for _, l := range w.running {
+			if l.Task.Job == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (b *bench) state(id model.JobID) batch.State { return b.book.Jobs[id].State() }
+
+func gpus(count int, gpu int64) batch.Step {
+	return batch.Step{Count: count, Need: batch.Amount{CPU: 1000, Memory: 100, GPU: gpu}, Estimate: 2 * time.Second}
+}
+
+func gang(count int, gpu int64) batch.Step {
+	s := gpus(count, gpu)
+	s.Gang = true
+	return s
+}
+
+// Guards against an order before its record is stored: a later owner wouldn't know of the run.
+func TestOrderWaitsForItsRecord(t *testing.T) {
+	b := newBench(t)
+	w := b.worker("n1", "r1")
+	b.submit("p1", "a", gpus(1, 1))
+	b.board.Plan(b.now, b.now)
+	if o, _ := b.board.Orders(b.now, w.ID); len(o.Starts) != 0 {
+		t.Errorf("got %d starts before the record is stored, want none", len(o.Starts))
+	}
+	b.save()
+	if o, _ := b.board.Orders(b.now, w.ID); len(o.Starts) != 1 {
+		t.Errorf("got %d starts after the record is stored, want 1", len(o.Starts))
+	}
+}
+
+// Guards against an acknowledged end that no record holds: the worker forgets it, and the task would run again.
+func TestEndIsAcknowledgedOnceStored(t *testing.T) {
+	b := newBench(t)
+	w := b.worker("n1", "r1")
+	id := b.submit("p1", "a", gpus(1, 1))
+	b.step()
+	b.endAll(id, batch.EndDone)
+	if o, _ := b.board.Orders(b.now, w.ID); o.Seen != 0 {
+		t.Errorf("got acknowledgement up to %d before the end is stored, want 0", o.Seen)
+	}
+	b.save()
+	if o, _ := b.board.Orders(b.now, w.ID); o.Seen != 1 {
+		t.Errorf("got acknowledgement up to %d after the end is stored, want 1", o.Seen)
+	}
+	if got, want := b.state(id), batch.Completed; got != want {
+		t.Errorf("got state %q, want %q", got, want)
+	}
+}
+
+// Guards against the end of a second member of a gang being acknowledged while the gang's end isn't stored.
+func TestEndsOfAllMembersWaitForTheGang(t *testing.T) {
+	b := newBench(t)
+	w := b.worker("n1", "r1")
+	id := b.submit("p1", "a", gang(2, 2))
+	b.step()
+	b.endAll(id, batch.EndDone)
+	if o, _ := b.board.Orders(b.now, w.ID); o.Seen != 0 {
+		t.Errorf("got acknowledgement up to %d before the gang's end is stored, want 0", o.Seen)
+	}
+}
+
+// Guards against a gang that begins in part, or members with different runs.
+func TestGangStartsAsAWhole(t *testing.T) {
+	b := newBench(t)
+	b.worker("n1", "r1")
+	id := b.submit("p1", "a", gang(3, 4))
+	b.step()
+	if got := b.runs(id); got != 0 {
+		t.Errorf("got %d members on one worker with room for two, want none", got)
+	}
+	b.worker("n2", "r1")
+	b.step()
+	if got, want := b.runs(id), 3; got != want {
+		t.Errorf("got %d members, want %d", got, want)
+	}
+}
+
+// Guards against members that go on alone when one has ended, and against a restart before all have ended.
+func TestGangIsStartedAgainOnceAllMembersHaveEnded(t *testing.T) {
+	b := newBench(t)
+	b.worker("n1", "r1")
+	w2 := b.worker("n2", "r2")
+	id := b.submit("p1", "a", gang(2, 8))
+	b.step()
+	w2.end(w2.running[0].RunID, batch.EndBroken)
+	b.report(w2)
+	b.board.Plan(b.now, b.now)
+	b.save()
+	if o, _ := b.board.Orders(b.now, w2.ID); len(o.Starts) != 0 {
+		t.Fatal("a member was started while another was running")
+	}
+	b.obey()
+	b.step()
+	for _, w := range b.workers {
+		if len(w.running) != 1 || w.running[0].Run != 2 {
+			t.Errorf("got %v on %s, want one member with run 2", w.running, w.ID)
+		}
+	}
+	if got, want := b.runs(id), 2; got != want {
+		t.Errorf("got %d members, want %d", got, want)
+	}
+}
+
+// Guards against a task of a later step that starts before the earlier one is done.
+func TestStepWaitsForEarlierSteps(t *testing.T) {
+	b := newBench(t)
+	b.worker("n1", "r1")
+	second := gpus(1, 1)
+	second.After = []int{0}
+	id := b.submit("p1", "a", gpus(2, 1), second)
+	b.step()
+	if got, want := b.runs(id), 2; got != want {
+		t.Errorf("got %d runs, want the %d of the first step", got, want)
+	}
+	b.endAll(id, batch.EndDone)
+	b.step()
+	if got, want := b.runs(id), 1; got != want {
+		t.Errorf("got %d runs after the first step, want %d", got, want)
+	}
+}
+
+// Guards against a task that is started again after its last attempt, and against a job that never ends.
+func TestJobFailsAfterItsAttempts(t *testing.T) {
+	b := newBench(t)
+	b.worker("n1", "r1")
+	id := b.submit("p1", "a", gpus(1, 1))
+	for attempt := range 2 {
+		b.now = b.now.Add(10 * time.Second)
+		b.step()
+		if got := b.runs(id); got != 1 {
+			t.Fatalf("got %d runs at attempt %d, want 1", got, attempt)
+		}
+		b.endAll(id, batch.EndFailed)
+	}
+	b.now = b.now.Add(10 * time.Second)
+	b.step()
+	if got, want := b.state(id), batch.Broken; got != want {
+		t.Errorf("got state %q, want %q", got, want)
+	}
+	if got := b.runs(id); got != 0 {
+		t.Errorf("got %d runs after the last attempt, want none", got)
+	}
+}
+
+// Guards against runs of a cancelled job that go on.
+func TestCancelStopsAllRuns(t *testing.T) {
+	b := newBench(t)
+	b.worker("n1", "r1")
+	id := b.submit("p1", "a", gpus(3, 1))
+	b.step()
+	b.cancel(id)
+	b.step()
+	b.step()
+	if got := b.runs(id); got != 0 {
+		t.Errorf("got %d runs of a cancelled job, want none", got)
+	}
+	if got, want := b.state(id), batch.Cancelled; got != want {
+		t.Errorf("got state %q, want %q", got, want)
+	}
+}
+
+// Guards against a task that is started elsewhere while its worker, which can't be reached, may still run it.
+func TestTaskOfASilentWorkerWaitsForTheLease(t *testing.T) {
+	b := newBench(t)
+	w1 := b.worker("n1", "r1")
+	id := b.submit("p1", "a", gpus(1, 8))
+	b.step()
+	delete(b.workers, w1.ID)
+	b.worker("n2", "r1")
+	b.now = b.now.Add(b.board.Lease())
+	b.board.Expire(b.now, b.now)
+	b.report(b.workers[batch.WorkerID("n2", "w", 1)])
+	b.step()
+	if got := b.runs(id); got != 0 {
+		t.Error("the task was started elsewhere within the lease")
+	}
+	b.now = b.now.Add(time.Second)
+	b.board.Expire(b.now, b.now)
+	b.step()
+	if got, want := b.runs(id), 1; got != want {
+		t.Errorf("got %d runs after the lease, want %d", got, want)
+	}
+}
+
+// Guards against a new owner that waits for the lease of an incarnation that it only knows from a record, although
+// a later one has taken its place.
+func TestLaterIncarnationEndsTheRunsOfTheEarlier(t *testing.T) {
+	b := newBench(t)
+	w := b.worker("n1", "r1")
+	id := b.submit("p1", "a", gpus(1, 1))
+	b.step()
+	b.board.Adopt(b.now, b.now, &b.book)
+	delete(b.workers, w.ID)
+	w.ID, w.Born, w.running = batch.WorkerID("n1", "x", 2), 2, nil
+	b.workers[w.ID] = w
+	b.report(w)
+	b.step()
+	if got, want := b.runs(id), 1; got != want {
+		t.Errorf("got %d runs on the later incarnation, want %d", got, want)
+	}
+	w.Born--
+	if b.board.Report(b.now, b.now, &batch.Report{Worker: batch.Worker{ID: batch.WorkerID("n1", "w", 1), Node: "n1", Born: 1}}, 2) {
+		t.Error("a report of the earlier incarnation was taken")
+	}
+}
+
+// Guards against a new owner that starts again what runs already.
+func TestNewOwnerAdoptsRuns(t *testing.T) {
+	b := newBench(t)
+	w := b.worker("n1", "r1")
+	id := b.submit("p1", "a", gpus(2, 1))
+	b.step()
+	b.board.Adopt(b.now, b.now, &b.book)
+	b.report(w)
+	b.step()
+	b.endAll(id, batch.EndDone)
+	b.step()
+	if got, want := b.state(id), batch.Completed; got != want {
+		t.Errorf("got state %q, want %q", got, want)
+	}
+	for _, e := range w.ended {
+		if e.Run != 1 {
+			t.Errorf("got run %d of %s, want 1", e.Run, e.Task)
+		}
+	}
+}
+
+// Guards against runs that no record names and that nobody stops, and against their room being given away.
+func TestForeignRunIsStoppedAndKeepsItsRoom(t *testing.T) {
+	b := newBench(t)
+	w := b.worker("n1", "r1")
+	id := b.submit("p1", "a", gpus(1, 8))
+	stray := batch.RunID{Task: batch.TaskID{Job: id, Index: 0}, Run: 7}
+	w.running = append(w.running, batch.Listing{RunID: stray})
+	b.report(w)
+	b.board.Plan(b.now, b.now)
+	b.save()
+	o, _ := b.board.Orders(b.now, w.ID)
+	if len(o.Stops) != 1 || o.Stops[0] != stray {
+		t.Errorf("got stops %v, want %v", o.Stops, stray)
+	}
+	if len(o.Starts) != 0 {
+		t.Error("a task was started on a worker that the foreign run fills")
+	}
+}
+
+// Guards against a guarantee that others keep: with all accelerators lent out, a claim gets them back, and no
+// more runs are stopped than it needs.
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	b := newBench(t, batch.Team{Name: "owner", Guarantee: 8})
+	b.worker("n1", "r1")
+	b.worker("n2", "r1")
+	lent := b.submit("p2", "other", gpus(16, 1))
+	b.step()
+	claim := b.submit("p0", "owner", gang(2, 4))
+	b.step()
+	b.step()
+	if got, want := b.runs(claim), 2; got != want {
+		t.Errorf("got %d members of the claim, want %d", got, want)
+	}
+	if got, want := b.runs(lent), 8; got != want {
+		t.Errorf("got %d lent runs left, want %d", got, want)
+	}
+}
+
+// Guards against urgent work that waits behind work with time to spare (load: a burst beyond the guarantee), and
+// against stops while it could still wait.
+func TestUrgentWorkStopsOthersOnlyWhenItWouldBeLate(t *testing.T) {
+	b := newBench(t)
+	b.worker("n1", "r1")
+	lent := gpus(8, 1)
+	lent.Checkpoints = true
+	b.submit("p2", "other", lent)
+	b.step()
+	urgent := b.submit("p0", "a", gpus(1, 4))
+	b.step()
+	b.step()
+	if got := b.runs(urgent); got != 0 {
+		t.Error("others were stopped although the urgent job can wait")
+	}
+	// The objective is 2 x 2 s + 1 s: the job has to start within 3 s.
+	b.now = b.now.Add(2 * time.Second)
+	for _, w := range b.workers {
+		b.report(w)
+	}
+	b.step()
+	b.step()
+	if got, want := b.runs(urgent), 1; got != want {
+		t.Errorf("got %d urgent runs, want %d", got, want)
+	}
+}
+
+// Guards against small work that fills room again and again while a gang waits for it (load: a stream of small jobs).
+func TestGangFindsRoomInAStreamOfSmallJobs(t *testing.T) {
+	b := newBench(t)
+	b.worker("n1", "r1")
+	b.worker("n2", "r1")
+	var small []model.JobID
+	for range 16 {
+		small = append(small, b.submit("p1", "other", gpus(1, 1)))
+	}
+	b.step()
+	large := b.submit("p1", "a", gang(2, 8))
+	for i := 0; i < len(small) && b.runs(large) == 0; i++ {
+		b.now = b.now.Add(250 * time.Millisecond)
+		b.endAll(small[i], batch.EndDone)
+		b.submit("p1", "other", gpus(1, 1))
+		b.step()
+	}
+	b.step()
+	if got, want := b.runs(large), 2; got != want {
+		t.Errorf("got %d members after all earlier jobs had ended, want %d", got, want)
+	}
+}
+
+// Guards against work that is handed to a worker which makes no progress (load: a worker that hangs).
+func TestWorkerThatStandsStillGetsNoWork(t *testing.T) {
+	b := newBench(t)
+	w1 := b.worker("n1", "r1")
+	id := b.submit("p1", "a", gpus(1, 1))
+	b.step()
+	b.worker("n2", "r2")
+	for range 3 {
+		b.now = b.now.Add(time.Second)
+		for _, w := range b.workers {
+			b.report(w)
+		}
+		b.board.Unstick(b.now)
+	}
+	b.step()
+	b.step()
+	if len(w1.running) != 0 || b.runs(id) != 1 {
+		t.Errorf("got %d runs on the worker that stands still and %d in all, want 0 and 1", len(w1.running), b.runs(id))
+	}
+}
+
+// Guards against a worker that fails all it starts and so uses up the attempts of many jobs.
+func TestWorkerThatFailsIsAvoided(t *testing.T) {
+	b := newBench(t)
+	w1 := b.worker("n1", "r1")
+	first := b.submit("p1", "a", gpus(1, 1))
+	b.step()
+	b.worker("n2", "r2")
+	b.endAll(first, batch.EndFailed)
+	for range 4 {
+		b.submit("p1", "a", gpus(1, 1))
+	}
+	b.step()
+	if len(w1.running) != 0 {
+		t.Errorf("got %d runs on the worker that has just failed one, want none", len(w1.running))
+	}
+}
