--- a/core/board/board.go
+++ b/core/board/board.go
@@ -136,7 +136,7 @@
 func (b *Board) worker(id string) *worker {
 	w := b.workers[id]
 	if w == nil {
-		w = &worker{runs: map[batch.TaskID]*task{}, foreign: map[batch.RunID]batch.Amount{}, until: b.adopted.Add(b.grace())}
+		w = &worker{runs: map[batch.TaskID]*task{}, foreign: map[batch.RunID]foreign{}, until: b.adopted.Add(b.grace())}
 		w.ID = id
 		w.Node, w.Born = batch.ParseWorkerID(id)
 		b.workers[id] = w
@@ -198,8 +198,8 @@
 			t.confirmed, t.sent = false, false
 		}
 	}
-	for run := range w.foreign {
-		if !seen[run] {
+	for run, f := range w.foreign {
+		if !seen[run] && !now.Before(f.until) {
 			delete(w.foreign, run)
 			b.changed = true
 		}
@@ -213,7 +213,7 @@
 	t := w.runs[r.Task]
 	if t == nil || t.Run != r.Run {
 		if _, known := w.foreign[r.RunID]; !known {
-			w.foreign[r.RunID] = b.taken(r.Task)
+			w.foreign[r.RunID] = foreign{amount: b.taken(r.Task)}
 			b.trace("foreign run", r.RunID, w.ID, "")
 			b.changed = true
 		}
@@ -295,7 +295,7 @@
 	switch {
 	case cause == batch.EndDone && !step.Lasting:
 		w.succeeded(now)
-		b.done(j, t, step)
+		b.done(now, j, t, step)
 	case cause == batch.EndFailed && !step.Lasting:
 		w.failed(now)
 		b.failed(j, t, step)
@@ -311,7 +311,7 @@
 	b.settle(j, wall)
 }
 
-func (b *Board) done(j *job, t *task, step *batch.Step) {
+func (b *Board) done(now time.Time, j *job, t *task, step *batch.Step) {
 	t.Phase = batch.Done
 	if !step.Gang {
 		return
@@ -321,7 +321,11 @@
 			// The other members end by themselves; until their ends are listed they take room.
 			w := b.worker(m.Worker)
 			delete(w.runs, m.id(j))
-			w.foreign[batch.RunID{Task: m.id(j), Run: m.Run}] = step.Taken()
+			f := foreign{amount: step.Taken()}
+			if !m.confirmed {
+				f.until = now.Add(foreignTime)
+			}
+			w.foreign[batch.RunID{Task: m.id(j), Run: m.Run}] = f
 			m.release()
 		}
 		m.Phase = batch.Done
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -517,3 +517,33 @@
 		t.Errorf("got %d runs on the worker that has just failed one, want none", len(w1.running))
 	}
 }
+
+// Guards against room that is given away while a member of a gang, ordered but not listed yet, still takes it.
+func TestMemberOfADoneGangKeepsItsRoomUntilItIsListed(t *testing.T) {
+	b := newBench(t)
+	w1, w2 := b.worker("n1", "r1"), b.worker("n2", "r2")
+	b.submit("p1", "a", gang(2, 8))
+	b.board.Plan(b.now, b.now)
+	b.save()
+	for _, w := range []*fake{w1, w2} {
+		o, _ := b.board.Orders(b.now, w.ID)
+		if w == w1 {
+			w.running = append(w.running, batch.Listing{RunID: o.Starts[0].RunID})
+		}
+	}
+	w1.end(w1.running[0].RunID, batch.EndDone)
+	b.report(w1)
+	b.report(w2)
+	b.submit("p1", "a", gpus(1, 8))
+	b.submit("p1", "a", gpus(1, 8))
+	b.step()
+	if len(w2.running) != 0 {
+		t.Error("a task was started on the worker whose list didn't show the member yet")
+	}
+	b.now = b.now.Add(foreignTime)
+	b.report(w2)
+	b.step()
+	if got, want := len(w2.running), 1; got != want {
+		t.Errorf("got %d runs once the list must show the member, want %d", got, want)
+	}
+}
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -19,7 +19,7 @@
 	batch.Worker
 	// runs are the runs placed there, foreign the others that it lists, with what they take.
 	runs    map[batch.TaskID]*task
-	foreign map[batch.RunID]batch.Amount
+	foreign map[batch.RunID]foreign
 	// foreignStop is when the stop of foreign runs was last sent.
 	foreignStop time.Time
 	// until is when everything there has ended if it isn't heard of again.
@@ -39,6 +39,16 @@
 	streak  int
 }
 
+// foreign is a run that takes room without being placed.
+type foreign struct {
+	amount batch.Amount
+	// until is when the run is forgotten at the earliest: the list that lacks it may be from before it began.
+	until time.Time
+}
+
+// foreignTime is how long a run that was ordered but not listed yet keeps its room: lists are a second old at most.
+const foreignTime = 2 * time.Second
+
 // pendingEnd is an end that is acknowledged once the job's version is stored.
 type pendingEnd struct {
 	number  uint64
@@ -82,8 +92,8 @@
 	for _, t := range w.runs {
 		left = left.Sub(t.job.job.Steps[t.Step].Taken())
 	}
-	for _, a := range w.foreign {
-		left = left.Sub(a)
+	for _, f := range w.foreign {
+		left = left.Sub(f.amount)
 	}
 	return left
 }
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -86,10 +86,7 @@
 		if err == nil || errors.As(err, &exists) {
 			return nil
 		}
-		var refused *store.RefusedError
-		if !errors.As(err, &refused) {
-			unknown = true
-		}
+		unknown = unknown || !store.NotDone(err)
 		if !unknown && time.Since(begun) > refusedLimit {
 			return &NotRunError{retryAfter, err}
 		}
--- a/io/detour/store.go
+++ b/io/detour/store.go
@@ -306,7 +306,7 @@
 	reply := Reply{Fault: faultNotAsked, Detail: "the store doesn't answer here either"}
 	if s.open() {
 		answer, err := s.ask(r.Context(), &q)
-		if !settled(err) {
+		if !settled(err) && r.Context().Err() == nil {
 			s.avoid(&q, err)
 		}
 		reply = replyOf(answer.Items, answer.Number, err)
--- /dev/null
+++ b/io/detour/store_test.go
@@ -0,0 +1,174 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wagtailhoist/io/store"
+)
+
+// fakeStore answers each call with err, after delay.
+type fakeStore struct {
+	err   error
+	delay time.Duration
+	calls atomic.Int32
+}
+
+func (s *fakeStore) answer(ctx context.Context) error {
+	s.calls.Add(1)
+	select {
+	case <-time.After(s.delay):
+		return s.err
+	case <-ctx.Done():
+		return &store.UnavailableError{Op: "fake", Cause: ctx.Err()}
+	}
+}
+
+func (s *fakeStore) Get(ctx context.Context, key string) (store.Item, error) {
+	return store.Item{Key: key, Version: 7, Value: []byte("v")}, s.answer(ctx)
+}
+
+func (s *fakeStore) List(ctx context.Context, prefix string) ([]store.Item, uint64, error) {
+	return []store.Item{{Key: prefix, Version: 3}}, 9, s.answer(ctx)
+}
+
+func (s *fakeStore) Watch(ctx context.Context, prefix string, _ uint64, _ time.Duration) ([]store.Item, uint64, error) {
+	return []store.Item{{Key: prefix, Version: 3}}, 9, s.answer(ctx)
+}
+
+func (s *fakeStore) Commit(ctx context.Context, _ store.Change) (uint64, error) {
+	return 11, s.answer(ctx)
+}
+
+func (s *fakeStore) Grant(ctx context.Context, _ time.Duration) (uint64, error) {
+	return 5, s.answer(ctx)
+}
+func (s *fakeStore) Renew(ctx context.Context, _ uint64) error  { return s.answer(ctx) }
+func (s *fakeStore) Revoke(ctx context.Context, _ uint64) error { return s.answer(ctx) }
+
+// pair returns a store with a direct way of its own and one peer.
+func pair(t *testing.T, own, other *fakeStore) *Store {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	peer := &Store{Direct: other, Peers: func() []string { return nil }, Token: "t", Log: log}
+	server := httptest.NewServer(peer)
+	t.Cleanup(server.Close)
+	return &Store{
+		Direct: own, Peers: func() []string { return []string{server.Listener.Addr().String()} },
+		Token: "t", HTTP: http.DefaultClient, Log: log,
+	}
+}
+
+var (
+	refused = &store.RefusedError{Op: "fake", Status: 503}
+	lost    = &store.UnavailableError{Op: "fake", Cause: errors.New("connection reset")}
+)
+
+// Guards against calls that fail although another process reaches the store, and against outcomes that claim more
+// than is known.
+func TestOutcomes(t *testing.T) {
+	var isRefused *store.RefusedError
+	var isUnknown *store.UnavailableError
+	var isCheck *store.CheckError
+	tests := []struct {
+		name       string
+		own, other error
+		// want is the type of the error, nil for success.
+		want any
+		// notDone is whether the error promises that nothing was done.
+		notDone bool
+	}{
+		{"direct", nil, lost, nil, false},
+		{"refused, then by way of the peer", refused, nil, nil, false},
+		{"lost, then by way of the peer", lost, nil, nil, false},
+		{"refused on both ways", refused, refused, &isRefused, true},
+		{"lost, then refused", lost, refused, &isUnknown, false},
+		{"refused, then lost", refused, lost, &isUnknown, false},
+		{"refused, then the store's own word", refused, &store.CheckError{Items: []store.Item{{Key: "k", Version: 3}}}, &isCheck, false},
+	}
+	for _, test := range tests {
+		s := pair(t, &fakeStore{err: test.own}, &fakeStore{err: test.other})
+		version, err := s.Commit(context.Background(), store.Change{Sets: []store.Set{{Key: "k"}}})
+		if test.want == nil {
+			if err != nil || version != 11 {
+				t.Errorf("%s: got %d, %v, want 11", test.name, version, err)
+			}
+			continue
+		}
+		if !errors.As(err, test.want) {
+			t.Errorf("%s: got %v, want %T", test.name, err, test.want)
+		}
+		if got := store.NotDone(err); got != test.notDone {
+			t.Errorf("%s: got not done %v, want %v", test.name, got, test.notDone)
+		}
+	}
+	if isCheck == nil || len(isCheck.Items) != 1 || isCheck.Items[0].Version != 3 {
+		t.Errorf("got %v by way of the peer, want the present items", isCheck)
+	}
+}
+
+// Guards against results that are lost on the way by a peer.
+func TestResultsByWayOfAPeer(t *testing.T) {
+	s := pair(t, &fakeStore{err: refused}, &fakeStore{})
+	ctx := context.Background()
+	if item, err := s.Get(ctx, "k"); err != nil || string(item.Value) != "v" || item.Version != 7 {
+		t.Errorf("get: got %+v, %v", item, err)
+	}
+	if items, revision, err := s.List(ctx, "p"); err != nil || len(items) != 1 || revision != 9 {
+		t.Errorf("list: got %v at %d, %v", items, revision, err)
+	}
+	if items, revision, err := s.Watch(ctx, "p", 3, time.Millisecond); err != nil || len(items) != 1 || revision != 9 {
+		t.Errorf("watch: got %v at %d, %v", items, revision, err)
+	}
+	if lease, err := s.Grant(ctx, time.Second); err != nil || lease != 5 {
+		t.Errorf("grant: got %d, %v", lease, err)
+	}
+	if err := s.Renew(ctx, 5); err != nil {
+		t.Errorf("renew: got %v", err)
+	}
+	if err := s.Revoke(ctx, 5); err != nil {
+		t.Errorf("revoke: got %v", err)
+	}
+}
+
+// Guards against a call that waits for a way without an answer while another one has one.
+func TestSilentWayIsGoneRound(t *testing.T) {
+	s := pair(t, &fakeStore{delay: time.Minute}, &fakeStore{})
+	begun := time.Now()
+	if _, err := s.Get(context.Background(), "k"); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(begun); took > 10*patience {
+		t.Errorf("got an answer after %v, want one soon after %v", took, patience)
+	}
+}
+
+// Guards against two processes that pass a call to each other: a peer calls the store itself or not at all.
+func TestPeerDoesNotPassACallOn(t *testing.T) {
+	own, other := &fakeStore{err: refused}, &fakeStore{err: refused}
+	s := pair(t, own, other)
+	for range 3 {
+		if _, err := s.Get(context.Background(), "k"); err == nil {
+			t.Fatal("got an answer from a store that refuses all")
+		}
+	}
+	if got := other.calls.Load(); got != 1 {
+		t.Errorf("got %d calls by the peer within %v of its failure, want 1", got, shun)
+	}
+}
+
+// Guards against calls by those who don't know the token.
+func TestTokenIsNeeded(t *testing.T) {
+	other := &fakeStore{}
+	s := pair(t, &fakeStore{err: refused}, other)
+	s.Token = "wrong"
+	if _, err := s.Get(context.Background(), "k"); err == nil || other.calls.Load() != 0 {
+		t.Errorf("got %v and %d calls, want a refusal and none", err, other.calls.Load())
+	}
+}
--- a/io/detour/wire.go
+++ b/io/detour/wire.go
@@ -80,7 +80,7 @@
 		r.Fault = faultLease
 	case errors.As(err, &history):
 		r.Fault = faultHistory
-	case errors.As(err, &refused):
+	case store.NotDone(err) && errors.As(err, &refused):
 		r.Fault, r.Status = faultRefused, refused.Status
 	default:
 		r.Fault = faultUnknown
--- /dev/null
+++ b/io/runner/runner_test.go
@@ -0,0 +1,188 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/batch"
+	"wagtailhoist/io/boot"
+)
+
+// fakeWorker records calls in order; verdicts answers starts in turn.
+type fakeWorker struct {
+	mu       sync.Mutex
+	calls    []string
+	verdicts []Verdict
+	errs     []error
+}
+
+func (w *fakeWorker) Start(_ context.Context, _ Target, s batch.Start, _ int64) (Verdict, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, "start "+s.Task.String())
+	if len(w.errs) > 0 {
+		err := w.errs[0]
+		w.errs = w.errs[1:]
+		return Verdict{}, err
+	}
+	if len(w.verdicts) > 0 {
+		v := w.verdicts[0]
+		w.verdicts = w.verdicts[1:]
+		return v, nil
+	}
+	return Verdict{Clock: 2000}, nil
+}
+
+func (w *fakeWorker) Stop(_ context.Context, _ Target, run batch.RunID) (Verdict, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, "stop "+run.Task.String())
+	return Verdict{Clock: 2001}, nil
+}
+
+func (w *fakeWorker) Hold(context.Context, Target, uint64, int64, time.Duration) (Listing, error) {
+	return Listing{}, errors.New("not asked for")
+}
+
+// newRunner returns a runner with a worker, a lease and a known clock.
+func newRunner(w *fakeWorker) *Runner {
+	r := &Runner{Worker: w, Node: "n1", Owner: func() string { return "" }, Log: slog.New(slog.DiscardHandler)}
+	r.Announce(Beat{Instance: "i-1", Worker: batch.Worker{Born: 1, Service: "s"}})
+	r.fence, r.listFence = 3, 3
+	r.clock, r.sampled, r.lease = 1000, boot.Now(), boot.Now().Add(5*time.Second)
+	r.list = Listing{Born: 1, Clock: 1000}
+	return r
+}
+
+var (
+	task  = batch.RunID{Task: batch.TaskID{Job: "j"}, Run: 1}
+	start = batch.Orders{Fence: 3, Worker: batch.WorkerID("n1", "i-1", 1), Starts: []batch.Start{{RunID: task}}}
+)
+
+// settle waits until all orders are carried out.
+func settle(t *testing.T, r *Runner) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		r.mu.Lock()
+		left := len(r.orders)
+		r.mu.Unlock()
+		if left == 0 {
+			return
+		}
+	}
+	t.Fatal("orders are still being carried out")
+}
+
+// Guards against a start that is given up after a lost answer, and against a run that isn't listed until the next look.
+func TestStartWithoutAnAnswerIsRepeated(t *testing.T) {
+	w := &fakeWorker{errs: []error{errors.New("reset")}}
+	r := newRunner(w)
+	r.obey(context.Background(), &start)
+	settle(t, r)
+	if got, want := len(w.calls), 2; got != want {
+		t.Errorf("got calls %v, want %d starts", w.calls, want)
+	}
+	if len(r.list.Running) != 1 || r.list.Running[0].RunID != task {
+		t.Errorf("got %v listed, want the run", r.list.Running)
+	}
+}
+
+// Guards against a refusal that is reported while an earlier try without an answer may still be carried out.
+func TestRefusedStartIsStoppedBeforeItIsReported(t *testing.T) {
+	w := &fakeWorker{errs: []error{errors.New("reset")}, verdicts: []Verdict{{Reason: batch.RefusedRoom, Clock: 2000}}}
+	r := newRunner(w)
+	r.obey(context.Background(), &start)
+	settle(t, r)
+	if got := w.calls[len(w.calls)-1]; got != "stop "+task.Task.String() {
+		t.Errorf("got last call %q, want a stop", got)
+	}
+	if len(r.refused) != 1 || r.refused[0].Reason != batch.RefusedRoom {
+		t.Errorf("got %v refused, want one for room", r.refused)
+	}
+	if p, _ := r.report(boot.Now()); p.Listed || len(p.Refused) != 0 {
+		t.Error("the refusal was reported with a list from before the stop")
+	}
+	v, _ := r.view()
+	r.take(v, Listing{Born: 1, Clock: 3000}, boot.Now())
+	if p, _ := r.report(boot.Now()); !p.Listed || len(p.Refused) != 1 {
+		t.Errorf("got %+v after a new list, want the refusal", p)
+	}
+}
+
+// Guards against runs that outlive their owner's lease, and against work for a worker that leaves.
+func TestStartIsRefusedWithoutALeaseOrByADrainingWorker(t *testing.T) {
+	lapsed := newRunner(&fakeWorker{})
+	lapsed.lease = boot.Now().Add(-time.Millisecond)
+	draining := newRunner(&fakeWorker{})
+	draining.Announce(Beat{Instance: "i-1", Worker: batch.Worker{Born: 1, Service: "s", Readiness: batch.Draining}})
+	for want, r := range map[string]*Runner{batch.RefusedLate: lapsed, batch.RefusedDraining: draining} {
+		r.obey(context.Background(), &start)
+		settle(t, r)
+		if len(r.refused) != 1 || r.refused[0].Reason != want {
+			t.Errorf("got %v refused, want reason %q", r.refused, want)
+		}
+	}
+}
+
+// Guards against orders of an owner that was replaced.
+func TestEarlierFenceIsNotObeyed(t *testing.T) {
+	w := &fakeWorker{}
+	r := newRunner(w)
+	old := start
+	old.Fence = 2
+	if r.obey(context.Background(), &old) {
+		t.Error("orders with an earlier fence were obeyed")
+	}
+	if len(w.calls) != 0 {
+		t.Errorf("got calls %v, want none", w.calls)
+	}
+}
+
+// Guards against a lease that counts from the arrival of its grant, which may be late, instead of the report.
+func TestLeaseCountsFromTheReport(t *testing.T) {
+	r := newRunner(&fakeWorker{})
+	r.lease = time.Time{}
+	sent := boot.Now()
+	p, _ := r.report(sent)
+	r.obey(context.Background(), &batch.Orders{Fence: 3, Beat: p.Beat, Lease: 2 * time.Second})
+	if got, want := r.lease, sent.Add(2*time.Second); !got.Equal(want) {
+		t.Errorf("got a lease until %v, want %v", got, want)
+	}
+	r.obey(context.Background(), &batch.Orders{Fence: 3, Beat: p.Beat + 9, Lease: time.Hour})
+	if got, want := r.lease, sent.Add(2*time.Second); !got.Equal(want) {
+		t.Errorf("got a lease until %v by the answer to no report, want %v", got, want)
+	}
+}
+
+// Guards against lists that overtake each other: an older one would hide a run that has begun.
+func TestOlderListIsNotTaken(t *testing.T) {
+	r := newRunner(&fakeWorker{})
+	v, _ := r.view()
+	r.take(v, Listing{Born: 1, Clock: 5000, Running: []batch.Listing{{RunID: task}}}, boot.Now())
+	r.take(v, Listing{Born: 1, Clock: 4000}, boot.Now())
+	if len(r.list.Running) != 1 {
+		t.Error("an older list replaced a later one")
+	}
+	r.take(v, Listing{Born: 2, Clock: 6000}, boot.Now())
+	if len(r.list.Running) != 1 {
+		t.Error("the list of another incarnation was taken")
+	}
+}
+
+// Guards against a status report of an earlier incarnation that arrives late.
+func TestEarlierIncarnationIsNotAnnounced(t *testing.T) {
+	r := newRunner(&fakeWorker{})
+	if !r.Announce(Beat{Instance: "i-2", Worker: batch.Worker{Born: 2}}) {
+		t.Error("a later incarnation was refused")
+	}
+	if r.Announce(Beat{Instance: "i-1", Worker: batch.Worker{Born: 1}}) {
+		t.Error("an earlier incarnation was announced")
+	}
+	if got, want := r.beat.Instance, "i-2"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/io/store/txn.go
+++ b/io/store/txn.go
@@ -1,6 +1,10 @@
 package store
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Check is a condition of a change: the key has the version; 0 means that it doesn't exist.
 type Check struct {
@@ -52,6 +56,14 @@
 // Unwrap returns the cause.
 func (e *RefusedError) Unwrap() error { return e.Cause }
 
+// NotDone reports whether a call has certainly had no effect. An UnavailableError may wrap a refusal: one of the
+// ways was refused, another had no answer.
+func NotDone(err error) bool {
+	var unknown *UnavailableError
+	var refused *RefusedError
+	return !errors.As(err, &unknown) && errors.As(err, &refused)
+}
+
 // HistoryError reports a watch from a revision that the service no longer has; the caller lists again.
 type HistoryError struct {
 	Prefix string
