Serve metrics of the job entries, and bound what they log

Logs of the entry and the agent for jobs go to standard output through a queue that never waits, with at most 400 lines a second below warnings and a count of what was left out; placements say what decided them; one line for the first start and the end of a job. Metrics: answers by method and status, time at the entry, waiting and completion by team and queue, decisions by kind.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -22,6 +23,7 @@
 	"wagtailhoist/io/desk"
 	"wagtailhoist/io/detour"
 	"wagtailhoist/io/link"
+	"wagtailhoist/io/meter"
 	"wagtailhoist/io/mirror"
 	"wagtailhoist/io/owner"
 	"wagtailhoist/platform"
@@ -42,15 +44,16 @@
 
 type deskCmd struct {
 	nodeFlags
-	Listen string        `required:"" help:"Address of the callers' listener."`
-	Ready  string        `required:"" help:"Address of the balancer's readiness listener."`
-	Link   string        `required:"" help:"Address of the link listener."`
-	Store  string        `required:"" help:"IP:port of the platform's store."`
-	Hold   time.Duration `default:"10s" help:"Longest lease of a worker without an extension."`
-	Early  time.Duration `default:"0s" help:"How long before its due time an occurrence of a job may be placed."`
-	Remote float64       `default:"3" help:"Factor by which work away from its data is slower."`
-	Keep   time.Duration `default:"2m" help:"How long the state of an ended job can be read."`
-	Drain  time.Duration `default:"2200ms" help:"Time that the balancer needs to see that the entry is not ready."`
+	Listen  string        `required:"" help:"Address of the callers' listener."`
+	Ready   string        `required:"" help:"Address of the balancer's readiness listener."`
+	Link    string        `required:"" help:"Address of the link listener."`
+	Metrics string        `help:"Address of the metrics listener. Without it, no metrics are served."`
+	Store   string        `required:"" help:"IP:port of the platform's store."`
+	Hold    time.Duration `default:"10s" help:"Longest lease of a worker without an extension."`
+	Early   time.Duration `default:"0s" help:"How long before its due time an occurrence of a job may be placed."`
+	Remote  float64       `default:"3" help:"Factor by which work away from its data is slower."`
+	Keep    time.Duration `default:"2m" help:"How long the state of an ended job can be read."`
+	Drain   time.Duration `default:"2200ms" help:"Time that the balancer needs to see that the entry is not ready."`
 }
 
 func (c *deskCmd) check(k *checks) {
@@ -58,6 +61,9 @@
 	k.listen("listen", c.Listen)
 	k.listen("ready", c.Ready)
 	k.listen("link", c.Link)
+	if c.Metrics != "" {
+		k.listen("metrics", c.Metrics)
+	}
 	k.distinct("listen", c.Listen, "ready", c.Ready, "link", c.Link)
 	k.join("store", []string{c.Store})
 	k.duration("hold", c.Hold, 2*time.Second, 10*time.Minute)
@@ -71,10 +77,9 @@
 
 // Run serves until the process is told to stop.
 func (c *deskCmd) Run(s streams) error {
-	s.err = s.out
-	return serve(s, c.Level,
+	return serveBounded(s, c.Level,
 		fx.Supply(c),
-		fx.Provide(newDeskStore, newWatcher, newOwner, newDesk),
+		fx.Provide(newDeskStore, newWatcher, newOwner, newDesk, newDeskMeter),
 		fx.Invoke(startDesk),
 	)
 }
@@ -99,9 +104,9 @@
 	return &platform.Watcher{Store: s, Wait: watchWait, Log: log}
 }
 
-func newOwner(c *deskCmd, s *detour.Store, m *mirror.Mirror, w *platform.Watcher, log *slog.Logger) *owner.Owner {
+func newOwner(c *deskCmd, s *detour.Store, m *mirror.Mirror, w *platform.Watcher, figures *meter.Meter, log *slog.Logger) *owner.Owner {
 	return &owner.Owner{
-		Store: s, Mirror: m, Self: mirror.Lead{ID: c.ID, Address: c.Link}, Log: log,
+		Store: s, Mirror: m, Self: mirror.Lead{ID: c.ID, Address: c.Link}, Log: log, Meter: figures,
 		Settings: board.Settings{
 			Lease: c.Hold - leaseReserve, Early: c.Early / 2, Remote: c.Remote, Keep: c.Keep + c.Keep/2,
 		},
@@ -118,6 +123,29 @@
 	return &desk.Desk{Store: s, Mirror: m, Log: log}
 }
 
+// newDeskMeter returns nil, which drops all figures, where no address is set for them.
+func newDeskMeter(c *deskCmd) *meter.Meter {
+	if c.Metrics == "" {
+		return nil
+	}
+	return meter.New()
+}
+
+// serveMetrics serves the metrics until the process ends. An entry without them still serves its callers.
+func serveMetrics(address string, m *meter.Meter, log *slog.Logger) {
+	if address == "" {
+		return
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		log.Error("metrics not served", "address", address, "error", err)
+		return
+	}
+	r := mux.NewRouter()
+	r.Handle("/metrics", m.Handler())
+	serveHTTP(&http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}, l, log)
+}
+
 // deskParts are the parts of an entry for jobs that startDesk runs.
 type deskParts struct {
 	fx.In
@@ -127,6 +155,7 @@
 	Store   *detour.Store
 	Owner   *owner.Owner
 	Desk    *desk.Desk
+	Meter   *meter.Meter
 }
 
 func startDesk(life fx.Lifecycle, c *deskCmd, p deskParts, log *slog.Logger) {
@@ -136,7 +165,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ruling, abdicate := context.WithCancel(ctx)
 	var stopping atomic.Bool
-	front := &platform.Front{Desk: p.Desk, Desired: p.Watcher.Desired, Log: log}
+	front := &platform.Front{Desk: p.Desk, Desired: p.Watcher.Desired, Log: log, Meter: p.Meter}
 	callers := &http.Server{
 		Handler: front, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: callersIdle, MaxHeaderBytes: 16 << 10,
 	}
@@ -160,6 +189,7 @@
 			running.Go(func() { p.Mirror.Run(ctx) })
 			running.Go(func() { p.Owner.Run(ruling) })
 			running.Go(func() { p.Owner.Register(ctx) })
+			go serveMetrics(c.Metrics, p.Meter, log)
 			go ignoreReload(ctx, log)
 			return nil
 		},
@@ -174,7 +204,7 @@
 			err := callers.Shutdown(stop)
 			cancel()
 			running.Wait()
-			_, _ = links.Close(), ready.Close()
+			_, _, _ = links.Close(), ready.Close(), p.Meter.Close()
 			log.Info("stopped")
 			return err
 		},
--- a/cmds/runner.go
+++ b/cmds/runner.go
@@ -42,8 +42,7 @@
 
 // Run serves until the process is told to stop.
 func (c *runnerCmd) Run(s streams) error {
-	s.err = s.out
-	return serve(s, c.Level,
+	return serveBounded(s, c.Level,
 		fx.Supply(c),
 		fx.Provide(newLeads, newRunner),
 		fx.Invoke(startRunner),
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -26,7 +26,22 @@
 	if err := lowest.UnmarshalText([]byte(level)); err != nil {
 		return err
 	}
-	log := logs.New(s.err, lowest)
+	return run(logs.New(s.err, lowest), options...)
+}
+
+// serveBounded is serve with logs on standard output that never wait for it and whose volume is bounded.
+func serveBounded(s streams, level string, options ...fx.Option) error {
+	var lowest slog.Level
+	if err := lowest.UnmarshalText([]byte(level)); err != nil {
+		return err
+	}
+	log, closer := logs.Bounded(s.out, lowest)
+	defer closer()
+	return run(log, options...)
+}
+
+// run runs an application until SIGTERM or SIGINT.
+func run(log *slog.Logger, options ...fx.Option) error {
 	app := fx.New(append(options,
 		fx.Supply(log),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -45,17 +45,28 @@
 	changed bool
 }
 
-// Event is a decision about a run, for the log.
+// Event is a decision about a run or, without a worker, about a job.
 type Event struct {
 	What   string
 	Run    batch.RunID
 	Worker string
 	Detail string
+	Team   model.Team
+	Queue  string
+	// Since is the time from the job's acceptance; it is set for the first start and the end of a job.
+	Since time.Duration
 }
 
 func (b *Board) trace(what string, run batch.RunID, worker, detail string) {
 	if b.Trace != nil {
-		b.Trace(Event{what, run, worker, detail})
+		b.Trace(Event{What: what, Run: run, Worker: worker, Detail: detail})
+	}
+}
+
+func (b *Board) traceJob(what string, j *job, detail string, since time.Duration) {
+	if b.Trace != nil {
+		run := batch.RunID{Task: batch.TaskID{Job: j.job.ID}}
+		b.Trace(Event{What: what, Run: run, Detail: detail, Team: j.job.Team, Queue: j.job.Queue, Since: since})
 	}
 }
 
@@ -222,6 +233,10 @@
 	if !t.confirmed {
 		t.confirmed = true
 		t.began, t.moved = now, now
+		if !t.job.begun {
+			t.job.begun = true
+			b.traceJob("job begun", t.job, "", now.Sub(t.job.seen))
+		}
 		if !t.Began {
 			t.Began = true
 			t.job.touch()
@@ -398,6 +413,7 @@
 		return
 	}
 	j.endedAt = wall.UnixMilli()
+	b.traceJob("job ended", j, string(j.outcome), wall.Sub(time.UnixMilli(j.job.Accepted)))
 	j.touch()
 }
 
--- a/core/board/job.go
+++ b/core/board/job.go
@@ -19,9 +19,11 @@
 	// version counts the changes of the progress, saved is the last one that is stored.
 	version, saved    uint64
 	cancelled, broken bool
-	cancelVersion     uint64
-	outcome           batch.State
-	endedAt           int64
+	// begun says that a task was seen at work.
+	begun         bool
+	cancelVersion uint64
+	outcome       batch.State
+	endedAt       int64
 }
 
 // task is a task with its present run.
@@ -56,6 +58,7 @@
 	if p := e.Progress; p != nil {
 		j.outcome, j.endedAt = p.Outcome, p.Ended
 		j.broken = p.Outcome == batch.Broken
+		j.begun = p.Began()
 		for _, stored := range p.Tasks {
 			if t := j.tasks[slot{stored.Occurrence, stored.Step, stored.Index}]; t != nil {
 				t.Task = stored
--- a/core/board/plan.go
+++ b/core/board/plan.go
@@ -58,7 +58,7 @@
 		return
 	}
 	if seats := p.seatGang(u, p.room); seats != nil {
-		p.commit(u.tasks, seats)
+		p.commit(u, u.tasks, seats)
 		return
 	}
 	p.claim(u, u.tasks)
@@ -75,7 +75,7 @@
 			open = append(open, t)
 			continue
 		}
-		p.commit([]*task{t}, seats)
+		p.commit(u, []*task{t}, seats)
 	}
 	if len(open) > 0 {
 		p.claim(u, open)
@@ -221,13 +221,14 @@
 }
 
 // commit records a new run for each task. Members of a gang share the number of their run.
-func (p *plan) commit(tasks []*task, seats []*worker) {
+func (p *plan) commit(u *unit, tasks []*task, seats []*worker) {
 	run := 0
 	for _, t := range tasks {
 		run = max(run, t.Run+1)
 	}
-	j := tasks[0].job
+	j := u.job
 	j.touch()
+	why := u.why(p.now)
 	for i, t := range tasks {
 		w := seats[i]
 		t.release()
@@ -235,7 +236,7 @@
 		w.runs[t.id(j)] = t
 		p.room[w] = p.room[w].Sub(j.job.Steps[t.Step].Taken())
 		p.later[w] = p.later[w].Sub(j.job.Steps[t.Step].Taken())
-		p.trace("placed", batch.RunID{Task: t.id(j), Run: run}, w.ID, "")
+		p.trace("placed", batch.RunID{Task: t.id(j), Run: run}, w.ID, why)
 	}
 }
 
--- a/core/board/unit.go
+++ b/core/board/unit.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -117,6 +118,15 @@
 	return priorityWeight * u.queue.Priority
 }
 
+// why says for the log what a unit was placed by.
+func (u *unit) why(now time.Time) string {
+	kind := [...]string{inTime: "in time", late: "late", useless: "useless"}[u.class]
+	if u.guaranteed {
+		kind = "guaranteed"
+	}
+	return fmt.Sprintf("%s, priority %d, %d ms to the objective", kind, u.queue.Priority, u.deadline.Sub(now).Milliseconds())
+}
+
 // covered returns the jobs of priority 0 that fit into their team's guarantee, oldest first.
 func (b *Board) covered(wall time.Time) map[model.JobID]bool {
 	var urgent []*job
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -14,6 +14,7 @@
 	"wagtailhoist/core/board"
 	"wagtailhoist/io/boot"
 	"wagtailhoist/io/link"
+	"wagtailhoist/io/meter"
 	"wagtailhoist/io/mirror"
 	"wagtailhoist/io/store"
 )
@@ -51,6 +52,8 @@
 	Self     mirror.Lead
 	Settings board.Settings
 	Log      *slog.Logger
+	// Meter takes counts and times; nil drops them.
+	Meter *meter.Meter
 	// Terms returns the declared queues and teams, and their revision; the revision is 0 before the first.
 	Terms func() (batch.Terms, uint64)
 
--- a/io/owner/reign.go
+++ b/io/owner/reign.go
@@ -86,12 +86,27 @@
 		byWorker: map[string]*session{}, versions: map[model.JobID]uint64{},
 	}
 	r.board.Settings = o.Settings
-	r.board.Trace = func(e board.Event) {
-		o.Log.Info(e.What, "task", e.Run.Task.String(), "run", e.Run.Run, "worker", e.Worker, "detail", e.Detail, "fence", fence)
-	}
+	r.board.Trace = r.trace
 	return r
 }
 
+// trace logs and counts a decision.
+func (r *reign) trace(e board.Event) {
+	log, meter := r.owner.Log, r.owner.Meter
+	meter.Count("decisions", "kind", e.What, 1)
+	if e.Queue == "" {
+		log.Info(e.What, "task", e.Run.Task.String(), "run", e.Run.Run, "worker", e.Worker, "detail", e.Detail, "fence", r.fence)
+		return
+	}
+	if e.Detail == "" {
+		meter.Waiting(e.Team, e.Queue, e.Since)
+	} else {
+		meter.Completion(e.Team, e.Queue, e.Since)
+	}
+	log.Info(e.What, "job", string(e.Run.Task.Job), "team", string(e.Team), "queue", e.Queue, "state", e.Detail,
+		"since", e.Since.Milliseconds(), "fence", r.fence)
+}
+
 func (r *reign) run(ctx context.Context) {
 	now, wall := boot.Now(), time.Now()
 	r.owner.Mirror.Changed(func(book *batch.Book, _ []model.JobID, _ bool) {
