--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -77,7 +77,7 @@
 
 // Run serves until the process is told to stop.
 func (c *deskCmd) Run(s streams) error {
-	return serveBounded(s, c.Level,
+	return serveBounded(s, c.Level, c.ID,
 		fx.Supply(c),
 		fx.Provide(newDeskStore, newWatcher, newOwner, newDesk, newDeskMeter),
 		fx.Invoke(startDesk),
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -24,6 +24,7 @@
 	Query   queryCmd   `cmd:"" help:"Answer a query or carry out a change."`
 	Drain   drainCmd   `cmd:"" help:"Drain and stop a process."`
 	Status  statusCmd  `cmd:"" help:"Show the processes."`
+	Trace   traceCmd   `cmd:"" help:"Print what logs say of a job."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- a/cmds/runner.go
+++ b/cmds/runner.go
@@ -42,7 +42,7 @@
 
 // Run serves until the process is told to stop.
 func (c *runnerCmd) Run(s streams) error {
-	return serveBounded(s, c.Level,
+	return serveBounded(s, c.Level, c.ID,
 		fx.Supply(c),
 		fx.Provide(newLeads, newRunner),
 		fx.Invoke(startRunner),
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -30,14 +30,14 @@
 }
 
 // serveBounded is serve with logs on standard output that never wait for it and whose volume is bounded.
-func serveBounded(s streams, level string, options ...fx.Option) error {
+func serveBounded(s streams, level, id string, options ...fx.Option) error {
 	var lowest slog.Level
 	if err := lowest.UnmarshalText([]byte(level)); err != nil {
 		return err
 	}
 	log, closer := logs.Bounded(s.out, lowest)
 	defer closer()
-	return run(log, options...)
+	return run(log.With("node", id), options...)
 }
 
 // run runs an application until SIGTERM or SIGINT.
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -547,3 +547,25 @@
 		t.Errorf("got %d runs once the list must show the member, want %d", got, want)
 	}
 }
+
+// Guards against tasks that fill beside tasks whose users wait for them: they disturb each other.
+func TestFillingTasksStayAwayFromServingOnes(t *testing.T) {
+	b := newBench(t)
+	b.worker("n1", "r1")
+	serving := gpus(1, 1)
+	serving.Lasting, serving.Tail = true, time.Second
+	b.submit("p1", "a", serving)
+	b.step()
+	filling := gpus(1, 1)
+	filling.Fills = true
+	id := b.submit("p2", "a", filling)
+	b.step()
+	if got := b.runs(id); got != 0 {
+		t.Error("a task that fills was placed beside a serving one")
+	}
+	b.worker("n2", "r2")
+	b.step()
+	if got, want := b.runs(id), 1; got != want {
+		t.Errorf("got %d runs on another worker, want %d", got, want)
+	}
+}
--- a/core/board/plan.go
+++ b/core/board/plan.go
@@ -96,7 +96,7 @@
 func (p *plan) candidates(u *unit) []*worker {
 	var list []*worker
 	for _, w := range p.workers {
-		if w.usable(p.now, u.queue.Service) && w.has(u.step.Label) {
+		if w.usable(p.now, u.queue.Service) && w.has(u.step.Label) && !w.clashes(u.step) {
 			list = append(list, w)
 		}
 	}
--- a/core/board/unit.go
+++ b/core/board/unit.go
@@ -81,6 +81,8 @@
 	objective := u.queue.Objective(&j.job)
 	u.deadline = since.Add(objective)
 	switch {
+	case u.step.Lasting:
+		// A lasting task is missed by its users as long as it isn't at work.
 	case now.Sub(since) > lateFactor*objective:
 		u.class = useless
 	case now.Add(u.step.Estimate / 2).After(u.deadline):
@@ -104,11 +106,16 @@
 	// that the objective can't be met: what is late gains a fifth to a half of what it would have, so that it goes
 	// behind the next priority in time and before the one after that.
 	priorityWeight, lateWeight = 2, 3
+	// lastingRank is before all but guaranteed work.
+	lastingRank = -1
 	// uselessRank is behind all others.
 	uselessRank = 1 << 20
 )
 
 func (u *unit) rank() int {
+	if u.step.Lasting {
+		return lastingRank
+	}
 	switch u.class {
 	case useless:
 		return uselessRank + u.queue.Priority
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -118,6 +118,21 @@
 	return false
 }
 
+// clashes reports whether a task would fill beside one whose tail latency is limited, or the other way round: those
+// that fill disturb the others by amounts that aren't known before.
+func (w *worker) clashes(s *batch.Step) bool {
+	if !s.Fills && s.Tail == 0 {
+		return false
+	}
+	for _, t := range w.runs {
+		other := &t.job.job.Steps[t.Step]
+		if s.Fills && other.Tail > 0 || s.Tail > 0 && other.Fills {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *worker) sortedRuns() []batch.TaskID {
 	ids := make([]batch.TaskID, 0, len(w.runs))
 	for id := range w.runs {
