Ask the advice service for tickets, and wait longer for near workers

Steps of queues with advice run only on workers with a valid ticket; the owner asks for the workers that have room, one question at a time, and never again for those that may not run the step.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -49,6 +49,7 @@
 	Link    string        `required:"" help:"Address of the link listener."`
 	Metrics string        `help:"Address of the metrics listener. Without it, no metrics are served."`
 	Store   string        `required:"" help:"IP:port of the platform's store."`
+	Advice  string        `help:"IP:port of the advice service. Without it, jobs of advised queues wait."`
 	Hold    time.Duration `default:"10s" help:"Longest lease of a worker without an extension."`
 	Early   time.Duration `default:"0s" help:"How long before its due time an occurrence of a job may be placed."`
 	Remote  float64       `default:"3" help:"Factor by which work away from its data is slower."`
@@ -66,6 +67,9 @@
 	}
 	k.distinct("listen", c.Listen, "ready", c.Ready, "link", c.Link)
 	k.join("store", []string{c.Store})
+	if c.Advice != "" {
+		k.join("advice", []string{c.Advice})
+	}
 	k.duration("hold", c.Hold, 2*time.Second, 10*time.Minute)
 	k.duration("early", c.Early, 0, time.Minute)
 	k.duration("keep", c.Keep, time.Second, 24*time.Hour)
@@ -105,8 +109,12 @@
 }
 
 func newOwner(c *deskCmd, s *detour.Store, m *mirror.Mirror, w *platform.Watcher, figures *meter.Meter, log *slog.Logger) *owner.Owner {
+	var advisor owner.Advisor
+	if c.Advice != "" {
+		advisor = &platform.Advisor{Address: c.Advice, HTTP: platform.NewHTTP()}
+	}
 	return &owner.Owner{
-		Store: s, Mirror: m, Self: mirror.Lead{ID: c.ID, Address: c.Link}, Log: log, Meter: figures,
+		Advisor: advisor, Store: s, Mirror: m, Self: mirror.Lead{ID: c.ID, Address: c.Link}, Log: log, Meter: figures,
 		Settings: board.Settings{
 			Lease: c.Hold - leaseReserve, Early: c.Early / 2, Remote: c.Remote, Keep: c.Keep + c.Keep/2,
 		},
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -144,6 +144,8 @@
 	Stretch float64       `cbor:"5,keyasint"`
 	Target  time.Duration `cbor:"6,keyasint"`
 	Public  bool          `cbor:"7,keyasint,omitempty"`
+	// Advised queues run a step only on workers for which the advice service gives a ticket.
+	Advised bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Objective returns the time from submission within which a job should complete.
--- a/core/batch/orders.go
+++ b/core/batch/orders.go
@@ -41,15 +41,15 @@
 	return node + "/" + name + "@" + strconv.FormatInt(born, 10)
 }
 
-// ParseWorkerID returns the node and the birth of an incarnation, or empty values for another form.
-func ParseWorkerID(id string) (node string, born int64) {
+// ParseWorkerID returns the node, the worker's own name and the birth of an incarnation, or empty values for another form.
+func ParseWorkerID(id string) (node, name string, born int64) {
 	node, rest, _ := strings.Cut(id, "/")
-	_, birth, _ := strings.Cut(rest, "@")
+	name, birth, _ := strings.Cut(rest, "@")
 	born, err := strconv.ParseInt(birth, 10, 64)
 	if err != nil {
-		return "", 0
+		return "", "", 0
 	}
-	return node, born
+	return node, name, born
 }
 
 // RunID names a run of a task.
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -43,6 +43,8 @@
 	adopted time.Time
 	// changed says that placing may find something new.
 	changed bool
+	// questions are the tickets that the last plan lacked.
+	questions []Question
 }
 
 // Event is a decision about a run or, without a worker, about a job.
@@ -149,7 +151,7 @@
 	if w == nil {
 		w = &worker{runs: map[batch.TaskID]*task{}, foreign: map[batch.RunID]foreign{}, until: b.adopted.Add(b.grace())}
 		w.ID = id
-		w.Node, w.Born = batch.ParseWorkerID(id)
+		w.Node, _, w.Born = batch.ParseWorkerID(id)
 		b.workers[id] = w
 	}
 	return w
@@ -290,6 +292,9 @@
 		return
 	}
 	b.trace("refused", r.RunID, w.ID, r.Reason)
+	if r.Reason == batch.RefusedTicket {
+		t.job.tickets[t.stepSlot()].expire(w.ID)
+	}
 	if r.Reason == batch.RefusedBusy || r.Reason == batch.RefusedRoom || r.Reason == batch.RefusedInvalid {
 		w.avoid(now, firstAvoid)
 	}
@@ -504,7 +509,7 @@
 			o.Stops = append(o.Stops, run)
 		case !t.stop && !t.confirmed && !t.sent && t.job.saved >= t.placedAt:
 			t.sent = true
-			start := batch.Start{RunID: run, Spec: t.job.job.Spec}
+			start := batch.Start{RunID: run, Spec: t.job.job.Spec, Ticket: t.job.tickets[t.stepSlot()].text(id)}
 			if t.job.job.Steps[t.Step].Checkpoints {
 				start.Checkpoint = t.Checkpoint
 			}
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -569,3 +569,37 @@
 		t.Errorf("got %d runs on another worker, want %d", got, want)
 	}
 }
+
+// Guards against starts without a ticket where a queue's steps need one, and against tickets that have run out.
+func TestAdvisedStepWaitsForItsTicket(t *testing.T) {
+	b := newBench(t)
+	w1, w2 := b.worker("n1", "r1"), b.worker("n2", "r1")
+	b.board.terms.Queues["p1"] = batch.Queue{Name: "p1", Service: "svc", Priority: 1, Attempts: 2, Stretch: 2, Advised: true}
+	id := b.submit("p1", "a", gpus(2, 1))
+	b.step()
+	q, ok := b.board.Question()
+	if got := b.runs(id); got != 0 || !ok || len(q.Workers) != 2 {
+		t.Fatalf("got %d runs and question %+v, want none and both workers asked for", got, q)
+	}
+	b.board.Advised(q, b.now, map[string]string{w2.ID: "ticket"}, time.Second)
+	b.board.Plan(b.now, b.now)
+	b.save()
+	if o, _ := b.board.Orders(b.now, w2.ID); len(o.Starts) != 2 || o.Starts[0].Ticket != "ticket" {
+		t.Errorf("got starts %+v, want two with the ticket", o.Starts)
+	}
+	if _, ok := b.board.Question(); ok {
+		t.Error("a worker that may not run the step was asked for again")
+	}
+	if len(w1.running) != 0 {
+		t.Error("a task was started on a worker without a ticket")
+	}
+	later := b.submit("p1", "a", gpus(1, 1))
+	b.board.Plan(b.now, b.now)
+	q, _ = b.board.Question()
+	b.board.Advised(q, b.now, map[string]string{w1.ID: "old"}, time.Second)
+	b.now = b.now.Add(time.Second)
+	b.step()
+	if got := b.runs(later); got != 0 {
+		t.Error("a task was started with a ticket that has run out")
+	}
+}
--- a/core/board/job.go
+++ b/core/board/job.go
@@ -19,6 +19,8 @@
 	// version counts the changes of the progress, saved is the last one that is stored.
 	version, saved    uint64
 	cancelled, broken bool
+	// tickets holds what the advice service said of each step.
+	tickets map[stepSlot]*advice
 	// begun says that a task was seen at work.
 	begun         bool
 	cancelVersion uint64
@@ -45,7 +47,7 @@
 }
 
 func newJob(e *batch.Entry, now, wall time.Time) *job {
-	j := &job{job: *e.Job, tasks: map[slot]*task{}}
+	j := &job{job: *e.Job, tasks: map[slot]*task{}, tickets: map[stepSlot]*advice{}}
 	age := wall.Sub(time.UnixMilli(e.Job.Accepted))
 	j.seen = now.Add(-max(0, min(age, time.Hour)))
 	for k := range j.job.Occurrences() {
--- a/core/board/plan.go
+++ b/core/board/plan.go
@@ -8,7 +8,7 @@
 )
 
 // reserved bounds the units that keep workers free for themselves.
-const reserved = 2
+const reserved = 5
 
 // plan is one pass over the waiting units.
 type plan struct {
@@ -26,6 +26,7 @@
 // Plan places waiting tasks and stops runs that have to give way. wall is the time of day.
 func (b *Board) Plan(now, wall time.Time) {
 	b.changed = false
+	b.questions = nil
 	units := b.units(now, wall)
 	if len(units) == 0 {
 		return
@@ -88,7 +89,7 @@
 	if u.step.Rack == "" && !u.step.OneRack || u.guaranteed {
 		return true
 	}
-	longer := time.Duration((p.remote() - 1) / 2 * float64(u.step.Estimate))
+	longer := time.Duration((p.remote() - 1) * 2 * float64(u.step.Estimate))
 	return p.now.Sub(u.job.seen) > longer
 }
 
@@ -100,6 +101,9 @@
 			list = append(list, w)
 		}
 	}
+	if u.queue.Advised {
+		return p.advised(u, list)
+	}
 	return list
 }
 
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -27,6 +27,12 @@
 	Revoke(ctx context.Context, lease uint64) error
 }
 
+// Advisor says which workers may run a step of an advised queue.
+type Advisor interface {
+	// Advise returns the tickets by worker, and how long they are valid.
+	Advise(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
+}
+
 const (
 	// leaseTime is the owner's lease: a killed owner is replaced after it at the latest. It bears two renewals
 	// that are lost or a store that takes 250 ms.
@@ -51,7 +57,9 @@
 	Mirror   *mirror.Mirror
 	Self     mirror.Lead
 	Settings board.Settings
-	Log      *slog.Logger
+	// Advisor is nil where there is none; steps that need tickets wait.
+	Advisor Advisor
+	Log     *slog.Logger
 	// Meter takes counts and times; nil drops them.
 	Meter *meter.Meter
 	// Terms returns the declared queues and teams, and their revision; the revision is 0 before the first.
--- a/io/owner/reign.go
+++ b/io/owner/reign.go
@@ -29,6 +29,8 @@
 	outbox = 64
 	// commitPause is the pause after a change that failed.
 	commitPause = 60 * time.Millisecond
+	// advicePause is the pause after a call for advice that failed.
+	advicePause = 300 * time.Millisecond
 	// forgetEvery is the interval at which ended jobs are deleted.
 	forgetEvery = 5 * time.Second
 )
@@ -56,6 +58,15 @@
 	err      error
 }
 
+// answer is the advice service's answer to a question.
+type answer struct {
+	question board.Question
+	asked    time.Time
+	tickets  map[string]string
+	valid    time.Duration
+	err      error
+}
+
 // reign is the time of one ownership.
 type reign struct {
 	owner *Owner
@@ -69,10 +80,14 @@
 	// done is closed when the reign has ended.
 	done chan struct{}
 
+	answers chan answer
+
 	// The rest belongs to the goroutine of run.
 	byWorker map[string]*session
 	versions map[model.JobID]uint64
 	writing  bool
+	asking   bool
+	askPause time.Time
 	pause    time.Time
 	planned  time.Time
 	forgot   time.Time
@@ -129,6 +144,8 @@
 			if !r.settle(result) {
 				return
 			}
+		case a := <-r.answers:
+			r.advised(a)
 		case <-r.owner.Mirror.Wake():
 			r.update()
 		case <-ticker.C:
@@ -219,6 +236,7 @@
 		r.board.Plan(now, wall)
 	}
 	r.write(ctx, now)
+	r.ask(ctx, now)
 	for worker, s := range r.byWorker {
 		orders, any := r.board.Orders(now, worker)
 		if !any && s.answer == 0 {
@@ -233,6 +251,31 @@
 	}
 }
 
+// ask puts the most urgent question to the advice service, one at a time: it answers each caller in turn.
+func (r *reign) ask(ctx context.Context, now time.Time) {
+	q, ok := r.board.Question()
+	if !ok || r.asking || r.owner.Advisor == nil || now.Before(r.askPause) {
+		return
+	}
+	r.asking = true
+	go func() {
+		tickets, valid, err := r.owner.Advisor.Advise(ctx, q.Name(), q.Workers)
+		r.answers <- answer{q, now, tickets, valid, err}
+	}()
+}
+
+func (r *reign) advised(a answer) {
+	r.asking = false
+	if a.err != nil {
+		r.askPause = boot.Now().Add(advicePause)
+		r.owner.Log.Warn("no advice", "step", a.question.Name(), "workers", len(a.question.Workers), "error", a.err)
+		return
+	}
+	r.owner.Log.Info("advice", "step", a.question.Name(), "workers", len(a.question.Workers), "allowed", len(a.tickets),
+		"valid", a.valid.Milliseconds())
+	r.board.Advised(a.question, a.asked, a.tickets, a.valid)
+}
+
 func (r *reign) send(s *session, o link.Orders) {
 	select {
 	case s.out <- o:
