Tell the owner of new jobs, take a worker with a closed port as ended, evacuate in time

Change: the accepting entry sends the stored record to the owner at once; an agent whose minion's port takes no connections for 300 ms reports that it has ended (both are on one VM); runs that can't end before a draining worker leaves are stopped and go on elsewhere.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -83,7 +83,7 @@
 func (c *deskCmd) Run(s streams) error {
 	return serveBounded(s, c.Level, c.ID,
 		fx.Supply(c),
-		fx.Provide(newDeskStore, newWatcher, newOwner, newDesk, newDeskMeter),
+		fx.Provide(newDeskStore, newWatcher, newOwner, newNotices, newDesk, newDeskMeter),
 		fx.Invoke(startDesk),
 	)
 }
@@ -127,8 +127,12 @@
 	}
 }
 
-func newDesk(s *detour.Store, m *mirror.Mirror, log *slog.Logger) *desk.Desk {
-	return &desk.Desk{Store: s, Mirror: m, Log: log}
+func newNotices(c *deskCmd, m *mirror.Mirror, log *slog.Logger) *desk.Notices {
+	return &desk.Notices{Mirror: m, Self: c.Link, Token: c.Token, HTTP: platform.NewHTTP(), Log: log}
+}
+
+func newDesk(s *detour.Store, m *mirror.Mirror, n *desk.Notices, log *slog.Logger) *desk.Desk {
+	return &desk.Desk{Store: s, Mirror: m, Tell: n.Tell, Log: log}
 }
 
 // newDeskMeter returns nil, which drops all figures, where no address is set for them.
@@ -162,6 +166,7 @@
 	Mirror  *mirror.Mirror
 	Store   *detour.Store
 	Owner   *owner.Owner
+	Notices *desk.Notices
 	Desk    *desk.Desk
 	Meter   *meter.Meter
 }
@@ -181,7 +186,7 @@
 		_, _, synced := p.Mirror.Status()
 		return synced && p.Watcher.Desired() != nil && !stopping.Load()
 	}), ReadHeaderTimeout: 5 * time.Second}
-	links := deskLinks(c, p.Owner, p.Store)
+	links := deskLinks(c, p)
 	var running sync.WaitGroup
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -219,16 +224,17 @@
 	})
 }
 
-// deskLinks returns the server that accepts the links of agents and calls of the store for other processes.
-func deskLinks(c *deskCmd, o *owner.Owner, d *detour.Store) *http.Server {
+// deskLinks returns the server that accepts the links of agents, calls of the store for other processes and notices.
+func deskLinks(c *deskCmd, p deskParts) *http.Server {
 	self := link.Hello{
 		Node: model.NodeID(c.ID), Incarnation: entryIncarnation(time.Now()), Role: link.RoleEntry,
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: c.Link,
 	}
 	s := link.Settings{Self: self, Token: c.Token, Silence: linkSilence}
-	server := linkServer(s, o.Serve, func() bool { return true })
+	server := linkServer(s, p.Owner.Serve, func() bool { return true })
 	router := mux.NewRouter()
-	router.Handle(detour.Path, d)
+	router.Handle(detour.Path, p.Store)
+	router.Handle(desk.NoticePath, p.Notices)
 	router.PathPrefix("/").Handler(server.Handler)
 	server.Handler = router
 	return server
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -172,6 +172,9 @@
 	if w.Capacity != r.Worker.Capacity || w.Readiness != r.Worker.Readiness || w.Service != r.Worker.Service || w.listed != r.Listed {
 		b.changed = true
 	}
+	if r.Worker.Readiness == batch.Draining && w.leaves.IsZero() {
+		w.leaves = now.Add(r.Worker.Left)
+	}
 	w.Worker = r.Worker
 	w.listed = r.Listed
 	if w.session != session {
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -603,3 +603,26 @@
 		t.Error("a task was started with a ticket that has run out")
 	}
 }
+
+// Guards against runs that are thrown away with their worker although they could go on elsewhere at once (load:
+// workers taken away at short notice), and against stops of runs that end in time.
+func TestRunsLeaveADrainingWorkerInTime(t *testing.T) {
+	b := newBench(t)
+	w := b.worker("n1", "r1")
+	short, long := gpus(1, 1), gpus(1, 1)
+	short.Estimate, long.Estimate = time.Second, time.Minute
+	stays, goes := b.submit("p1", "a", short), b.submit("p1", "a", long)
+	b.step()
+	b.worker("n2", "r2")
+	w.Readiness, w.Left = batch.Draining, 2*time.Second
+	b.report(w)
+	b.board.Evacuate(b.now)
+	b.step()
+	b.step()
+	if len(w.running) != 1 || w.running[0].Task.Job != stays {
+		t.Errorf("got %v on the draining worker, want the short run alone", w.running)
+	}
+	if got, want := b.runs(goes), 1; got != want {
+		t.Errorf("got %d runs of the long task elsewhere, want %d", got, want)
+	}
+}
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -29,6 +29,8 @@
 	// listed says that its last report had lists from the worker itself.
 	listed  bool
 	session uint64
+	// leaves is when a draining worker may be gone at the earliest.
+	leaves time.Time
 
 	// processed is the highest end that was applied, seen the highest that is stored with all before it.
 	processed, seen uint64
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -23,7 +23,9 @@
 type Desk struct {
 	Store  Store
 	Mirror *mirror.Mirror
-	Log    *slog.Logger
+	// Tell passes an item that was just stored on to the owner, whose watch may be late; nil leaves it to the watch.
+	Tell func(store.Item)
+	Log  *slog.Logger
 }
 
 // NotRunError reports a job that was not stored and never runs.
@@ -81,9 +83,13 @@
 	begun := time.Now()
 	unknown := false
 	for {
-		_, err := d.Store.Commit(ctx, change)
+		revision, err := d.Store.Commit(ctx, change)
+		if err == nil {
+			d.tell(store.Item{Key: change.Sets[0].Key, Value: change.Sets[0].Value, Version: revision})
+			return nil
+		}
 		var exists *store.CheckError
-		if err == nil || errors.As(err, &exists) {
+		if errors.As(err, &exists) {
 			return nil
 		}
 		unknown = unknown || !store.NotDone(err)
@@ -101,6 +107,14 @@
 	}
 }
 
+// tell makes a stored item known here and to the owner.
+func (d *Desk) tell(item store.Item) {
+	d.Mirror.Merge(item)
+	if d.Tell != nil {
+		d.Tell(item)
+	}
+}
+
 // known is what the desk knows of a job.
 type known struct {
 	team  model.Team
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -117,6 +117,25 @@
 	return m.wake
 }
 
+// Merge takes an item of a job that another process has just stored, before a watch shows it.
+func (m *Mirror) Merge(item store.Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.synced {
+		return
+	}
+	id, err := m.book.Apply(item.Key, item.Value, item.Version)
+	if err != nil {
+		m.Log.Error("record not readable", "key", item.Key, "version", item.Version, "error", err)
+		return
+	}
+	if m.changed == nil {
+		m.changed = map[model.JobID]bool{}
+	}
+	m.changed[id] = true
+	m.signal()
+}
+
 // Wake receives after changes; it has one reader.
 func (m *Mirror) Wake() <-chan struct{} {
 	m.mu.Lock()
--- a/io/owner/reign.go
+++ b/io/owner/reign.go
@@ -152,6 +152,7 @@
 			r.update()
 			r.board.Expire(boot.Now(), time.Now())
 			r.board.Unstick(boot.Now())
+			r.board.Evacuate(boot.Now())
 		}
 		r.advance(ctx)
 	}
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -4,8 +4,11 @@
 	"context"
 	"log/slog"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"wagtailhoist/core/batch"
 	"wagtailhoist/io/boot"
 	"wagtailhoist/io/link"
@@ -65,6 +68,9 @@
 	holdPause = 60 * time.Millisecond
 	// listedLimit is the age up to which lists count as the worker's own.
 	listedLimit = holdWait + holdSlack + 300*time.Millisecond
+	// closedLimit is how long a worker's port may take no connections until the worker counts as ended. Both are on
+	// one VM, so that a refused connection says that no process listens.
+	closedLimit = 300 * time.Millisecond
 	// orderLimit bounds a call that carries out an order; a worker answers in about a millisecond.
 	orderLimit = 300 * time.Millisecond
 	// orderPause is the pause between tries of an order.
@@ -94,13 +100,15 @@
 	listFence uint64
 	listedAt  time.Time
 	seen      uint64
-	orders    map[batch.RunID]*order
-	refused   []batch.Refusal
-	sent      map[uint64]time.Time
-	beats     uint64
-	answered  time.Time
-	kick      chan struct{}
-	look      chan struct{}
+	// closed is since when the worker's port takes no connections; zero while it does.
+	closed   time.Time
+	orders   map[batch.RunID]*order
+	refused  []batch.Refusal
+	sent     map[uint64]time.Time
+	beats    uint64
+	answered time.Time
+	kick     chan struct{}
+	look     chan struct{}
 }
 
 // order is an order that is being carried out.
@@ -529,6 +537,7 @@
 	list, err := r.Worker.Hold(call, v.target, v.seen, v.deadline, wait)
 	if err != nil {
 		r.Log.Debug("worker not heard", "worker", v.worker, "error", err)
+		r.refusing(v, errors.Is(err, syscall.ECONNREFUSED), boot.Now())
 		sleep(ctx, holdPause)
 		if wait == 0 {
 			signal(r.look)
@@ -538,6 +547,22 @@
 	r.take(v, list, boot.Now())
 }
 
+// refusing notes whether the worker's port takes no connections. A worker that has ended runs nothing any more.
+func (r *Runner) refusing(v view, refused bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !refused || r.beat.Worker.ID != v.worker:
+		r.closed = time.Time{}
+	case r.closed.IsZero():
+		r.closed = now
+	case now.Sub(r.closed) > closedLimit && r.beat.Worker.Readiness != batch.Gone:
+		r.Log.Warn("worker has ended: its port takes no connections", "worker", v.worker)
+		r.beat.Worker.Readiness = batch.Gone
+		signal(r.kick)
+	}
+}
+
 // take accepts a list unless a later one is known: answers on different connections may overtake each other.
 func (r *Runner) take(v view, list Listing, now time.Time) {
 	r.mu.Lock()
@@ -545,6 +570,7 @@
 	if r.beat.Worker.ID != v.worker || list.Born != 0 && list.Born != r.beat.Worker.Born || list.Clock < r.list.Clock {
 		return
 	}
+	r.closed = time.Time{}
 	r.sample(list.Clock, now)
 	changed := r.listFence != v.target.Fence || len(list.Ended) > 0 || !sameRuns(list.Running, r.list.Running) || v.asked > 0
 	list.Born = r.beat.Worker.Born
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -186,3 +186,22 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// Guards against an owner that waits for the lease of a worker whose process is gone, and against one taken for gone
+// that is only silent for a moment.
+func TestWorkerWithAClosedPortHasEnded(t *testing.T) {
+	r := newRunner(&fakeWorker{})
+	v, _ := r.view()
+	now := boot.Now()
+	r.refusing(v, true, now)
+	r.refusing(v, false, now.Add(closedLimit))
+	r.refusing(v, true, now.Add(2*closedLimit))
+	r.refusing(v, true, now.Add(3*closedLimit))
+	if got := r.beat.Worker.Readiness; got != batch.Ready {
+		t.Errorf("got readiness %d after %v, want %d", got, closedLimit, batch.Ready)
+	}
+	r.refusing(v, true, now.Add(4*closedLimit))
+	if got := r.beat.Worker.Readiness; got != batch.Gone {
+		t.Errorf("got readiness %d, want %d", got, batch.Gone)
+	}
+}
