Reclaim one rack for gangs that are slow across racks

Guaranteed work settled for any room without a wait. Change: claims, too, look in one rack (or at the data) first, and stop the borrowers of the cheapest rack; after 1.2 s any workers do, since a claim has to be met within about 3 s.

--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -626,3 +626,35 @@
 		t.Errorf("got %d runs of the long task elsewhere, want %d", got, want)
 	}
 }
+
+// Guards against guaranteed gangs that are spread over racks while borrowers fill the racks, which makes them several times
+// slower (load: a burst of gangs on lent accelerators), and against a claim that waits too long for one rack.
+func TestGuaranteedGangReclaimsOneRack(t *testing.T) {
+	b := newBench(t, batch.Team{Name: "owner", Guarantee: 16})
+	for i, rack := range []string{"r1", "r1", "r2", "r2"} {
+		b.worker(fmt.Sprintf("n%d", i), rack)
+	}
+	// Two borrowers of a rack each leave one worker of each rack free.
+	borrowed := gpus(1, 8)
+	for _, rack := range []string{"r1", "r2"} {
+		borrowed.Rack = rack
+		b.submit("p1", "other", borrowed)
+	}
+	b.step()
+	tight := gang(2, 8)
+	tight.OneRack = true
+	claim := b.submit("p0", "owner", tight)
+	b.step()
+	b.step()
+	racks := map[string]int{}
+	for _, w := range b.workers {
+		for _, l := range w.running {
+			if l.Task.Job == claim {
+				racks[w.Labels[1]]++
+			}
+		}
+	}
+	if len(racks) != 1 || b.runs(claim) != 2 {
+		t.Errorf("got members %v by rack, want both in one", racks)
+	}
+}
--- a/core/board/plan.go
+++ b/core/board/plan.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -83,14 +84,53 @@
 	}
 }
 
-// settlesForRemote reports whether a unit takes workers away from its data: when the wait for near ones
-// has cost as much as the longer run would.
+// guaranteedPatience is how long guaranteed work looks for room at its data or in one rack only: away from it, it
+// misses its objective as surely as by waiting, but a claim has to be met within about three seconds.
+const guaranteedPatience = 1200 * time.Millisecond
+
+// settlesForRemote reports whether a unit takes workers away from its data, or a gang those of several racks: when
+// the wait for near ones has cost as much as the longer run would, several times over.
 func (p *plan) settlesForRemote(u *unit) bool {
-	if u.step.Rack == "" && !u.step.OneRack || u.guaranteed {
+	if u.step.Rack == "" && !u.step.OneRack {
 		return true
 	}
-	longer := time.Duration((p.remote() - 1) * 2 * float64(u.step.Estimate))
-	return p.now.Sub(u.job.seen) > longer
+	age := p.now.Sub(u.job.seen)
+	if u.guaranteed {
+		return age > guaranteedPatience
+	}
+	return age > time.Duration((p.remote()-1)*2*float64(u.step.Estimate))
+}
+
+// groups returns the sets of workers that may hold all tasks of a unit together, the preferred ones first.
+func (p *plan) groups(u *unit) [][]*worker {
+	all := p.candidates(u)
+	settles := p.settlesForRemote(u)
+	if u.step.Rack == "" && !u.step.OneRack {
+		return [][]*worker{all}
+	}
+	racks := map[string][]*worker{}
+	var names []string
+	for _, w := range all {
+		if racks[w.rack()] == nil {
+			names = append(names, w.rack())
+		}
+		racks[w.rack()] = append(racks[w.rack()], w)
+	}
+	var groups [][]*worker
+	possible := false
+	for _, name := range names {
+		if u.step.Rack != "" && name != u.step.Rack && !settles {
+			continue
+		}
+		if p.couldHold(u, racks[name]) {
+			possible = true
+			groups = append(groups, racks[name])
+		}
+	}
+	if settles || !possible {
+		groups = append(groups, all)
+	}
+	return groups
 }
 
 // candidates are the workers that may run the unit's tasks.
@@ -107,47 +147,29 @@
 	return list
 }
 
-// seatGang returns a worker for each task of a gang, or nil.
+// seatGang returns a worker for each task of a gang, or nil: from the group of workers with the least left over.
 func (p *plan) seatGang(u *unit, room map[*worker]batch.Amount) []*worker {
-	all := p.candidates(u)
-	if !u.step.OneRack {
-		if seats := p.seat(u, u.tasks, room, all, true); seats != nil || !p.settlesForRemote(u) {
-			return seats
-		}
-		return p.seat(u, u.tasks, room, all, false)
-	}
-	racks := map[string][]*worker{}
-	var names []string
-	for _, w := range all {
-		if racks[w.rack()] == nil {
-			names = append(names, w.rack())
-		}
-		racks[w.rack()] = append(racks[w.rack()], w)
-	}
 	var best []*worker
 	var bestLeft int64
-	possible := false
-	for _, name := range names {
-		if u.step.Rack != "" && name != u.step.Rack && !p.settlesForRemote(u) {
-			continue
+	groups := p.groups(u)
+	for i, group := range groups {
+		if best != nil && i > 0 && len(group) > len(groups[0]) {
+			// The last group may hold all workers; it is for those who find no room in a rack.
+			break
 		}
-		possible = possible || p.couldHold(u, racks[name])
-		seats := p.seat(u, u.tasks, room, racks[name], false)
+		seats := p.seat(u, u.tasks, room, group, false)
 		if seats == nil {
 			continue
 		}
 		left := int64(0)
-		for _, w := range racks[name] {
+		for _, w := range group {
 			left += room[w].GPU
 		}
 		if best == nil || left < bestLeft {
 			best, bestLeft = seats, left
 		}
 	}
-	if best != nil || possible && !p.settlesForRemote(u) {
-		return best
-	}
-	return p.seat(u, u.tasks, room, all, false)
+	return best
 }
 
 // couldHold reports whether idle workers would hold all tasks of a unit.
@@ -292,32 +314,47 @@
 // while others borrow its accelerators.
 func (p *plan) evict(u *unit, tasks []*task) bool {
 	victims := p.victims(u)
+	var best []victim
+	found := false
+	for _, group := range p.groups(u) {
+		chosen, ok := p.evictIn(u, tasks, group, append([]victim(nil), victims...))
+		if ok && (!found || loss(chosen) < loss(best)) {
+			best, found = chosen, true
+		}
+	}
+	if !found || !u.guaranteed && loss(best) > u.work(len(tasks)) {
+		return false
+	}
+	for _, v := range best {
+		p.stopVictim(u, v)
+	}
+	return true
+}
+
+// evictIn returns the victims without whom the tasks find room on a group of workers, and whether there are such.
+func (p *plan) evictIn(u *unit, tasks []*task, group []*worker, victims []victim) ([]victim, bool) {
 	room := make(map[*worker]batch.Amount, len(p.later))
 	for w, a := range p.later {
 		room[w] = a
 	}
-	candidates := p.candidates(u)
+	inside := make(map[string]bool, len(group))
+	for _, w := range group {
+		inside[w.ID] = true
+	}
+	victims = slices.DeleteFunc(victims, func(v victim) bool {
+		return !slices.ContainsFunc(v.tasks, func(t *task) bool { return inside[t.Worker] })
+	})
 	var chosen []victim
-	for len(victims) > 0 && p.seat(u, tasks, room, candidates, false) == nil {
+	for len(victims) > 0 && p.seat(u, tasks, room, group, false) == nil {
 		i := p.cheapest(u, victims, room)
-		for _, t := range victims[i].tasks {
-			w := p.Board.worker(t.Worker)
-			room[w] = room[w].Add(t.job.job.Steps[t.Step].Taken())
-		}
+		p.give(room, victims[i], 1)
 		chosen = append(chosen, victims[i])
 		victims = append(victims[:i], victims[i+1:]...)
 	}
-	if p.seat(u, tasks, room, candidates, false) == nil {
-		return false
+	if p.seat(u, tasks, room, group, false) == nil {
+		return nil, false
 	}
-	chosen = p.needed(u, tasks, room, candidates, chosen)
-	if !u.guaranteed && loss(chosen) > u.work(len(tasks)) {
-		return false
-	}
-	for _, v := range chosen {
-		p.stopVictim(u, v)
-	}
-	return true
+	return p.needed(u, tasks, room, group, chosen), true
 }
 
 // loss is what the stop of victims throws away, in core seconds.
