--- a/core/board/leave.go
+++ b/core/board/leave.go
@@ -36,7 +36,8 @@
 	}
 	elapsed := now.Sub(t.began)
 	if t.percent > 10 && t.percent <= 100 {
-		return time.Duration(float64(t.moved.Sub(t.began)) * float64(100-t.percent) / float64(t.percent))
+		left := float64(t.moved.Sub(t.began)) * float64(100-t.percent) / float64(t.percent)
+		return max(0, time.Duration(left)-now.Sub(t.moved))
 	}
 	return max(0, step.Estimate-elapsed)
 }
