Split the board and the agent into files of one idea

Moves only: reports, ends, orders, evictions and reservations of core/board, orders and looks of io/runner, the fixture of the board's tests; one Sleep in io/boot instead of three.

--- /dev/null
+++ b/core/board/finish.go
@@ -0,0 +1,154 @@
+package board
+
+import (
+	"sort"
+	"time"
+
+	"wagtailhoist/core/batch"
+)
+
+// finish takes the end of a task's run.
+func (b *Board) finish(now, wall time.Time, w *worker, t *task, cause batch.Cause) {
+	j := t.job
+	id := t.id(j)
+	b.trace("run ended", batch.RunID{Task: id, Run: t.Run}, w.ID, string(cause))
+	delete(w.runs, id)
+	stopped := t.stop
+	t.release()
+	j.touch()
+	step := &j.job.Steps[t.Step]
+	switch {
+	case cause == batch.EndDone && !step.Lasting:
+		w.succeeded(now)
+		b.done(now, j, t, step)
+	case cause == batch.EndFailed && !step.Lasting:
+		w.failed(now)
+		b.failed(j, t, step)
+	default:
+		if cause == batch.EndFailed {
+			w.failed(now)
+		}
+		t.Phase = batch.Waiting
+	}
+	if step.Gang && cause != batch.EndDone {
+		b.breakGang(j, t, stopped)
+	}
+	b.settle(j, wall)
+}
+
+func (b *Board) done(now time.Time, j *job, t *task, step *batch.Step) {
+	t.Phase = batch.Done
+	if !step.Gang {
+		return
+	}
+	for _, m := range j.members(t) {
+		if m.Phase == batch.Placed && m != t {
+			// The other members end by themselves; until their ends are listed they take room.
+			w := b.worker(m.Worker)
+			delete(w.runs, m.id(j))
+			f := foreign{amount: step.Taken()}
+			if !m.confirmed {
+				f.until = now.Add(foreignTime)
+			}
+			w.foreign[batch.RunID{Task: m.id(j), Run: m.Run}] = f
+			m.release()
+		}
+		m.Phase = batch.Done
+	}
+}
+
+func (b *Board) failed(j *job, t *task, step *batch.Step) {
+	t.Phase = batch.Waiting
+	if step.Gang {
+		// All members share one count.
+		members := j.members(t)
+		if t.failedRun == t.Run {
+			return
+		}
+		for _, m := range members {
+			m.Fails++
+			m.failedRun = t.Run
+		}
+	} else {
+		t.Fails++
+	}
+	if q := b.terms.Queue(&j.job); t.Fails >= max(1, q.Attempts) {
+		t.Phase = batch.Failed
+		j.broken = true
+		b.stopAll(j, "out of attempts")
+	}
+}
+
+// breakGang stops the members of a gang of which one has ended.
+func (b *Board) breakGang(j *job, t *task, wanted bool) {
+	for _, m := range j.members(t) {
+		if t.Checkpoint != "" {
+			m.Checkpoint = t.Checkpoint
+		}
+		if m.Phase == batch.Placed && !m.stop {
+			m.stop = true
+			if !wanted {
+				b.trace("stop", batch.RunID{Task: m.id(j), Run: m.Run}, m.Worker, "a member of the gang has ended")
+			}
+		}
+	}
+}
+
+// stopAll stops all runs of a job.
+func (b *Board) stopAll(j *job, reason string) {
+	for _, t := range j.tasks {
+		if t.Phase == batch.Placed && !t.stop {
+			t.stop = true
+			b.trace("stop", batch.RunID{Task: t.id(j), Run: t.Run}, t.Worker, reason)
+		}
+	}
+}
+
+// settle records the outcome of a job whose tasks have all ended.
+func (b *Board) settle(j *job, wall time.Time) {
+	if j.outcome != "" {
+		return
+	}
+	switch {
+	case j.broken:
+		j.outcome = batch.Broken
+	case j.cancelled:
+		if j.placed() {
+			return
+		}
+		j.outcome = batch.Cancelled
+	case j.complete():
+		j.outcome = batch.Completed
+	default:
+		return
+	}
+	j.endedAt = wall.UnixMilli()
+	b.traceJob("job ended", j, string(j.outcome), wall.Sub(time.UnixMilli(j.job.Accepted)))
+	j.touch()
+}
+
+// lose ends all runs of a worker that can't be running any more.
+func (b *Board) lose(w *worker, wall time.Time, reason string) {
+	delete(b.workers, w.ID)
+	b.changed = true
+	ids := make([]batch.TaskID, 0, len(w.runs))
+	for id := range w.runs {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i].String() < ids[j].String() })
+	for _, id := range ids {
+		if t := w.runs[id]; t != nil {
+			b.trace("lost", batch.RunID{Task: id, Run: t.Run}, w.ID, reason)
+			b.finish(time.Time{}, wall, w, t, batch.EndLost)
+		}
+	}
+}
+
+// Expire gives up the workers whose leases have run out.
+func (b *Board) Expire(now, wall time.Time) {
+	for _, w := range b.sortedWorkers() {
+		if now.After(w.until) {
+			b.lose(w, wall, "lease ran out")
+		}
+	}
+}
--- /dev/null
+++ b/io/boot/sleep.go
@@ -0,0 +1,16 @@
+package boot
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a duration or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/io/mirror/follow.go
+++ b/io/mirror/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"wagtailhoist/io/boot"
 	"wagtailhoist/io/store"
 )
 
@@ -66,7 +67,7 @@
 			f.Log.Warn("store lost", "prefix", f.Prefix, "revision", revision, "error", err)
 		}
 		lost = true
-		sleep(ctx, pause)
+		boot.Sleep(ctx, pause)
 		pause = min(2*pause, longestRetry)
 	}
 }
@@ -77,12 +78,3 @@
 	}
 	return f.Store.Watch(ctx, f.Prefix, revision, f.Wait)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -79,14 +79,14 @@
 	for ctx.Err() == nil {
 		if !o.vacant() {
 			vacant = time.Time{}
-			sleep(ctx, electEvery)
+			boot.Sleep(ctx, electEvery)
 			continue
 		}
 		if vacant.IsZero() {
 			vacant = boot.Now()
 		}
 		if boot.Now().Sub(vacant) < o.handicap() {
-			sleep(ctx, electEvery/4)
+			boot.Sleep(ctx, electEvery/4)
 			continue
 		}
 		o.campaign(ctx)
@@ -111,7 +111,7 @@
 	lease, err := o.Store.Grant(ctx, leaseTime)
 	if err != nil {
 		o.Log.Warn("no lease for the ownership", "error", err)
-		sleep(ctx, electEvery+rand.N(electEvery))
+		boot.Sleep(ctx, electEvery+rand.N(electEvery))
 		return
 	}
 	o.trip.Store(int64(boot.Now().Sub(begun)))
@@ -130,7 +130,7 @@
 		if err := o.Store.Revoke(ctx, lease); err != nil {
 			o.Log.Warn("lease not ended", "lease", lease, "error", err)
 		}
-		sleep(ctx, electEvery+rand.N(electEvery))
+		boot.Sleep(ctx, electEvery+rand.N(electEvery))
 		return
 	}
 	o.until.Store(begun.Add(leaseTime - leaseMargin).UnixNano())
@@ -179,7 +179,7 @@
 		if revision, _, _ := o.Mirror.Status(); revision >= fence {
 			return true
 		}
-		sleep(ctx, 2*time.Millisecond)
+		boot.Sleep(ctx, 2*time.Millisecond)
 	}
 	return false
 }
@@ -187,7 +187,7 @@
 // renew extends the lease until it is lost.
 func (o *Owner) renew(ctx context.Context, lease uint64) {
 	for {
-		sleep(ctx, renewEvery)
+		boot.Sleep(ctx, renewEvery)
 		if ctx.Err() != nil {
 			return
 		}
@@ -208,7 +208,7 @@
 			return
 		}
 		if err != nil {
-			sleep(ctx, 100*time.Millisecond)
+			boot.Sleep(ctx, 100*time.Millisecond)
 		}
 	}
 }
@@ -224,12 +224,3 @@
 	}
 	r.serve(l)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -4,11 +4,8 @@
 	"context"
 	"log/slog"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"wagtailhoist/core/batch"
 	"wagtailhoist/io/boot"
 	"wagtailhoist/io/link"
@@ -134,7 +131,7 @@
 		if address := r.Owner(); address != "" {
 			r.session(ctx, address)
 		}
-		sleep(ctx, redial)
+		boot.Sleep(ctx, redial)
 	}
 	wait.Wait()
 }
@@ -218,15 +215,6 @@
 	return r.clock + r.lease.Sub(r.sampled).Milliseconds()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // session reports to an owner and takes its orders until the link ends.
 func (r *Runner) session(ctx context.Context, address string) {
 	l, err := link.Dial(ctx, address, r.Settings)
@@ -273,7 +261,7 @@
 			r.Log.Info("report not sent", "address", address, "error", err)
 			return
 		}
-		sleep(ctx, reportPause)
+		boot.Sleep(ctx, reportPause)
 		timer := time.NewTimer(reportEvery)
 		select {
 		case <-ctx.Done():
@@ -348,249 +336,3 @@
 		r.lease = end
 	}
 }
-
-// accept begins to carry out an order; a stop replaces the start of the same run.
-func (r *Runner) accept(ctx context.Context, run batch.RunID, stop bool, s batch.Start) {
-	if pending := r.orders[run]; pending != nil {
-		if pending.stop || !stop {
-			return
-		}
-		pending.cancel()
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	o := &order{stop: stop, cancel: cancel}
-	r.orders[run] = o
-	target := Target{r.beat.Instance, r.fence}
-	go func() {
-		defer cancel()
-		if stop {
-			r.stop(ctx, target, run, o, batch.RefusedStopped)
-		} else {
-			r.start(ctx, target, s, o)
-		}
-	}()
-}
-
-// start carries out a start. A refused run is stopped before that is reported, since an earlier try without an
-// answer may still be carried out.
-func (r *Runner) start(ctx context.Context, t Target, s batch.Start, o *order) {
-	for tries := 1; ctx.Err() == nil; tries++ {
-		r.mu.Lock()
-		deadline, lapsed, draining := r.deadline(), !boot.Now().Before(r.lease), r.beat.Worker.Readiness != batch.Ready
-		r.mu.Unlock()
-		if deadline == 0 || lapsed || draining {
-			reason := batch.RefusedLate
-			if draining {
-				reason = batch.RefusedDraining
-			}
-			r.Log.Info("start refused by the agent", "task", s.Task.String(), "run", s.Run, "reason", reason)
-			r.stop(ctx, t, s.RunID, o, reason)
-			return
-		}
-		v, err := r.try(ctx, func(ctx context.Context) (Verdict, error) { return r.Worker.Start(ctx, t, s, deadline) })
-		switch {
-		case err != nil:
-			r.Log.Warn("start not answered", "task", s.Task.String(), "run", s.Run, "tries", tries, "error", err)
-			sleep(ctx, orderPause)
-		case v.Reason == "":
-			r.Log.Info("started", "task", s.Task.String(), "run", s.Run, "deadline", deadline, "clock", v.Clock, "tries", tries)
-			r.began(s, o, v.Clock)
-			return
-		case v.Reason == batch.RefusedFence:
-			r.Log.Warn("start refused: fence", "task", s.Task.String(), "run", s.Run, "fence", t.Fence)
-			r.finish(s.RunID, o, nil)
-			return
-		default:
-			r.Log.Info("start refused", "task", s.Task.String(), "run", s.Run, "reason", v.Reason)
-			r.stop(ctx, t, s.RunID, o, v.Reason)
-			return
-		}
-	}
-}
-
-// stop carries out a stop; a run that never began is reported as refused.
-func (r *Runner) stop(ctx context.Context, t Target, run batch.RunID, o *order, reason string) {
-	for ctx.Err() == nil {
-		v, err := r.try(ctx, func(ctx context.Context) (Verdict, error) { return r.Worker.Stop(ctx, t, run) })
-		if err != nil || v.Reason != "" && v.Reason != batch.RefusedFence {
-			r.Log.Warn("stop not answered", "task", run.Task.String(), "run", run.Run, "reason", v.Reason, "error", err)
-			sleep(ctx, orderPause)
-			continue
-		}
-		if v.Reason == batch.RefusedFence {
-			r.finish(run, o, nil)
-			return
-		}
-		r.Log.Info("stopped", "task", run.Task.String(), "run", run.Run, "reason", reason)
-		r.finish(run, o, &batch.Refusal{RunID: run, Reason: reason})
-		return
-	}
-}
-
-func (r *Runner) try(ctx context.Context, call func(context.Context) (Verdict, error)) (Verdict, error) {
-	ctx, cancel := context.WithTimeout(ctx, orderLimit)
-	defer cancel()
-	v, err := call(ctx)
-	if err == nil {
-		r.mu.Lock()
-		r.sample(v.Clock, boot.Now())
-		r.mu.Unlock()
-	}
-	return v, err
-}
-
-// finish ends an order. A refusal is reported with the next list that doesn't show the run.
-func (r *Runner) finish(run batch.RunID, o *order, refusal *batch.Refusal) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.orders[run] != o {
-		return
-	}
-	delete(r.orders, run)
-	if refusal != nil {
-		r.refused = append(r.refused, *refusal)
-		// Only a list that was asked for after the stop tells whether the run is there.
-		r.listedAt = time.Time{}
-	}
-	signal(r.look)
-}
-
-// began ends a start that was carried out: the run is listed at once, without another look at the worker.
-func (r *Runner) began(s batch.Start, o *order, clock int64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.orders[s.RunID] != o {
-		return
-	}
-	delete(r.orders, s.RunID)
-	if clock < r.list.Clock {
-		return
-	}
-	for i := range r.list.Running {
-		if r.list.Running[i].RunID == s.RunID {
-			return
-		}
-	}
-	r.list.Clock = clock
-	r.list.Running = append(r.list.Running[:len(r.list.Running):len(r.list.Running)], batch.Listing{RunID: s.RunID, Checkpoint: s.Checkpoint})
-	signal(r.kick)
-}
-
-// view is what a look at the worker is based on.
-type view struct {
-	target         Target
-	worker         string
-	seen           uint64
-	deadline       int64
-	asked          int
-	fresh, waiting bool
-}
-
-// view returns false while there is no worker to look at or no owner.
-func (r *Runner) view() (view, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	v := view{
-		target: Target{r.beat.Instance, r.fence}, worker: r.beat.Worker.ID, seen: r.seen, deadline: r.deadline(), asked: len(r.refused),
-	}
-	v.fresh = r.listFence == r.fence && !r.listedAt.IsZero()
-	v.waiting = len(r.list.Ended) > 0 && r.list.Ended[len(r.list.Ended)-1].Number > r.seen
-	return v, v.worker != "" && v.target.Fence != 0 && r.beat.Worker.Readiness != batch.Gone
-}
-
-// watch looks at the worker again and again: each look extends the lease and waits for an end.
-func (r *Runner) watch(ctx context.Context) {
-	for ctx.Err() == nil {
-		v, ok := r.view()
-		if !ok {
-			sleep(ctx, redial)
-			continue
-		}
-		if v.waiting && v.fresh {
-			// Until the ends are acknowledged the worker would answer at once.
-			sleep(ctx, holdPause)
-			if v, ok = r.view(); !ok {
-				continue
-			}
-		}
-		r.hold(ctx, v, holdWait)
-	}
-}
-
-// glance looks at the worker without a wait each time that there is a reason to.
-func (r *Runner) glance(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.look:
-		}
-		if v, ok := r.view(); ok {
-			r.hold(ctx, v, 0)
-		}
-	}
-}
-
-func (r *Runner) hold(ctx context.Context, v view, wait time.Duration) {
-	call, cancel := context.WithTimeout(ctx, wait+holdSlack)
-	defer cancel()
-	list, err := r.Worker.Hold(call, v.target, v.seen, v.deadline, wait)
-	if err != nil {
-		r.Log.Debug("worker not heard", "worker", v.worker, "error", err)
-		r.refusing(v, errors.Is(err, syscall.ECONNREFUSED), boot.Now())
-		sleep(ctx, holdPause)
-		if wait == 0 {
-			signal(r.look)
-		}
-		return
-	}
-	r.take(v, list, boot.Now())
-}
-
-// refusing notes whether the worker's port takes no connections. A worker that has ended runs nothing any more.
-func (r *Runner) refusing(v view, refused bool, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case !refused || r.beat.Worker.ID != v.worker:
-		r.closed = time.Time{}
-	case r.closed.IsZero():
-		r.closed = now
-	case now.Sub(r.closed) > closedLimit && r.beat.Worker.Readiness != batch.Gone:
-		r.Log.Warn("worker has ended: its port takes no connections", "worker", v.worker)
-		r.beat.Worker.Readiness = batch.Gone
-		signal(r.kick)
-	}
-}
-
-// take accepts a list unless a later one is known: answers on different connections may overtake each other.
-func (r *Runner) take(v view, list Listing, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.beat.Worker.ID != v.worker || list.Born != 0 && list.Born != r.beat.Worker.Born || list.Clock < r.list.Clock {
-		return
-	}
-	r.closed = time.Time{}
-	r.sample(list.Clock, now)
-	changed := r.listFence != v.target.Fence || len(list.Ended) > 0 || !sameRuns(list.Running, r.list.Running) || v.asked > 0
-	list.Born = r.beat.Worker.Born
-	r.list, r.listFence = list, v.target.Fence
-	if v.asked == len(r.refused) {
-		r.listedAt = now
-	}
-	if changed {
-		signal(r.kick)
-	}
-}
-
-func sameRuns(a, b []batch.Listing) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].RunID != b[i].RunID {
-			return false
-		}
-	}
-	return true
-}
