Remove state of the board that nothing reads

The version of a cancel was kept in each job and read nowhere, and succeeded took a time that it didn't use. No behaviour changes; the tests of core/board pass.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -126,7 +126,6 @@
 	}
 	if e.Cancel && !j.cancelled {
 		j.cancelled = true
-		j.cancelVersion = e.CancelVersion
 		b.stopAll(j, "cancelled")
 		b.settle(j, wall)
 		b.changed = true
--- a/core/board/finish.go
+++ b/core/board/finish.go
@@ -19,7 +19,7 @@
 	step := &j.job.Steps[t.Step]
 	switch {
 	case cause == batch.EndDone && !step.Lasting:
-		w.succeeded(now)
+		w.succeeded()
 		b.done(now, j, t, step)
 	case cause == batch.EndFailed && !step.Lasting:
 		w.failed(now)
--- a/core/board/job.go
+++ b/core/board/job.go
@@ -23,7 +23,6 @@
 	tickets map[stepSlot]*advice
 	// begun says that a task was seen at work.
 	begun         bool
-	cancelVersion uint64
 	outcome       batch.State
 	endedAt       int64
 }
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -81,7 +81,7 @@
 	w.avoid(now, min(d, longestAvoid))
 }
 
-func (w *worker) succeeded(time.Time) { w.streak = 0 }
+func (w *worker) succeeded() { w.streak = 0 }
 
 // usable reports whether the worker may get work of a service.
 func (w *worker) usable(now time.Time, service string) bool {
