--- a/core/board/job.go
+++ b/core/board/job.go
@@ -22,9 +22,9 @@
 	// tickets holds what the advice service said of each step.
 	tickets map[stepSlot]*advice
 	// begun says that a task was seen at work.
-	begun         bool
-	outcome       batch.State
-	endedAt       int64
+	begun   bool
+	outcome batch.State
+	endedAt int64
 }
 
 // task is a task with its present run.
