Answer the call that stops an entry before its listener closes

Cause: the operators' listener of an entry was closed with http.Server.Close, which cuts answers in progress.

Ruled out: the order of the stop hooks (the callers' hook runs before the operators' one, as intended), the client (it reports what it sees), a lost connection in the guests' listener.

Change: the listener is shut down with its answers written, for at most 2 s.

--- a/cmds/admin.go
+++ b/cmds/admin.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
 
 	"wagtailhoist/core/model"
@@ -28,6 +29,9 @@
 	censusInterval = time.Second
 	// adminTime bounds the reading of a request and the writing of an answer.
 	adminTime = 15 * time.Second
+	// answerLimit bounds the wait at a stop for answers in progress: the answer to the call that stops
+	// the process is among them, and takes milliseconds.
+	answerLimit = 2 * time.Second
 )
 
 // fleet knows the processes of the system as an entry sees them.
@@ -188,10 +192,20 @@
 			go serveHTTP(server, link.Listen(self.admin, admin.Guests, &self.adminGuests), log)
 			return nil
 		},
-		OnStop: func(context.Context) error { return server.Close() },
+		OnStop: func(stop context.Context) error { return closeAnswered(stop, server) },
 	})
 }
 
+// closeAnswered closes a server once its answers in progress are written, or after answerLimit.
+func closeAnswered(ctx context.Context, server *http.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	if err := server.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return server.Close()
+}
+
 // listenAll opens the listeners of an entry, or none.
 func listenAll(addresses ...string) ([]net.Listener, error) {
 	var open []net.Listener
