Order adopted runs only once their worker's lists are known

Cause: after all processes were killed, a new owner sent the start of each adopted run in answer to the first report of its agent, because no list had confirmed the run yet. A restarted agent has no lease then; it refused the start as late and stopped the run to be sure.

Ruled out: leases that ran out (the runs were 2 s after the kill, the lease is 9.5 s), and the fence (accepted).

Change: a worker without lists in its last report gets no starts; stops are sent as before. The test fails before.

--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -221,6 +221,31 @@
 	}
 }
 
+// Guards against the loss of running work when all processes restart at once: an agent without lists refuses the
+// start of an adopted run for want of a lease, and stops the run to be sure.
+func TestAdoptedRunIsNotOrderedBeforeItsWorkerIsListed(t *testing.T) {
+	b := newBench(t)
+	w := b.worker("n1", "r1")
+	id := b.submit("p1", "a", gpus(1, 1))
+	b.step()
+	b.board.Adopt(b.now, b.now, &b.book)
+	b.board.Report(b.now, b.now, &batch.Report{Worker: w.Worker}, 2)
+	if o, _ := b.board.Orders(b.now, w.ID); len(o.Starts) != 0 {
+		t.Errorf("got starts %v for a worker without lists, want none", o.Starts)
+	}
+	b.report(w)
+	if o, _ := b.board.Orders(b.now, w.ID); len(o.Starts) != 0 {
+		t.Errorf("got starts %v for a run that is listed, want none", o.Starts)
+	}
+	// A run that the first lists lack has not begun, and is ordered.
+	b.board.Adopt(b.now, b.now, &b.book)
+	w.running = nil
+	b.report(w)
+	if o, _ := b.board.Orders(b.now, w.ID); len(o.Starts) != 1 {
+		t.Errorf("got starts %v for a run that is not listed, want one of job %s", o.Starts, id)
+	}
+}
+
 // Guards against runs that no record names and that nobody stops, and against their room being given away.
 func TestForeignRunIsStoppedAndKeepsItsRoom(t *testing.T) {
 	b := newBench(t)
--- a/core/board/orders.go
+++ b/core/board/orders.go
@@ -23,6 +23,8 @@
 		case t.stop && t.stopSent.IsZero(), t.stop && now.Sub(t.stopSent) > stopAgain:
 			t.stopSent = now
 			o.Stops = append(o.Stops, run)
+		case !w.listed:
+			// The run may be at work already: a restarted agent has no lists yet, and no lease to start it under.
 		case !t.stop && !t.confirmed && !t.sent && t.job.saved >= t.placedAt:
 			t.sent = true
 			start := batch.Start{RunID: run, Spec: t.job.job.Spec, Ticket: t.job.tickets[t.stepSlot()].text(id)}
