Keep workers free for large single tasks, as for gangs

Cause: only gangs kept workers free. Two fifths of the tasks of the first two priorities take all eight accelerators of a worker.

Change: single tasks of four accelerators or more keep workers too, each until it is free. Up to 12 units keep workers instead of 5. TestLargeTaskFindsRoomInAStreamOfSmallJobs replays the stream and fails before.

--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -334,6 +334,29 @@
 	}
 }
 
+// Guards against large single tasks that never find room, because small ones take what becomes free (load: a stream of
+// small jobs on full workers).
+func TestLargeTaskFindsRoomInAStreamOfSmallJobs(t *testing.T) {
+	b := newBench(t)
+	b.worker("n1", "r1")
+	var small []model.JobID
+	for range 8 {
+		small = append(small, b.submit("p2", "other", gpus(1, 1)))
+	}
+	b.step()
+	large := b.submit("p1", "a", gpus(1, 8))
+	for i := 0; i < len(small) && b.runs(large) == 0; i++ {
+		b.now = b.now.Add(250 * time.Millisecond)
+		b.endAll(small[i], batch.EndDone)
+		b.submit("p2", "other", gpus(1, 1))
+		b.step()
+	}
+	b.step()
+	if got, want := b.runs(large), 1; got != want {
+		t.Errorf("got %d runs after all earlier jobs had ended, want %d", got, want)
+	}
+}
+
 // Guards against work that is handed to a worker which makes no progress (load: a worker that hangs).
 func TestWorkerThatStandsStillGetsNoWork(t *testing.T) {
 	b := newBench(t)
--- a/core/board/keep.go
+++ b/core/board/keep.go
@@ -7,8 +7,10 @@
 	"wagtailhoist/core/batch"
 )
 
-// keep holds the workers that are free soonest for a gang, so that small work doesn't fill them again and again.
-func (p *plan) keep(u *unit) {
+// keep holds the workers that are free soonest for large tasks, so that small work doesn't fill them again and again.
+// The members of a gang need theirs at the same time; other tasks take each as soon as it is free. It answers streams
+// of small tasks on full workers.
+func (p *plan) keep(u *unit, tasks []*task) {
 	if p.reservations == reserved {
 		return
 	}
@@ -35,13 +37,16 @@
 			}
 		}
 	}
-	if len(seats) < len(u.tasks) {
+	if len(seats) == 0 || u.step.Gang && len(seats) < len(tasks) {
 		return
 	}
 	sort.SliceStable(seats, func(x, y int) bool { return seats[x].at.Before(seats[y].at) })
-	last := seats[len(u.tasks)-1].at
-	for _, s := range seats[:len(u.tasks)] {
-		p.kept[s.worker] = last
+	seats = seats[:min(len(seats), len(tasks))]
+	for _, s := range seats {
+		if u.step.Gang {
+			s.at = seats[len(seats)-1].at
+		}
+		p.kept[s.worker] = s.at
 	}
 	p.reservations++
 }
--- a/core/board/plan.go
+++ b/core/board/plan.go
@@ -6,8 +6,14 @@
 	"wagtailhoist/core/batch"
 )
 
-// reserved bounds the units that keep workers free for themselves.
-const reserved = 5
+const (
+	// reserved bounds the units that keep workers free for themselves: some more than the workers of a small
+	// installation, and few enough for a plan to take milliseconds on a large one.
+	reserved = 12
+	// large is the number of accelerators from which single tasks keep workers free too, half of the eight of a worker:
+	// the room that smaller tasks leave is seldom enough for them.
+	large = 4
+)
 
 // plan is one pass over the waiting units.
 type plan struct {
@@ -264,7 +270,8 @@
 	}
 }
 
-// claim makes room for tasks that found none: guaranteed ones stop others, the first of the rest keep workers.
+// claim makes room for tasks that found none: guaranteed ones stop others, the first gangs and large tasks of the rest
+// keep workers.
 func (p *plan) claim(u *unit, tasks []*task) {
 	seats := p.claimSeats(u, tasks)
 	if seats == nil && (u.guaranteed || p.urgent(u)) {
@@ -279,8 +286,8 @@
 		}
 		return
 	}
-	if u.step.Gang && u.class != useless {
-		p.keep(u)
+	if u.class != useless && (u.step.Gang || u.step.Need.GPU >= large) {
+		p.keep(u, tasks)
 	}
 }
 
