Let late work keep its place by priority

Cause: once the objective of a job could not be met by its estimate, its waiting tasks went behind the next priority in time, and in a burst none of them ran again; the work of its other tasks was of no use then.

Ruled out: large tasks that find no room (mended before; the same jobs were left over).

Change: a unit's place is its priority, and within it the time of its objective; only work of no more use goes last. TestLateUrgentJobIsFinishedFirst replays a burst and fails before.

--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -357,6 +357,27 @@
 	}
 }
 
+// Guards against urgent jobs that are left unfinished, since their last tasks went behind all less urgent work once the
+// objective could not be met (load: a burst of urgent jobs in a stream of others).
+func TestLateUrgentJobIsFinishedFirst(t *testing.T) {
+	b := newBench(t)
+	b.worker("n1", "r1")
+	first := b.submit("p1", "other", gpus(1, 8))
+	b.step()
+	urgent := b.submit("p0", "a", gpus(2, 8))
+	b.now = b.now.Add(2 * time.Second)
+	b.endAll(first, batch.EndDone)
+	b.step()
+	// The objective, twice the work and 1 s, is over when the first task ends.
+	b.now = b.now.Add(4 * time.Second)
+	b.submit("p1", "other", gpus(1, 8))
+	b.endAll(urgent, batch.EndDone)
+	b.step()
+	if got, want := b.runs(urgent), 1; got != want {
+		t.Errorf("got %d runs of the urgent job, want %d", got, want)
+	}
+}
+
 // Guards against work that is handed to a worker which makes no progress (load: a worker that hangs).
 func TestWorkerThatStandsStillGetsNoWork(t *testing.T) {
 	b := newBench(t)
--- a/core/board/unit.go
+++ b/core/board/unit.go
@@ -34,8 +34,8 @@
 	useless
 )
 
-// units returns the units that may be placed at now, the most urgent first. It answers bursts: work that can
-// still meet its objective goes before work that can't, and that before work of no more use.
+// units returns the units that may be placed at now, the most urgent first. It answers bursts: within a priority the
+// work that misses its objective first goes first, and work of no more use goes last.
 func (b *Board) units(now, wall time.Time) []*unit {
 	covered := b.covered(wall)
 	var all []*unit
@@ -102,27 +102,22 @@
 }
 
 const (
-	// priorityWeight is how much a step of priority counts in the order of units, lateWeight how much it counts
-	// that the objective can't be met: what is late gains a fifth to a half of what it would have, so that it goes
-	// behind the next priority in time and before the one after that.
-	priorityWeight, lateWeight = 2, 3
 	// lastingRank is before all but guaranteed work.
 	lastingRank = -1
 	// uselessRank is behind all others.
 	uselessRank = 1 << 20
 )
 
+// rank is the unit's place by priority. Late work keeps it: estimates are wrong by up to ten times, so that late may be
+// in time still, and a job of which some tasks have run is finished with little.
 func (u *unit) rank() int {
-	if u.step.Lasting {
+	switch {
+	case u.step.Lasting:
 		return lastingRank
-	}
-	switch u.class {
-	case useless:
+	case u.class == useless:
 		return uselessRank + u.queue.Priority
-	case late:
-		return priorityWeight*u.queue.Priority + lateWeight
 	}
-	return priorityWeight * u.queue.Priority
+	return u.queue.Priority
 }
 
 // why says for the log what a unit was placed by.
