Send changes to a store that left calls unanswered only after a read

Cause: 600 ms after a call without an answer the direct way was tried again by whichever call came next, a submission as well. While the store stayed silent, its caller waited 1.6 s of its 3 s and was told an unknown outcome (504), after which it can't try again.

Ruled out: the patience of 350 ms (a slow store answers in 300 ms) and the relays (they refused at once).

Change: after a call without an answer, a change needs the answer to a read first, at most 350 ms. Without it nothing is sent, and the caller is told to come back. TestChangeIsNotSentToASilentStore fails before.

--- a/io/detour/store.go
+++ b/io/detour/store.go
@@ -43,6 +43,8 @@
 	relayLimit = 1200 * time.Millisecond
 	// tries bounds the processes that are asked for a call.
 	tries = 2
+	// probeKey is read to find out whether the store answers; it need not exist.
+	probeKey = "wh/probe"
 	// maxRequest bounds a relayed call in bytes: a change has at most 32 records of a job's progress.
 	maxRequest = 16 << 20
 )
@@ -58,6 +60,8 @@
 
 	// shunned is the end of the time in which the direct way isn't used, on the clock of boot in nanoseconds.
 	shunned atomic.Int64
+	// doubted says that the last direct call had no answer.
+	doubted atomic.Bool
 
 	mu sync.Mutex
 	// failed is closed when the direct way fails, so that waiting watches take another one.
@@ -160,6 +164,7 @@
 			if settled(o.err) {
 				if o.direct {
 					s.shunned.Store(0)
+					s.doubted.Store(false)
 				}
 				return o.reply, o.err
 			}
@@ -189,6 +194,9 @@
 		s.Log.Info("direct way to the store failed", "op", string(q.Op), "error", err)
 	}
 	s.shunned.Store(boot.Now().Add(shun).UnixNano())
+	if isUnknown(err) {
+		s.doubted.Store(true)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.failed != nil {
@@ -207,6 +215,22 @@
 	return s.failed
 }
 
+// proven reports whether the direct way may carry a change: after a call without an answer, a read has to be answered
+// first. A change that isn't answered either may have been applied, so that its caller can't try it again; one that
+// isn't sent has not.
+func (s *Store) proven(ctx context.Context) bool {
+	if !s.doubted.Load() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	if _, err := s.Direct.Get(ctx, probeKey); !settled(err) {
+		return false
+	}
+	s.doubted.Store(false)
+	return true
+}
+
 // ask makes a call directly.
 func (s *Store) ask(ctx context.Context, q *Request) (Reply, error) {
 	var r Reply
@@ -221,6 +245,9 @@
 	case OpWatch:
 		r.Items, r.Number, err = s.Direct.Watch(ctx, q.Key, q.After, q.Wait)
 	case OpCommit:
+		if !s.proven(ctx) {
+			return r, &store.RefusedError{Op: string(q.Op), Cause: fmt.Errorf("the store leaves calls unanswered")}
+		}
 		r.Number, err = s.Direct.Commit(ctx, q.Change)
 	case OpGrant:
 		r.Number, err = s.Direct.Grant(ctx, q.TTL)
--- a/io/detour/store_test.go
+++ b/io/detour/store_test.go
@@ -17,7 +17,8 @@
 type fakeStore struct {
 	err   error
 	delay time.Duration
-	calls atomic.Int32
+	// calls counts all calls, commits the changes among them.
+	calls, commits atomic.Int32
 }
 
 func (s *fakeStore) answer(ctx context.Context) error {
@@ -43,6 +44,7 @@
 }
 
 func (s *fakeStore) Commit(ctx context.Context, _ store.Change) (uint64, error) {
+	s.commits.Add(1)
 	return 11, s.answer(ctx)
 }
 
@@ -172,3 +174,26 @@
 		t.Errorf("got %v and %d calls, want a refusal and none", err, other.calls.Load())
 	}
 }
+
+// Guards against callers that are told an unknown outcome again and again: once the store leaves calls unanswered, a
+// change is sent only after a read was answered.
+func TestChangeIsNotSentToASilentStore(t *testing.T) {
+	own := &fakeStore{err: lost}
+	s := pair(t, own, &fakeStore{err: refused})
+	change := store.Change{Sets: []store.Set{{Key: "k"}}}
+	if _, err := s.Commit(context.Background(), change); store.NotDone(err) {
+		t.Errorf("got %v for a change without an answer, want an unknown outcome", err)
+	}
+	time.Sleep(shun)
+	if _, err := s.Commit(context.Background(), change); !store.NotDone(err) {
+		t.Errorf("got %v for a change that was not sent, want one that says so", err)
+	}
+	if got := own.commits.Load(); got != 1 {
+		t.Errorf("got %d changes sent, want 1", got)
+	}
+	own.err = nil
+	time.Sleep(shun)
+	if revision, err := s.Commit(context.Background(), change); err != nil || revision != 11 {
+		t.Errorf("got %d, %v after the store's return, want 11", revision, err)
+	}
+}
