Let single large tasks keep a quarter of the workers, and none away from their data

Cause: a plan kept workers for large single tasks wherever these could run at all. Tasks that wait for the rack of their data took free workers of other racks out of use for several times their run time, and a wide job kept as many workers as it has tasks.

Change: single tasks keep workers of their rack only while they take no other, only ones that are still busy, and at most a quarter of all; gangs keep workers as before, five of them.

--- a/core/board/keep.go
+++ b/core/board/keep.go
@@ -8,19 +8,54 @@
 )
 
 // keep holds the workers that are free soonest for large tasks, so that small work doesn't fill them again and again.
-// The members of a gang need theirs at the same time; other tasks take each as soon as it is free. It answers streams
-// of small tasks on full workers.
+// It answers streams of small tasks on full workers.
 func (p *plan) keep(u *unit, tasks []*task) {
+	if u.step.Gang {
+		p.keepGang(u, tasks)
+		return
+	}
+	most := (len(p.workers) + keptShare - 1) / keptShare
+	for _, s := range p.soonest(u) {
+		if p.singles == most || len(tasks) == 0 {
+			return
+		}
+		// Room that is free already didn't suit the task.
+		if s.at.After(p.now) && p.kept[s.worker].IsZero() {
+			p.kept[s.worker] = s.at
+			p.singles++
+			tasks = tasks[1:]
+		}
+	}
+}
+
+// keepGang holds workers until all members of a gang find room at the same time.
+func (p *plan) keepGang(u *unit, tasks []*task) {
 	if p.reservations == reserved {
 		return
 	}
-	type seat struct {
-		worker *worker
-		at     time.Time
+	seats := p.soonest(u)
+	if len(seats) < len(tasks) {
+		return
+	}
+	for _, s := range seats[:len(tasks)] {
+		p.kept[s.worker] = seats[len(tasks)-1].at
 	}
-	var seats []seat
+	p.reservations++
+}
+
+// opening is room for a task on a worker from a time on.
+type opening struct {
+	worker *worker
+	at     time.Time
+}
+
+// soonest returns the room for the unit's tasks on workers that aren't kept, the soonest first: only at its data while
+// it takes no other.
+func (p *plan) soonest(u *unit) []opening {
+	var list []opening
+	anywhere := u.step.Rack == "" || p.settlesForRemote(u)
 	for _, w := range p.candidates(u) {
-		if _, kept := p.kept[w]; kept {
+		if _, kept := p.kept[w]; kept || !anywhere && w.rack() != u.step.Rack {
 			continue
 		}
 		room := p.room[w]
@@ -33,22 +68,12 @@
 			}
 			for room.Holds(u.step.Taken()) {
 				room = room.Sub(u.step.Taken())
-				seats = append(seats, seat{w, at})
+				list = append(list, opening{w, at})
 			}
 		}
 	}
-	if len(seats) == 0 || u.step.Gang && len(seats) < len(tasks) {
-		return
-	}
-	sort.SliceStable(seats, func(x, y int) bool { return seats[x].at.Before(seats[y].at) })
-	seats = seats[:min(len(seats), len(tasks))]
-	for _, s := range seats {
-		if u.step.Gang {
-			s.at = seats[len(seats)-1].at
-		}
-		p.kept[s.worker] = s.at
-	}
-	p.reservations++
+	sort.SliceStable(list, func(x, y int) bool { return list[x].at.Before(list[y].at) })
+	return list
 }
 
 type release struct {
--- a/core/board/plan.go
+++ b/core/board/plan.go
@@ -7,12 +7,13 @@
 )
 
 const (
-	// reserved bounds the units that keep workers free for themselves: some more than the workers of a small
-	// installation, and few enough for a plan to take milliseconds on a large one.
-	reserved = 12
+	// reserved bounds the gangs that keep workers free for themselves.
+	reserved = 5
 	// large is the number of accelerators from which single tasks keep workers free too, half of the eight of a worker:
 	// the room that smaller tasks leave is seldom enough for them.
 	large = 4
+	// keptShare is the part of the workers that single tasks keep, one in so many, so that a wide job leaves room.
+	keptShare = 4
 )
 
 // plan is one pass over the waiting units.
@@ -24,8 +25,8 @@
 	room, later map[*worker]batch.Amount
 	// kept holds workers for a unit that waits for them: only runs that end before are placed there.
 	kept map[*worker]time.Time
-	// reservations counts the units that keep workers.
-	reservations int
+	// reservations counts the gangs that keep workers, singles the workers that single tasks keep.
+	reservations, singles int
 }
 
 // Plan places waiting tasks and stops runs that have to give way. wall is the time of day.
