Log an owner as reached once it gives orders

Cause: a process whose ownership has ended takes links of agents and closes them at once until the next owner is known.

Change: an owner is reached with its first orders; a link that ends before is logged at debug level. A session also waits for its receiving goroutine, so that two of them never overlap.

--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -222,28 +222,48 @@
 		r.Log.Debug("owner not reached", "address", address, "error", err)
 		return
 	}
-	defer l.Close()
 	r.mu.Lock()
 	r.sent = map[uint64]time.Time{}
 	r.answered = boot.Now()
 	r.mu.Unlock()
-	r.Log.Info("owner reached", "address", address)
 	session, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
+	var receiving sync.WaitGroup
+	receiving.Go(func() {
 		defer cancel()
-		for {
-			f, err := l.Receive()
-			if err != nil {
+		r.receive(ctx, l, address)
+	})
+	r.reports(session, l, address)
+	l.Close()
+	receiving.Wait()
+}
+
+// receive carries out an owner's orders until the link ends. A process that is no owner any more takes links and closes
+// them at once, several times a second until the next one is known; only an owner that gave orders was reached.
+func (r *Runner) receive(ctx context.Context, l *link.Link, address string) {
+	reached := false
+	for {
+		f, err := l.Receive()
+		if err != nil {
+			if reached {
 				r.Log.Info("owner lost", "address", address, "error", err)
-				return
-			}
-			if o, ok := f.(link.Orders); ok && !r.obey(ctx, &o.Orders) {
-				return
+			} else {
+				r.Log.Debug("link without orders", "address", address, "error", err)
 			}
+			return
 		}
-	}()
-	r.reports(session, l, address)
+		o, ok := f.(link.Orders)
+		if !ok {
+			continue
+		}
+		if !reached {
+			reached = true
+			r.Log.Info("owner reached", "address", address, "fence", o.Fence)
+		}
+		if !r.obey(ctx, &o.Orders) {
+			return
+		}
+	}
 }
 
 // reports sends a report at each change and at least each reportEvery.
