Check restarts of agents, cancelled jobs and the end of all jobs under any schedule

Change: agents restart and report without lists; a start for such an agent, with another spec, or of a job cancelled before the order fails the check. After each schedule 60 s pass without faults: a member of a gang started then must not wait for the others until it gives up, and each job that fits the workers has to end.

Ruled out as a finding: an agent that restarts while cut off and is heard without a first report; a link begins with one, so the model restarts linked agents only.

--- a/core/board/prop_test.go
+++ b/core/board/prop_test.go
@@ -50,6 +50,8 @@
 	seen   uint64
 	// refused are the stops that were carried out before their run began, to be reported.
 	refused []batch.Refusal
+	// restarted says that the agent has no lists yet.
+	restarted bool
 }
 
 // delayed is an order that is carried out later.
@@ -78,6 +80,9 @@
 		return
 	}
 	job := w.book.Jobs[task.Job].Job
+	if s.Spec != job.Spec {
+		w.Fatalf("UNASKED: %v on %s with spec %q, want %q", s.RunID, m.ID, s.Spec, job.Spec)
+	}
 	step := &job.Steps[task.Step]
 	for _, other := range w.workers {
 		for run := range other.running {
@@ -222,11 +227,22 @@
 			r.Ended = append(r.Ended, e)
 		}
 	}
+	m.restarted = false
 	if w.board.Report(w.now, w.now, r, w.session) {
 		m.lease = w.now.Add(w.board.Lease())
 	}
 }
 
+// restart lets a machine's agent start again: its first report has no lists, and is answered without a lease.
+func (w *world) restart(m *machine) {
+	if !m.linked {
+		return
+	}
+	m.refused, m.restarted = nil, true
+	w.session++
+	w.board.Report(w.now, w.now, &batch.Report{Worker: m.Worker}, w.session)
+}
+
 // obey delivers the owner's orders to a machine; late orders are kept back, and carried out later.
 func (w *world) obey(m *machine, late bool) {
 	if !m.linked {
@@ -234,7 +250,13 @@
 	}
 	o, _ := w.board.Orders(w.now, m.ID)
 	w.note(m, o.Seen)
+	if m.restarted && len(o.Starts) > 0 {
+		w.Fatalf("start of %v on %s, whose agent has no lists and no lease", o.Starts[0].RunID, m.ID)
+	}
 	for i := range o.Starts {
+		if w.book.Jobs[o.Starts[i].Task.Job].Cancel {
+			w.Fatalf("UNASKED: %v on %s after its job was cancelled", o.Starts[i].RunID, m.ID)
+		}
 		if late {
 			w.calls = append(w.calls, delayed{m.ID, &o.Starts[i]})
 			continue
@@ -323,7 +345,7 @@
 	id := model.JobID(fmt.Sprintf("%016x", len(w.jobs)+1))
 	terms := batch.Queue{Name: "q", Service: "svc", Attempts: 2, Stretch: 2, Priority: rapid.IntRange(0, 2).Draw(w.T, "priority")}
 	w.jobs = append(w.jobs, id)
-	w.write(batch.JobKey(id), &batch.Job{ID: id, Queue: "q", Team: "a", Steps: steps, Accepted: w.now.UnixMilli(), Terms: terms})
+	w.write(batch.JobKey(id), &batch.Job{ID: id, Queue: "q", Team: "a", Steps: steps, Accepted: w.now.UnixMilli(), Terms: terms, Spec: "spec of " + string(id)})
 }
 
 // advance lets time pass; leases that run out kill what runs.
@@ -342,8 +364,9 @@
 	w.board.Unstick(w.now)
 }
 
-// Guards against two runs of a task, starts out of order, over capacity or beyond the attempts, in any order of lost,
-// late and repeated messages, owners that fail before they store, and workers that are cut off or replaced.
+// Guards against two runs of a task, starts out of order, over capacity, beyond the attempts, of cancelled jobs or to agents
+// without lists, in any order of lost, late and repeated messages, owners that fail before they store, agents that restart,
+// and workers that are cut off or replaced; and against jobs that don't end once the faults are over.
 func TestRulesHoldUnderAnySchedule(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
@@ -387,13 +410,83 @@
 			"pass":    func(t *rapid.T) { w.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
 			"cut":     func(*rapid.T) { w.pick("machine").linked = false },
 			"heal":    func(*rapid.T) { w.pick("machine").linked = true },
+			"restart": func(*rapid.T) { w.restart(w.pick("machine")) },
 			"relink":  func(*rapid.T) { w.session++ },
 			"replace": func(t *rapid.T) { w.replace(rapid.IntRange(0, len(w.workers)-1).Draw(t, "machine")) },
 			"owner":   func(*rapid.T) { w.adopt() },
 		})
+		w.calm()
 	})
 }
 
+const (
+	// calmTime is the time without faults in which all jobs end: a lease, and the runs of 16 steps one after the other.
+	calmTime = 60 * time.Second
+	// calmStep is the interval of the rounds, calmRun how long a run takes.
+	calmStep, calmRun = 100 * time.Millisecond, time.Second
+	// gangWait is how long a member of a gang waits for the others.
+	gangWait = 3 * time.Second
+)
+
+// calm lets time pass without faults. No member of a gang that was started meanwhile may wait for the others until it
+// gives up, and all jobs that fit the workers have to end.
+func (w *world) calm() {
+	w.calls = nil
+	w.session++
+	for _, m := range w.workers {
+		m.linked = true
+	}
+	seen := map[batch.RunID]time.Time{}
+	settled := w.now.Add(w.board.grace())
+	for end := w.now.Add(calmTime); w.now.Before(end); {
+		w.advance(calmStep)
+		for _, m := range w.workers {
+			w.report(m)
+		}
+		w.board.Plan(w.now, w.now)
+		w.save()
+		for _, m := range w.workers {
+			w.obey(m, false)
+		}
+		for _, m := range w.workers {
+			for _, run := range m.runs() {
+				if !m.running[run] {
+					continue
+				}
+				if seen[run].IsZero() {
+					seen[run] = w.now
+				}
+				age := w.now.Sub(seen[run])
+				switch whole := w.whole(run); {
+				case whole && age >= calmRun:
+					w.finish(m, run, batch.EndDone)
+				case !whole && age >= gangWait && seen[run].After(settled):
+					w.Fatalf("GANG: %v on %s waits alone", run, m.ID)
+				case !whole && age >= gangWait:
+					w.finish(m, run, batch.EndAlone)
+				}
+			}
+		}
+	}
+	for _, id := range w.jobs {
+		e := w.book.Jobs[id]
+		if w.fits(e.Job) && (e.Progress == nil || e.Progress.Outcome == "") {
+			w.Fatalf("LOST: job %s has not ended after %v without faults: %+v", id, calmTime, e.Progress)
+		}
+	}
+}
+
+// fits reports whether idle workers hold each gang of a job.
+func (w *world) fits(j *batch.Job) bool {
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if s.Gang && s.Count > len(w.workers)*int(8/s.Need.GPU) {
+			return false
+		}
+	}
+	return true
+}
+
 // replace lets a worker crash and start again as a later incarnation.
 func (w *world) replace(i int) {
 	old := w.workers[i]
