Place each unit's tasks until one finds no room

Cause: a plan looked at all workers for each waiting task, though all waiting tasks of a unit need the same: a wide job that found no room cost as many looks as it has tasks.

Change: the first task of a unit that finds no room ends its turn; a search for one worker copies no map; a plan that keeps its share of workers looks for no more.

The plan still grows with the square of the installation: waiting jobs times workers.

--- a/core/board/fixture_test.go
+++ b/core/board/fixture_test.go
@@ -14,7 +14,7 @@
 
 // bench is a board with workers that do what they are told.
 type bench struct {
-	*testing.T
+	testing.TB
 	board   Board
 	book    batch.Book
 	now     time.Time
@@ -34,8 +34,8 @@
 	acknowledged uint64
 }
 
-func newBench(t *testing.T, teams ...batch.Team) *bench {
-	b := &bench{T: t, now: start, workers: map[string]*fake{}}
+func newBench(t testing.TB, teams ...batch.Team) *bench {
+	b := &bench{TB: t, now: start, workers: map[string]*fake{}}
 	terms := batch.Terms{Queues: map[string]batch.Queue{}, Teams: map[model.Team]batch.Team{}}
 	for priority := range 3 {
 		name := fmt.Sprintf("p%d", priority)
--- a/core/board/keep.go
+++ b/core/board/keep.go
@@ -15,6 +15,9 @@
 		return
 	}
 	most := (len(p.workers) + keptShare - 1) / keptShare
+	if p.singles == most {
+		return
+	}
 	for _, s := range p.soonest(u) {
 		if p.singles == most || len(tasks) == 0 {
 			return
--- a/core/board/plan.go
+++ b/core/board/plan.go
@@ -72,21 +72,18 @@
 }
 
 func (p *plan) serveTasks(u *unit) {
-	var open []*task
-	for _, t := range u.tasks {
+	for i, t := range u.tasks {
 		seats := p.seat(u, []*task{t}, p.room, p.candidates(u), true)
 		if seats == nil && p.settlesForRemote(u) {
 			seats = p.seat(u, []*task{t}, p.room, p.candidates(u), false)
 		}
 		if seats == nil {
-			open = append(open, t)
-			continue
+			// The others need the same, and placing leaves less room.
+			p.claim(u, u.tasks[i:])
+			return
 		}
 		p.commit(u, []*task{t}, seats)
 	}
-	if len(open) > 0 {
-		p.claim(u, open)
-	}
 }
 
 // guaranteedPatience is how long guaranteed work looks for room at its data or in one rack only: away from it, it
@@ -189,11 +186,17 @@
 // seat returns a worker for each task, best fit first, or nil. With near, only workers at the data count.
 func (p *plan) seat(u *unit, tasks []*task, room map[*worker]batch.Amount, workers []*worker, near bool) []*worker {
 	need := u.step.Taken()
-	left := make(map[*worker]batch.Amount, len(workers))
-	count := map[*worker]int{}
-	for _, w := range workers {
-		left[w] = room[w]
-		if u.step.PerWorker > 0 {
+	left := room
+	if len(tasks) > 1 {
+		left = make(map[*worker]batch.Amount, len(workers))
+		for _, w := range workers {
+			left[w] = room[w]
+		}
+	}
+	var count map[*worker]int
+	if u.step.PerWorker > 0 {
+		count = make(map[*worker]int, len(workers))
+		for _, w := range workers {
 			count[w] = p.onWorker(u, tasks[0], w)
 		}
 	}
@@ -214,9 +217,13 @@
 		if best == nil {
 			return nil
 		}
-		left[best] = left[best].Sub(need)
-		count[best]++
 		seats = append(seats, best)
+		if len(tasks) > 1 {
+			left[best] = left[best].Sub(need)
+		}
+		if count != nil {
+			count[best]++
+		}
 	}
 	return seats
 }
