Use one piece of code for unsent calls, the order of tasks and the search of a worker

Cause: found in a reading of the whole change.

Change: call.Unsent, batch.TaskID.Compare, one search for each task (workers at its data are preferred in it anyway), call.Do for relayed calls. Lost runs are ended in the order of their numbers, not of their text.

Ruled out: a common type for the words of wire.go, orders.go and types.go, which share their shape only.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -131,8 +131,8 @@
 	return &desk.Notices{Mirror: m, Self: c.Link, Token: c.Token, HTTP: platform.NewHTTP(), Log: log}
 }
 
-func newDesk(s *detour.Store, m *mirror.Mirror, n *desk.Notices, log *slog.Logger) *desk.Desk {
-	return &desk.Desk{Store: s, Mirror: m, Tell: n.Tell, Log: log}
+func newDesk(s *detour.Store, m *mirror.Mirror, n *desk.Notices) *desk.Desk {
+	return &desk.Desk{Store: s, Mirror: m, Tell: n.Tell}
 }
 
 // newDeskMeter returns nil, which drops all figures, where no address is set for them.
--- a/core/batch/progress.go
+++ b/core/batch/progress.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -22,6 +23,13 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
 
+// Compare orders tasks by job, occurrence, step and index; it returns a negative number, 0 or a positive one.
+func (t TaskID) Compare(u TaskID) int {
+	return cmp.Or(
+		cmp.Compare(t.Job, u.Job), cmp.Compare(t.Occurrence, u.Occurrence), cmp.Compare(t.Step, u.Step), cmp.Compare(t.Index, u.Index),
+	)
+}
+
 // ParseTaskID reads the form that String writes.
 func ParseTaskID(s string) (TaskID, error) {
 	parts := strings.Split(s, ".")
--- a/core/board/finish.go
+++ b/core/board/finish.go
@@ -1,7 +1,6 @@
 package board
 
 import (
-	"sort"
 	"time"
 
 	"wagtailhoist/core/batch"
@@ -131,12 +130,7 @@
 func (b *Board) lose(w *worker, wall time.Time, reason string) {
 	delete(b.workers, w.ID)
 	b.changed = true
-	ids := make([]batch.TaskID, 0, len(w.runs))
-	for id := range w.runs {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i].String() < ids[j].String() })
-	for _, id := range ids {
+	for _, id := range w.sortedRuns() {
 		if t := w.runs[id]; t != nil {
 			b.trace("lost", batch.RunID{Task: id, Run: t.Run}, w.ID, reason)
 			b.finish(time.Time{}, wall, w, t, batch.EndLost)
--- a/core/board/job.go
+++ b/core/board/job.go
@@ -1,7 +1,6 @@
 package board
 
 import (
-	"sort"
 	"time"
 
 	"wagtailhoist/core/batch"
@@ -137,20 +136,14 @@
 // progress returns the stored form; tasks that were never placed are left out.
 func (j *job) progress() batch.Progress {
 	p := batch.Progress{Outcome: j.outcome, Ended: j.endedAt}
-	for _, t := range j.tasks {
-		if t.Run > 0 {
-			p.Tasks = append(p.Tasks, t.Task)
+	for k := range j.job.Occurrences() {
+		for s := range j.job.Steps {
+			for i := range j.job.Steps[s].Count {
+				if t := j.tasks[slot{k, s, i}]; t.Run > 0 {
+					p.Tasks = append(p.Tasks, t.Task)
+				}
+			}
 		}
 	}
-	sort.Slice(p.Tasks, func(a, b int) bool {
-		x, y := &p.Tasks[a], &p.Tasks[b]
-		if x.Occurrence != y.Occurrence {
-			return x.Occurrence < y.Occurrence
-		}
-		if x.Step != y.Step {
-			return x.Step < y.Step
-		}
-		return x.Index < y.Index
-	})
 	return p
 }
--- a/core/board/plan.go
+++ b/core/board/plan.go
@@ -73,10 +73,8 @@
 
 func (p *plan) serveTasks(u *unit) {
 	for i, t := range u.tasks {
-		seats := p.seat(u, []*task{t}, p.room, p.candidates(u), true)
-		if seats == nil && p.settlesForRemote(u) {
-			seats = p.seat(u, []*task{t}, p.room, p.candidates(u), false)
-		}
+		// Workers at the data are preferred in any case.
+		seats := p.seat(u, []*task{t}, p.room, p.candidates(u), !p.settlesForRemote(u))
 		if seats == nil {
 			// The others need the same, and placing leaves less room.
 			p.claim(u, u.tasks[i:])
--- a/core/board/worker.go
+++ b/core/board/worker.go
@@ -1,7 +1,7 @@
 package board
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"wagtailhoist/core/batch"
@@ -140,18 +140,6 @@
 	for id := range w.runs {
 		ids = append(ids, id)
 	}
-	sort.Slice(ids, func(i, j int) bool {
-		a, b := ids[i], ids[j]
-		if a.Job != b.Job {
-			return a.Job < b.Job
-		}
-		if a.Occurrence != b.Occurrence {
-			return a.Occurrence < b.Occurrence
-		}
-		if a.Step != b.Step {
-			return a.Step < b.Step
-		}
-		return a.Index < b.Index
-	})
+	slices.SortFunc(ids, batch.TaskID.Compare)
 	return ids
 }
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 
 	"wagtailhoist/io/call"
@@ -83,8 +81,7 @@
 
 // lost explains a call without an answer: a change that was sent may have taken effect.
 func lost(method string, err error) error {
-	var dial *net.OpError
-	if method == http.MethodGet || errors.As(err, &dial) && dial.Op == "dial" {
+	if method == http.MethodGet || call.Unsent(err) {
 		return &Failure{Kind: KindUnavailable, Text: "the entry can't be reached: " + err.Error()}
 	}
 	return &Failure{Kind: KindUnknown, Text: "the entry did not answer, so the effect is unknown: " + err.Error()}
--- a/io/call/call.go
+++ b/io/call/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,12 @@
 	return http.NewRequestWithContext(ctx, method, url, data)
 }
 
+// Unsent reports whether an error says that no connection was made, so that no service has seen the request.
+func Unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // Do sends a request and returns the status and at most limit bytes of the body. After an
 // error the service may or may not have carried the call out. A nil client means http.DefaultClient.
 func Do(client *http.Client, req *http.Request, limit int64) (status int, body []byte, err error) {
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,7 +24,6 @@
 	Mirror *mirror.Mirror
 	// Tell passes an item that was just stored on to the owner, whose watch may be late; nil leaves it to the watch.
 	Tell func(store.Item)
-	Log  *slog.Logger
 }
 
 // NotRunError reports a job that was not stored and never runs.
--- a/io/detour/store.go
+++ b/io/detour/store.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"wagtailhoist/io/boot"
+	"wagtailhoist/io/call"
 	"wagtailhoist/io/store"
 )
 
@@ -292,24 +292,18 @@
 		return Reply{}, &store.RefusedError{Op: string(q.Op), Cause: err}
 	}
 	req.Header.Set("Authorization", "Bearer "+s.Token)
-	resp, err := s.HTTP.Do(req)
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
+	status, data, err := call.Do(s.HTTP, req, maxRequest)
+	if call.Unsent(err) {
 		return Reply{}, &store.RefusedError{Op: string(q.Op), Cause: err}
 	}
 	if err != nil {
 		return Reply{}, &store.UnavailableError{Op: string(q.Op), Cause: err}
 	}
-	defer resp.Body.Close()
-	var reply Reply
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxRequest))
-	if err == nil && resp.StatusCode != http.StatusOK {
-		return Reply{}, &store.RefusedError{Op: string(q.Op), Status: resp.StatusCode}
-	}
-	if err == nil {
-		err = cbor.Unmarshal(data, &reply)
+	if status != http.StatusOK {
+		return Reply{}, &store.RefusedError{Op: string(q.Op), Status: status}
 	}
-	if err != nil {
+	var reply Reply
+	if err := cbor.Unmarshal(data, &reply); err != nil {
 		return Reply{}, &store.UnavailableError{Op: string(q.Op), Cause: err}
 	}
 	return reply, reply.err(q)
