Deliver advice answers to the owner's loop, and requeue jobs of a worker that goes down without an index

Cause: newTerm never made the channel adviceAnswers, so the answer to the first advice query of a term blocked its goroutine for ever and adviceRequested stayed set: a queue that requires tickets never started anything. updateWorker lost the jobs of a worker that goes down only while an index existed, so they kept their slots after a new worker's report in the same call. Ruled out: the advice client and ApplyAdvice, which are covered by tests of their own. Change: make the channel; call loseWorkers for each known worker that is down, after the index was refreshed or discarded. Before: TestTasksThatRequireTicketsStart and two cases of TestWorkerDownWithoutIndexRequeuesJobs fail. After: they pass.

--- a/core/plan/event.go
+++ b/core/plan/event.go
@@ -190,12 +190,13 @@
 	oldExceptUp.Up = w.Up
 	if known && oldExceptUp == w && s.idx != nil {
 		s.idx.refreshUsable(s, s.idx.byID[w.ID], now)
-		if !w.Up {
-			s.loseWorkers(now, []model.WorkerID{w.ID})
-		}
-		return
+	} else {
+		s.idx = nil
+	}
+	if known && !w.Up {
+		// Also without an index: the jobs of the worker have to be placed again.
+		s.loseWorkers(now, []model.WorkerID{w.ID})
 	}
-	s.idx = nil
 }
 
 // loseWorkers marks workers as down and puts the jobs on them back into the queue.
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -106,7 +106,7 @@
 func newTerm(o *Owner, fence uint64) *term {
 	t := &term{
 		owner: o, fence: fence, agentEvents: make(chan agentEvent, 256), commitResults: make(chan commitResult, 1),
-		done:            make(chan struct{}),
+		adviceAnswers: make(chan adviceAnswer, 1), done: make(chan struct{}),
 		sessionByWorker: map[string]*session{}, progressVersions: map[model.JobID]uint64{},
 	}
 	t.scheduler.Settings = o.Settings
