--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -39,6 +39,8 @@
 	leaseMargin = 500 * time.Millisecond
 	// shutdownTimeout bounds the wait for requests in progress after the drain time.
 	shutdownTimeout = 3 * time.Second
+	// maxShare bounds the share of processor time, in cores.
+	maxShare = 1024
 	// linkSilenceTimeout is the time without a received byte after which a link is closed.
 	linkSilenceTimeout = 2 * time.Second
 )
@@ -57,6 +59,7 @@
 	Early   time.Duration `default:"0s" help:"How long before its due time an occurrence of a job may be placed."`
 	Remote  float64       `default:"3" help:"Factor by which work away from its data is slower."`
 	Keep    time.Duration `default:"2m" help:"How long the state of an ended job can be read."`
+	Share   float64       `default:"0" help:"Share of processor time of this VM in cores; entries with a large share are elected first. 0 means unknown."`
 	Drain   time.Duration `default:"2200ms" help:"Time that the balancer needs to see that the entry is not ready."`
 }
 
@@ -80,6 +83,9 @@
 	if c.Remote < 1 {
 		k.failFlag("remote", "", "a number of at least 1")
 	}
+	if c.Share < 0 || c.Share > maxShare {
+		k.failFlag("share", "", "a number of cores from 0 to 1024")
+	}
 }
 
 // Run runs the entry until SIGTERM or SIGINT.
@@ -118,7 +124,7 @@
 		advisor = &platform.Advisor{Address: c.Advice, HTTP: platform.NewHTTP()}
 	}
 	return &owner.Owner{
-		Advisor: advisor, Store: s, Mirror: m, Self: mirror.EntryInfo{ID: c.ID, Address: c.Link}, Log: log, Meter: metrics,
+		Advisor: advisor, Store: s, Mirror: m, Self: mirror.EntryInfo{ID: c.ID, Address: c.Link, Share: c.Share}, Log: log, Meter: metrics,
 		Settings: alloc.Settings{
 			Lease: c.Hold - leaseMargin, EarlyStart: c.Early / 2, RemoteSlowdown: c.Remote, Retention: c.Keep + c.Keep/2,
 		},
--- a/core/alloc/advice.go
+++ b/core/alloc/advice.go
@@ -103,7 +103,7 @@
 			allowed = append(allowed, w)
 			continue
 		}
-		if len(q.Workers) < maxQueryWorkers && p.free[w].Contains(ps.step.Allocation()) {
+		if len(q.Workers) < maxQueryWorkers && p.free[w.index].Contains(ps.step.Allocation()) {
 			q.Workers = append(q.Workers, w.ID)
 		}
 	}
--- a/core/alloc/bench_test.go
+++ b/core/alloc/bench_test.go
@@ -10,7 +10,7 @@
 
 // BenchmarkPlan measures Plan with all workers in use and tasks waiting, by the number of workers.
 func BenchmarkPlan(b *testing.B) {
-	for _, workers := range []int{11, 77, 300} {
+	for _, workers := range []int{11, 77, 300, 3000} {
 		b.Run(fmt.Sprintf("workers-%d", workers), func(b *testing.B) {
 			w := newFixture(b, batch.Team{Name: "a", Guarantee: int64(workers)})
 			for i := range workers {
--- /dev/null
+++ b/core/alloc/equal_test.go
@@ -0,0 +1,98 @@
+package alloc
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"wagtailhoist/core/batch"
+)
+
+// randomStep returns a step with some of the restrictions that a step may have.
+func randomStep(rng *rand.Rand, racks int) batch.Step {
+	s := batch.Step{
+		Count: 1 + rng.Intn(12), Estimate: time.Duration(500+rng.Intn(9000)) * time.Millisecond,
+		Need: batch.Amount{CPU: int64(1000 * (1 + rng.Intn(50))), Memory: 100, GPU: []int64{0, 1, 1, 1, 2, 4, 8}[rng.Intn(7)]},
+		Gang: rng.Intn(4) == 0, Checkpoints: rng.Intn(2) == 0, RackLocal: rng.Intn(6) == 0,
+	}
+	if rng.Intn(4) == 0 {
+		s.DataRack = fmt.Sprintf("r%d", rng.Intn(racks))
+	}
+	if rng.Intn(6) == 0 {
+		s.MaxPerWorker = 1 + rng.Intn(3)
+	}
+	if rng.Intn(6) == 0 {
+		s.RequiredLabel = []string{"a", "b"}[rng.Intn(2)]
+	}
+	switch rng.Intn(12) {
+	case 0:
+		s.CPUExempt = true
+	case 1:
+		s.MaxTailLatency = time.Second
+	}
+	return s
+}
+
+// playRandomLoad lets a scheduler with the given plan function serve a random load, and returns its decisions by plan.
+func playRandomLoad(t *testing.T, seed int64, plan func(s *Scheduler, now, wall time.Time)) []string {
+	rng := rand.New(rand.NewSource(seed))
+	f := newFixture(t, batch.Team{Name: "a", Guarantee: int64(rng.Intn(40))})
+	var decisions []string
+	f.scheduler.Trace = func(e Event) { decisions = append(decisions, fmt.Sprint(e.Kind, e.Run, e.Worker, e.Detail)) }
+	racks := 1 + rng.Intn(4)
+	for i := range 3 + rng.Intn(20) {
+		w := f.addWorker(fmt.Sprintf("n%02d", i), fmt.Sprintf("r%d", rng.Intn(racks)))
+		if rng.Intn(2) == 0 {
+			w.Labels[0] = "b"
+		}
+	}
+	var plans []string
+	for range 40 {
+		f.now = f.now.Add(time.Duration(50+rng.Intn(400)) * time.Millisecond)
+		for range rng.Intn(4) {
+			f.submit(fmt.Sprintf("p%d", rng.Intn(3)), "a", randomStep(rng, racks), batch.Step{
+				Count: 2, After: []int{0}, Need: batch.Amount{CPU: 1000, GPU: 1}, Estimate: time.Second,
+			})
+		}
+		decisions = nil
+		f.scheduler.PreemptStalled(f.now)
+		plan(&f.scheduler, f.now, f.now)
+		slices.Sort(decisions)
+		plans = append(plans, strings.Join(decisions, "\n"))
+		f.storeProgress()
+		f.executeOrders()
+		for _, id := range f.sortedWorkerIDs() {
+			w := f.workers[id]
+			for _, status := range slices.Clone(w.running) {
+				if rng.Intn(8) == 0 {
+					w.end(status.RunID, []batch.Cause{batch.EndDone, batch.EndDone, batch.EndFailed}[rng.Intn(3)])
+				}
+			}
+			f.report(w)
+		}
+	}
+	return plans
+}
+
+// Plan must decide as the reference does, which compares each step with all workers: its caches and its knowledge of what
+// doesn't fit must not change a placement, a stop or a reservation.
+func TestPlanDecidesLikeTheReference(t *testing.T) {
+	placements, stops := 0, 0
+	for seed := range int64(50) {
+		want := playRandomLoad(t, seed, referencePlanOf)
+		got := playRandomLoad(t, seed, func(s *Scheduler, now, wall time.Time) { s.Plan(now, wall) })
+		for i := range want {
+			placements += strings.Count(want[i], "placed")
+			stops += strings.Count(want[i], "room for")
+			if got[i] != want[i] {
+				t.Fatalf("seed %d, plan %d:\ngot\n%s\nwant\n%s", seed, i, got[i], want[i])
+			}
+		}
+	}
+	if placements < 1000 || stops < 50 {
+		t.Errorf("got %d placements and %d stops, want at least 1000 and 50 for the comparison to mean something", placements, stops)
+	}
+}
--- a/core/alloc/evacuate.go
+++ b/core/alloc/evacuate.go
@@ -9,7 +9,7 @@
 // Evacuate stops the runs on draining workers that can't end before the worker leaves, so that they are restarted on other
 // workers at once. It is for workers that are taken away at short notice.
 func (s *Scheduler) Evacuate(now time.Time) {
-	for _, w := range s.sortedWorkers() {
+	for _, w := range s.sorted {
 		if w.Readiness != batch.WorkerDraining || w.leavesAt.IsZero() {
 			continue
 		}
@@ -18,9 +18,9 @@
 			if t.mustStop || !now.Add(s.remainingTime(now, t)).After(w.leavesAt) {
 				continue
 			}
-			t.mustStop = true
+			s.orderStop(t)
 			s.needsPlan = true
-			s.trace("stop", batch.RunID{Task: id, Run: t.Run}, w.ID, "the worker leaves before the run can end")
+			s.traceStop(t, "the worker leaves before the run can end")
 		}
 	}
 }
--- a/core/alloc/finish.go
+++ b/core/alloc/finish.go
@@ -1,6 +1,7 @@
 package alloc
 
 import (
+	"slices"
 	"time"
 
 	"wagtailhoist/core/batch"
@@ -88,9 +89,9 @@
 			m.Checkpoint = t.Checkpoint
 		}
 		if m.Phase == batch.TaskPlaced && !m.mustStop {
-			m.mustStop = true
+			s.orderStop(m)
 			if !stopOrdered {
-				s.trace("stop", batch.RunID{Task: m.id(j), Run: m.Run}, m.Worker, "a member of the gang has ended")
+				s.traceStop(m, "a member of the gang has ended")
 			}
 		}
 	}
@@ -100,8 +101,8 @@
 func (s *Scheduler) stopJob(j *job, reason string) {
 	for _, t := range j.tasks {
 		if t.Phase == batch.TaskPlaced && !t.mustStop {
-			t.mustStop = true
-			s.trace("stop", batch.RunID{Task: t.id(j), Run: t.Run}, t.Worker, reason)
+			s.orderStop(t)
+			s.traceStop(t, reason)
 		}
 	}
 }
@@ -124,6 +125,7 @@
 	default:
 		return
 	}
+	delete(s.active, j.job.ID)
 	j.endedAt = wall.UnixMilli()
 	s.traceJob("job ended", j, string(j.outcome), wall.Sub(time.UnixMilli(j.job.Accepted)))
 	j.markChanged()
@@ -131,7 +133,7 @@
 
 // removeWorker removes a worker that can have no more runs, and records its runs as lost.
 func (s *Scheduler) removeWorker(w *worker, wall time.Time, reason string) {
-	delete(s.workers, w.ID)
+	s.deleteWorker(w)
 	s.needsPlan = true
 	for _, id := range w.sortedRuns() {
 		if t := w.runs[id]; t != nil {
@@ -144,7 +146,7 @@
 
 // ExpireLeases removes the workers whose leases have expired.
 func (s *Scheduler) ExpireLeases(now, wall time.Time) {
-	for _, w := range s.sortedWorkers() {
+	for _, w := range slices.Clone(s.sorted) {
 		if now.After(w.leaseEnd) {
 			s.removeWorker(w, wall, "lease expired")
 		}
--- a/core/alloc/fixture_test.go
+++ b/core/alloc/fixture_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,7 +105,7 @@
 
 // storeProgress stores all pending updates and confirms them.
 func (f *fixture) storeProgress() {
-	for _, r := range f.scheduler.PendingUpdates(1000) {
+	for _, r := range f.scheduler.PendingUpdates(1000, func(model.JobID) bool { return false }) {
 		f.put(batch.ProgressKey(r.Job), &r.Progress)
 		f.scheduler.ConfirmStored(r)
 	}
@@ -184,3 +186,7 @@
 	s.Gang = true
 	return s
 }
+
+func (f *fixture) sortedWorkerIDs() []string {
+	return slices.Sorted(maps.Keys(f.workers))
+}
--- a/core/alloc/job.go
+++ b/core/alloc/job.go
@@ -6,13 +6,18 @@
 	"wagtailhoist/core/batch"
 )
 
-// taskKey identifies a task within its job.
-type taskKey struct{ occurrence, step, index int }
-
 // job is a submitted job with the state of its tasks.
 type job struct {
-	job   batch.Job
-	tasks map[taskKey]*task
+	job batch.Job
+	// tasks holds the tasks by occurrence, step and index. stepOffsets holds the position of each step's first task within an
+	// occurrence, and then the number of tasks of an occurrence.
+	tasks       []*task
+	stepOffsets []int
+	// updates is the scheduler's queue of jobs to store, in which the job is while queued is set.
+	updates *updateQueue
+	queued  bool
+	// awaitingStore holds the workers with ends that are acknowledged once the job's progress is stored.
+	awaitingStore []*worker
 	// acceptedAt is when the job was accepted, on the owner's clock. It is at most an hour before the owner learned of the job.
 	acceptedAt time.Time
 	// generation counts the changes of the progress, storedGeneration is the last one that is stored.
@@ -44,14 +49,20 @@
 	lastFailedRun int
 }
 
-func newJob(record *batch.JobRecord, now, wall time.Time) *job {
-	j := &job{job: *record.Job, tasks: map[taskKey]*task{}, advice: map[stepKey]*stepAdvice{}}
+func newJob(record *batch.JobRecord, now, wall time.Time, updates *updateQueue) *job {
+	j := &job{job: *record.Job, advice: map[stepKey]*stepAdvice{}, updates: updates}
 	age := wall.Sub(time.UnixMilli(record.Job.Accepted))
 	j.acceptedAt = now.Add(-max(0, min(age, time.Hour)))
+	offset := 0
+	for step := range j.job.Steps {
+		j.stepOffsets = append(j.stepOffsets, offset)
+		offset += j.job.Steps[step].Count
+	}
+	j.stepOffsets = append(j.stepOffsets, offset)
 	for occurrence := range j.job.Occurrences() {
 		for step := range j.job.Steps {
 			for index := range j.job.Steps[step].Count {
-				j.tasks[taskKey{occurrence, step, index}] = &task{Task: batch.Task{Occurrence: occurrence, Step: step, Index: index}, job: j}
+				j.tasks = append(j.tasks, &task{Task: batch.Task{Occurrence: occurrence, Step: step, Index: index}, job: j})
 			}
 		}
 	}
@@ -60,7 +71,7 @@
 		j.failed = progress.Outcome == batch.JobFailed
 		j.started = progress.Started()
 		for _, stored := range progress.Tasks {
-			if t := j.tasks[taskKey{stored.Occurrence, stored.Step, stored.Index}]; t != nil {
+			if t := j.task(stored.Occurrence, stored.Step, stored.Index); t != nil {
 				t.Task = stored
 			}
 		}
@@ -81,17 +92,39 @@
 }
 
 // markChanged schedules the job's progress to be stored.
-func (j *job) markChanged() { j.generation++ }
+func (j *job) markChanged() {
+	j.generation++
+	if !j.queued {
+		j.queued = true
+		j.updates.jobs = append(j.updates.jobs, j)
+	}
+}
 
-// gangMembers returns the tasks of the step and occurrence of t, by index.
-func (j *job) gangMembers(t *task) []*task {
-	all := make([]*task, 0, j.job.Steps[t.Step].Count)
-	for i := range j.job.Steps[t.Step].Count {
-		all = append(all, j.tasks[taskKey{t.Occurrence, t.Step, i}])
+// task returns a task, or nil if the job has none with these numbers.
+func (j *job) task(occurrence, step, index int) *task {
+	if occurrence < 0 || step < 0 || step >= len(j.job.Steps) || index < 0 || index >= j.job.Steps[step].Count {
+		return nil
+	}
+	tasks := j.stepTasks(occurrence, step)
+	if tasks == nil {
+		return nil
+	}
+	return tasks[index]
+}
+
+// stepTasks returns the tasks of a step in an occurrence, by index, or nil if there is no such occurrence.
+func (j *job) stepTasks(occurrence, step int) []*task {
+	perOccurrence := j.stepOffsets[len(j.stepOffsets)-1]
+	if occurrence >= j.job.Occurrences() {
+		return nil
 	}
-	return all
+	first := occurrence * perOccurrence
+	return j.tasks[first+j.stepOffsets[step] : first+j.stepOffsets[step+1]]
 }
 
+// gangMembers returns the tasks of the step and occurrence of t, by index.
+func (j *job) gangMembers(t *task) []*task { return j.stepTasks(t.Occurrence, t.Step) }
+
 // hasPlacedTasks reports whether any task of the job may be running.
 func (j *job) hasPlacedTasks() bool {
 	for _, t := range j.tasks {
@@ -113,8 +146,8 @@
 
 // stepDone reports whether all tasks of a step ended successfully.
 func (j *job) stepDone(occurrence, step int) bool {
-	for i := range j.job.Steps[step].Count {
-		if j.tasks[taskKey{occurrence, step, i}].Phase != batch.TaskDone {
+	for _, t := range j.stepTasks(occurrence, step) {
+		if t.Phase != batch.TaskDone {
 			return false
 		}
 	}
@@ -137,13 +170,9 @@
 // progress returns the stored form of the job's progress, without the tasks that were never placed.
 func (j *job) progress() batch.Progress {
 	p := batch.Progress{Outcome: j.outcome, Ended: j.endedAt}
-	for occurrence := range j.job.Occurrences() {
-		for step := range j.job.Steps {
-			for index := range j.job.Steps[step].Count {
-				if t := j.tasks[taskKey{occurrence, step, index}]; t.Run > 0 {
-					p.Tasks = append(p.Tasks, t.Task)
-				}
-			}
+	for _, t := range j.tasks {
+		if t.Run > 0 {
+			p.Tasks = append(p.Tasks, t.Task)
 		}
 	}
 	return p
--- a/core/alloc/orders.go
+++ b/core/alloc/orders.go
@@ -1,6 +1,7 @@
 package alloc
 
 import (
+	"slices"
 	"time"
 
 	"wagtailhoist/core/batch"
@@ -16,8 +17,7 @@
 		return batch.Orders{}, false
 	}
 	o := batch.Orders{Worker: workerID}
-	for _, taskID := range w.sortedRuns() {
-		t := w.runs[taskID]
+	for taskID, t := range w.runs {
 		run := batch.RunID{Task: taskID, Run: t.Run}
 		switch {
 		case t.mustStop && t.stopSent.IsZero(), t.mustStop && now.Sub(t.stopSent) > stopResendInterval:
@@ -42,6 +42,8 @@
 	if len(w.foreign) > 0 && now.Sub(w.foreignStopSent) > stopResendInterval {
 		w.foreignStopSent = now
 	}
+	slices.SortFunc(o.Starts, func(a, b batch.StartOrder) int { return a.Task.Compare(b.Task) })
+	slices.SortFunc(o.Stops, func(a, b batch.RunID) int { return a.Task.Compare(b.Task) })
 	acknowledgedBefore := w.acknowledgedEnd
 	w.acknowledgeStoredEnds()
 	o.AcknowledgedEnds = w.acknowledgedEnd
@@ -55,6 +57,6 @@
 	if j == nil {
 		return true
 	}
-	t := j.tasks[taskKey{run.Task.Occurrence, run.Task.Step, run.Task.Index}]
+	t := j.task(run.Task.Occurrence, run.Task.Step, run.Task.Index)
 	return t == nil || t.Phase != batch.TaskDone || t.Run != run.Run || !j.job.Steps[t.Step].Gang
 }
--- a/core/alloc/pending.go
+++ b/core/alloc/pending.go
@@ -39,12 +39,11 @@
 // pendingSteps returns the steps that are ready to run, the most urgent first: guaranteed ones, then long-running ones,
 // then the others by priority and, within a priority, by the time at which they miss their objective. Steps that aren't
 // guaranteed and are too late come last, so that in a burst they don't delay steps whose results are still of use.
-func (s *Scheduler) pendingSteps(now, wall time.Time) []*pendingStep {
-	guaranteedJobs := s.guaranteedJobs(wall)
+func (s *Scheduler) pendingSteps(now, wall time.Time, guaranteedJobs map[model.JobID]bool) []*pendingStep {
 	var all []*pendingStep
-	for _, id := range s.sortedJobs() {
-		j := s.jobs[id]
-		if j.cancelled || j.failed || j.outcome != "" {
+	for _, j := range s.activeJobs() {
+		id := j.job.ID
+		if j.cancelled || j.failed {
 			continue
 		}
 		for occurrence := range j.job.Occurrences() {
@@ -67,8 +66,8 @@
 func (s *Scheduler) pendingStep(now, wall time.Time, j *job, occurrence, step int) *pendingStep {
 	ps := &pendingStep{job: j, step: &j.job.Steps[step], queue: s.policy.QueueFor(&j.job)}
 	placed := 0
-	for i := range ps.step.Count {
-		switch t := j.tasks[taskKey{occurrence, step, i}]; t.Phase {
+	for _, t := range j.stepTasks(occurrence, step) {
+		switch t.Phase {
 		case batch.TaskWaiting:
 			ps.tasks = append(ps.tasks, t)
 		case batch.TaskPlaced:
@@ -137,9 +136,8 @@
 // guaranteedJobs returns the due jobs of priority 0 that fit into their team's guarantee. Older jobs are counted first.
 func (s *Scheduler) guaranteedJobs(wall time.Time) map[model.JobID]bool {
 	var urgent []*job
-	for _, id := range s.sortedJobs() {
-		j := s.jobs[id]
-		if j.outcome == "" && !j.cancelled && s.policy.QueueFor(&j.job).Priority == 0 && !wall.Add(s.Settings.EarlyStart).Before(j.job.Due(0)) {
+	for _, j := range s.activeJobs() {
+		if !j.cancelled && s.policy.QueueFor(&j.job).Priority == 0 && !wall.Add(s.Settings.EarlyStart).Before(j.job.Due(0)) {
 			urgent = append(urgent, j)
 		}
 	}
--- a/core/alloc/plan.go
+++ b/core/alloc/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wagtailhoist/core/batch"
+	"wagtailhoist/core/model"
 )
 
 const (
@@ -17,37 +18,99 @@
 	singleReservationDivisor = 4
 )
 
-// plan is one pass over the pending steps.
+// plan is one pass over the pending steps. Slices by worker are indexed by worker.index.
 type plan struct {
 	*Scheduler
 	now, wall time.Time
 	workers   []*worker
 	// free is the free capacity of each worker, freeAfterStops that after the end of the runs that are being stopped.
-	free, freeAfterStops map[*worker]batch.Amount
-	// reserved holds the workers that are reserved from a time on. Only runs that end before that time are placed there.
-	reserved map[*worker]time.Time
+	free, freeAfterStops []batch.Amount
+	// reserved holds the time from which each worker is reserved, zero for the others. Only runs that end before that time
+	// are placed there.
+	reserved []time.Time
 	// gangReservations counts the gangs with reserved workers, singleReservations the workers reserved for single tasks.
 	gangReservations, singleReservations int
+	// guaranteedJobs are the jobs that fit into their team's guarantee.
+	guaranteedJobs map[model.JobID]bool
+	// placements counts the tasks that this plan has placed.
+	placements int
+
+	// candidateLists caches the candidates of steps that don't depend on what else runs on a worker.
+	candidateLists map[candidateKey][]*worker
+	// expected caches the expected ends of each worker's runs, nil where they have to be determined.
+	expected [][]expectedEnd
+	// victimLists caches the runs that may be preempted, by service, as of victimPlacements placements.
+	victimLists      map[string][]victim
+	victimPlacements int
+	// notPlaceable, notAfterStops and notByPreemption hold what didn't fit into the free capacity, into the capacity after
+	// the ordered stops, and after preemption.
+	notPlaceable, notAfterStops, notByPreemption []misfit
+}
+
+// candidateKey identifies the steps that have the same candidates.
+type candidateKey struct{ service, label string }
+
+// misfit is a number of equal tasks that don't fit on any of the candidates.
+type misfit struct {
+	candidateKey
+	// guaranteed reports whether the misfit holds for guaranteed steps; it then holds for the others too.
+	guaranteed bool
+	need       batch.Amount
+	tasks      int
+	estimate   time.Duration
+}
+
+// covers reports whether the tasks of a step can't fit either, because they need at least as much on the same or fewer
+// workers.
+func (m *misfit) covers(ps *pendingStep, tasks int) bool {
+	return m.service == ps.queue.Service && (m.label == "" || m.label == ps.step.RequiredLabel) && (m.guaranteed || !ps.guaranteed) &&
+		tasks >= m.tasks && ps.step.Estimate >= m.estimate && ps.step.Allocation().Contains(m.need)
+}
+
+// knownMisfit reports whether tasks of a step certainly don't fit.
+func knownMisfit(list []misfit, ps *pendingStep, tasks int) bool {
+	for i := range list {
+		if list[i].covers(ps, tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordMisfit adds the tasks of a step that don't fit. A step with restrictions of its own says nothing about others.
+func recordMisfit(list []misfit, ps *pendingStep, tasks int) []misfit {
+	step := ps.step
+	if step.DataRack != "" || step.RackLocal || step.MaxPerWorker > 0 || step.CPUExempt || step.MaxTailLatency > 0 || ps.queue.RequiresTicket {
+		return list
+	}
+	return append(list, misfit{ps.candidateKey(), ps.guaranteed, step.Allocation(), tasks, step.Estimate})
+}
+
+func (ps *pendingStep) candidateKey() candidateKey {
+	return candidateKey{ps.queue.Service, ps.step.RequiredLabel}
 }
 
 // Plan places waiting tasks and preempts runs for tasks that are guaranteed or would be late.
 func (s *Scheduler) Plan(now, wall time.Time) {
 	s.needsPlan = false
 	s.adviceQueries = nil
-	pendingSteps := s.pendingSteps(now, wall)
+	guaranteedJobs := s.guaranteedJobs(wall)
+	pendingSteps := s.pendingSteps(now, wall, guaranteedJobs)
 	if len(pendingSteps) == 0 {
 		return
 	}
+	n := len(s.sorted)
 	p := &plan{
-		Scheduler: s, now: now, wall: wall, workers: s.sortedWorkers(),
-		free: map[*worker]batch.Amount{}, freeAfterStops: map[*worker]batch.Amount{}, reserved: map[*worker]time.Time{},
+		Scheduler: s, now: now, wall: wall, workers: s.sorted, guaranteedJobs: guaranteedJobs,
+		free: make([]batch.Amount, n), freeAfterStops: make([]batch.Amount, n), reserved: make([]time.Time, n),
+		expected: make([][]expectedEnd, n), candidateLists: map[candidateKey][]*worker{}, victimLists: map[string][]victim{},
 	}
-	for _, w := range p.workers {
-		p.free[w] = w.freeCapacity()
-		p.freeAfterStops[w] = p.free[w]
+	for i, w := range p.workers {
+		p.free[i] = w.freeCapacity()
+		p.freeAfterStops[i] = p.free[i]
 		for _, t := range w.runs {
 			if t.mustStop {
-				p.freeAfterStops[w] = p.freeAfterStops[w].Add(t.job.job.Steps[t.Step].Allocation())
+				p.freeAfterStops[i] = p.freeAfterStops[i].Add(t.job.job.Steps[t.Step].Allocation())
 			}
 		}
 	}
@@ -65,25 +128,32 @@
 		p.placeTasks(ps)
 		return
 	}
-	if assigned := p.assignGang(ps, p.free); assigned != nil {
-		p.recordPlacement(ps, ps.tasks, assigned)
-		return
+	// The candidates of a queue with tickets are always determined, since that adds queries for tickets.
+	if ps.queue.RequiresTicket || !knownMisfit(p.notPlaceable, ps, len(ps.tasks)) {
+		if assigned := p.assignGang(ps, p.free); assigned != nil {
+			p.recordPlacement(ps, ps.tasks, assigned)
+			return
+		}
+		p.notPlaceable = recordMisfit(p.notPlaceable, ps, len(ps.tasks))
 	}
 	p.makeRoom(ps, ps.tasks)
 }
 
-// placeTasks places the tasks of a step that is not a gang one by one.
+// placeTasks places the tasks of a step that is not a gang, as many as fit.
 func (p *plan) placeTasks(ps *pendingStep) {
-	for i, t := range ps.tasks {
+	var assigned []*worker
+	if ps.queue.RequiresTicket || !knownMisfit(p.notPlaceable, ps, 1) {
 		// Where workers of other racks are allowed, p.better still prefers those in the data's rack.
-		assigned := p.assignTasks(ps, []*task{t}, p.free, p.candidates(ps), !p.allowsRemote(ps))
-		if assigned == nil {
-			// The remaining tasks need as much, so that none of them fits either.
-			p.makeRoom(ps, ps.tasks[i:])
+		assigned = p.assignUpTo(ps, ps.tasks, p.free, p.candidates(ps), !p.allowsRemote(ps))
+		for i, w := range assigned {
+			p.recordPlacement(ps, ps.tasks[i:i+1], []*worker{w})
+		}
+		if len(assigned) == len(ps.tasks) {
 			return
 		}
-		p.recordPlacement(ps, []*task{t}, assigned)
+		p.notPlaceable = recordMisfit(p.notPlaceable, ps, 1)
 	}
+	p.makeRoom(ps, ps.tasks[len(assigned):])
 }
 
 // guaranteedLocalWait is how long guaranteed jobs wait for workers in their data's rack, or in one rack. On other workers
@@ -138,10 +208,17 @@
 
 // candidates returns the workers that may run the step's tasks, regardless of their free capacity.
 func (p *plan) candidates(ps *pendingStep) []*worker {
-	var list []*worker
-	for _, w := range p.workers {
-		if w.usable(p.now, ps.queue.Service) && w.hasLabel(ps.step.RequiredLabel) && !w.conflictsWith(ps.step) {
-			list = append(list, w)
+	conflicts := ps.step.CPUExempt || ps.step.MaxTailLatency > 0
+	list, cached := p.candidateLists[ps.candidateKey()]
+	if !cached || conflicts {
+		list = nil
+		for _, w := range p.workers {
+			if w.usable(p.now, ps.queue.Service) && w.hasLabel(ps.step.RequiredLabel) && !w.conflictsWith(ps.step) {
+				list = append(list, w)
+			}
+		}
+		if !conflicts {
+			p.candidateLists[ps.candidateKey()] = list
 		}
 	}
 	if ps.queue.RequiresTicket {
@@ -152,7 +229,7 @@
 
 // assignGang returns a worker for each task of a gang, or nil if they don't fit. It chooses the group of workers with the
 // fewest free accelerators.
-func (p *plan) assignGang(ps *pendingStep, free map[*worker]batch.Amount) []*worker {
+func (p *plan) assignGang(ps *pendingStep, free []batch.Amount) []*worker {
 	var best []*worker
 	var bestFree int64
 	workerGroups := p.workerGroups(ps)
@@ -161,13 +238,13 @@
 			// The last group may hold all workers; it is only for gangs that don't fit into a rack.
 			break
 		}
-		assigned := p.assignTasks(ps, ps.tasks, free, group, false)
+		assigned := p.assignTasks(ps, ps.tasks, free, group)
 		if assigned == nil {
 			continue
 		}
 		freeGPUs := int64(0)
 		for _, w := range group {
-			freeGPUs += free[w].GPU
+			freeGPUs += free[w.index].GPU
 		}
 		if best == nil || freeGPUs < bestFree {
 			best, bestFree = assigned, freeGPUs
@@ -178,79 +255,107 @@
 
 // fitsWhenIdle reports whether all tasks of a step would fit on the workers if they had no runs.
 func (p *plan) fitsWhenIdle(ps *pendingStep, workers []*worker) bool {
-	idle := make(map[*worker]batch.Amount, len(workers))
+	slots := 0
 	for _, w := range workers {
-		idle[w] = w.Capacity
+		slots += p.slots(ps, ps.tasks[0], w, w.Capacity, len(ps.tasks))
 	}
-	return p.assignTasks(ps, ps.tasks, idle, workers, false) != nil
+	return slots >= len(ps.tasks)
 }
 
-// assignTasks returns the best worker for each task, or nil if not all of them fit. If inDataRack is set, only
-// workers in the rack of the step's data are used.
-func (p *plan) assignTasks(ps *pendingStep, tasks []*task, free map[*worker]batch.Amount, workers []*worker, inDataRack bool) []*worker {
+// slots returns how many tasks of t's step can be placed on a worker with the given free capacity, at most limit.
+func (p *plan) slots(ps *pendingStep, t *task, w *worker, free batch.Amount, limit int) int {
+	if !p.endsBeforeReservation(ps, w) {
+		return 0
+	}
+	if ps.step.MaxPerWorker > 0 {
+		limit = min(limit, ps.step.MaxPerWorker-p.tasksOnWorker(ps, t, w))
+	}
 	need := ps.step.Allocation()
-	remaining := free
-	if len(tasks) > 1 {
-		remaining = make(map[*worker]batch.Amount, len(workers))
-		for _, w := range workers {
-			remaining[w] = free[w]
+	n := 0
+	for n < limit && free.Contains(need) {
+		free = free.Sub(need)
+		n++
+	}
+	return n
+}
+
+// totalSlots returns how many tasks of a step can be placed on the workers together, at most len(tasks).
+func (p *plan) totalSlots(ps *pendingStep, tasks []*task, free []batch.Amount, workers []*worker) int {
+	total := 0
+	for _, w := range workers {
+		if total += p.slots(ps, tasks[0], w, free[w.index], len(tasks)-total); total == len(tasks) {
+			break
 		}
 	}
-	var tasksPerWorker map[*worker]int
-	if ps.step.MaxPerWorker > 0 {
-		tasksPerWorker = make(map[*worker]int, len(workers))
-		for _, w := range workers {
-			tasksPerWorker[w] = p.tasksOnWorker(ps, tasks[0], w)
+	return total
+}
+
+// assignTasks returns the best worker for each task, or nil if not all of them fit.
+func (p *plan) assignTasks(ps *pendingStep, tasks []*task, free []batch.Amount, workers []*worker) []*worker {
+	if p.totalSlots(ps, tasks, free, workers) < len(tasks) {
+		return nil
+	}
+	return p.assignUpTo(ps, tasks, free, workers, false)
+}
+
+// openSlots is a worker with the capacity that is left and the number of tasks that still fit.
+type openSlots struct {
+	worker *worker
+	left   batch.Amount
+	count  int
+}
+
+// assignUpTo returns the best worker for each of the first tasks, as many as fit. If inDataRack is set, only workers in the
+// rack of the step's data are used.
+func (p *plan) assignUpTo(ps *pendingStep, tasks []*task, free []batch.Amount, workers []*worker, inDataRack bool) []*worker {
+	var open []openSlots
+	for _, w := range workers {
+		if inDataRack && ps.step.DataRack != "" && w.rack() != ps.step.DataRack {
+			continue
+		}
+		if n := p.slots(ps, tasks[0], w, free[w.index], len(tasks)); n > 0 {
+			open = append(open, openSlots{w, free[w.index], n})
 		}
 	}
+	need := ps.step.Allocation()
 	assigned := make([]*worker, 0, len(tasks))
 	for range tasks {
-		var best *worker
-		for _, w := range workers {
-			if !remaining[w].Contains(need) || inDataRack && ps.step.DataRack != "" && w.rack() != ps.step.DataRack ||
-				!p.endsBeforeReservation(ps, w) {
-				continue
-			}
-			if ps.step.MaxPerWorker > 0 && tasksPerWorker[w] >= ps.step.MaxPerWorker {
-				continue
+		best := -1
+		for i := range open {
+			if open[i].count > 0 && (best < 0 || p.better(ps, &open[i], &open[best])) {
+				best = i
 			}
-			if best == nil || p.better(ps, w, best, remaining) {
-				best = w
-			}
-		}
-		if best == nil {
-			return nil
-		}
-		assigned = append(assigned, best)
-		if len(tasks) > 1 {
-			remaining[best] = remaining[best].Sub(need)
 		}
-		if tasksPerWorker != nil {
-			tasksPerWorker[best]++
+		if best < 0 {
+			break
 		}
+		assigned = append(assigned, open[best].worker)
+		open[best].left = open[best].left.Sub(need)
+		open[best].count--
 	}
 	return assigned
 }
 
-// better reports whether w is a better worker for the step than v: first one in the data's rack, then one with fewer
+// better reports whether x is a better worker for the step than y: first one in the data's rack, then one with fewer
 // failures in a row, then the best fit, which is the one with the least free capacity.
-func (p *plan) better(ps *pendingStep, w, v *worker, remaining map[*worker]batch.Amount) bool {
+func (p *plan) better(ps *pendingStep, x, y *openSlots) bool {
+	w, v := x.worker, y.worker
 	if ps.step.DataRack != "" && (w.rack() == ps.step.DataRack) != (v.rack() == ps.step.DataRack) {
 		return w.rack() == ps.step.DataRack
 	}
 	if w.failureStreak != v.failureStreak {
 		return w.failureStreak < v.failureStreak
 	}
-	if remaining[w].GPU != remaining[v].GPU {
-		return remaining[w].GPU < remaining[v].GPU
+	if x.left.GPU != y.left.GPU {
+		return x.left.GPU < y.left.GPU
 	}
-	return remaining[w].CPU < remaining[v].CPU
+	return x.left.CPU < y.left.CPU
 }
 
 // endsBeforeReservation reports whether a task of the step would end before the worker's reservation, if it has one.
 func (p *plan) endsBeforeReservation(ps *pendingStep, w *worker) bool {
-	until, reserved := p.reserved[w]
-	return !reserved || p.now.Add(ps.step.Estimate).Before(until)
+	until := p.reserved[w.index]
+	return until.IsZero() || p.now.Add(ps.step.Estimate).Before(until)
 }
 
 // tasksOnWorker counts the placed tasks of the same step and occurrence on a worker.
@@ -278,12 +383,19 @@
 		t.resetRun()
 		t.Phase, t.Run, t.Worker, t.placedGeneration = batch.TaskPlaced, run, w.ID, j.generation
 		w.runs[t.id(j)] = t
-		p.free[w] = p.free[w].Sub(j.job.Steps[t.Step].Allocation())
-		p.freeAfterStops[w] = p.freeAfterStops[w].Sub(j.job.Steps[t.Step].Allocation())
+		p.subtract(ps, w)
+		p.expected[w.index] = nil
+		p.placements++
 		p.trace("placed", batch.RunID{Task: t.id(j), Run: run}, w.ID, placementReason)
 	}
 }
 
+// subtract takes the allocation of a task of the step from the capacity of a worker.
+func (p *plan) subtract(ps *pendingStep, w *worker) {
+	p.free[w.index] = p.free[w.index].Sub(ps.step.Allocation())
+	p.freeAfterStops[w.index] = p.freeAfterStops[w.index].Sub(ps.step.Allocation())
+}
+
 // makeRoom handles tasks that don't fit now. They wait for runs that are being stopped if these free enough capacity.
 // Otherwise other runs are preempted for guaranteed and urgent tasks. If that isn't possible, workers are reserved for gangs
 // and large tasks.
@@ -296,8 +408,7 @@
 	}
 	if assigned != nil {
 		for _, w := range assigned {
-			p.free[w] = p.free[w].Sub(ps.step.Allocation())
-			p.freeAfterStops[w] = p.freeAfterStops[w].Sub(ps.step.Allocation())
+			p.subtract(ps, w)
 		}
 		return
 	}
@@ -308,14 +419,26 @@
 
 // assignAfterStops returns a worker for each task as of the end of the runs that are being stopped, or nil if they don't fit.
 func (p *plan) assignAfterStops(ps *pendingStep, tasks []*task) []*worker {
+	if !ps.queue.RequiresTicket && knownMisfit(p.notAfterStops, ps, len(tasks)) {
+		return nil
+	}
+	var assigned []*worker
 	if ps.step.Gang {
-		return p.assignGang(ps, p.freeAfterStops)
+		assigned = p.assignGang(ps, p.freeAfterStops)
+	} else {
+		assigned = p.assignTasks(ps, tasks, p.freeAfterStops, p.candidates(ps))
+	}
+	if assigned == nil {
+		p.notAfterStops = recordMisfit(p.notAfterStops, ps, len(tasks))
 	}
-	return p.assignTasks(ps, tasks, p.freeAfterStops, p.candidates(ps), false)
+	return assigned
 }
 
 // victim is a run, or all runs of a gang, that may be preempted. cost is the work that is lost, in core seconds.
 type victim struct {
 	tasks []*task
 	cost  float64
+	// worker is that of the first task.
+	worker   *worker
+	priority int
 }
--- a/core/alloc/preempt.go
+++ b/core/alloc/preempt.go
@@ -22,16 +22,23 @@
 // that claim their team's guarantee while others borrow its accelerators. For other jobs, nothing is stopped if that would
 // lose more work than the tasks are estimated to need.
 func (p *plan) preempt(ps *pendingStep, tasks []*task) bool {
+	if !ps.queue.RequiresTicket && knownMisfit(p.notByPreemption, ps, len(tasks)) {
+		return false
+	}
 	victims := p.victims(ps)
 	var best []victim
 	found := false
 	for _, group := range p.workerGroups(ps) {
-		chosen, ok := p.preemptOn(ps, tasks, group, append([]victim(nil), victims...))
+		chosen, ok := p.preemptOn(ps, tasks, group, victims)
 		if ok && (!found || totalCost(chosen) < totalCost(best)) {
 			best, found = chosen, true
 		}
 	}
-	if !found || !ps.guaranteed && totalCost(best) > ps.estimatedWork(len(tasks)) {
+	if !found {
+		p.notByPreemption = recordMisfit(p.notByPreemption, ps, len(tasks))
+		return false
+	}
+	if !ps.guaranteed && totalCost(best) > ps.estimatedWork(len(tasks)) {
 		return false
 	}
 	for _, v := range best {
@@ -40,30 +47,87 @@
 	return true
 }
 
+// freed is the capacity of a group of workers while victims are chosen for the tasks of a step.
+type freed struct {
+	plan  *plan
+	ps    *pendingStep
+	tasks []*task
+	free  []batch.Amount
+	// inside marks the workers of the group; slots holds the number of tasks that fit on each of them, and total their sum.
+	inside []bool
+	slots  []int
+	total  int
+}
+
+// add adds what the victim's runs use to the free capacity of their workers, or subtracts it if sign is negative.
+func (f *freed) add(v victim, sign int) {
+	for _, t := range v.tasks {
+		w := f.plan.Scheduler.worker(t.Worker)
+		amount := t.job.job.Steps[t.Step].Allocation()
+		if sign > 0 {
+			f.free[w.index] = f.free[w.index].Add(amount)
+		} else {
+			f.free[w.index] = f.free[w.index].Sub(amount)
+		}
+		f.count(w)
+	}
+}
+
+// count updates the number of tasks that fit on a worker.
+func (f *freed) count(w *worker) {
+	if !f.inside[w.index] {
+		return
+	}
+	n := f.plan.slots(f.ps, f.tasks[0], w, f.free[w.index], len(f.tasks))
+	f.total += n - f.slots[w.index]
+	f.slots[w.index] = n
+}
+
+// fits reports whether all tasks fit.
+func (f *freed) fits() bool { return f.total >= len(f.tasks) }
+
 // preemptOn returns the victims that must be stopped for the tasks to fit on a group of workers, and whether they would fit.
-func (p *plan) preemptOn(ps *pendingStep, tasks []*task, group []*worker, victims []victim) ([]victim, bool) {
-	free := make(map[*worker]batch.Amount, len(p.freeAfterStops))
-	for w, a := range p.freeAfterStops {
-		free[w] = a
+func (p *plan) preemptOn(ps *pendingStep, tasks []*task, group []*worker, all []victim) ([]victim, bool) {
+	f := &freed{
+		plan: p, ps: ps, tasks: tasks, free: slices.Clone(p.freeAfterStops),
+		inside: make([]bool, len(p.workers)), slots: make([]int, len(p.workers)),
 	}
-	inside := make(map[string]bool, len(group))
 	for _, w := range group {
-		inside[w.ID] = true
+		f.inside[w.index] = true
+		f.count(w)
+	}
+	victims := make([]victim, 0, len(all))
+	for _, v := range all {
+		if slices.ContainsFunc(v.tasks, func(t *task) bool { return f.inside[p.Scheduler.worker(t.Worker).index] }) {
+			victims = append(victims, v)
+		}
+	}
+	if !p.fitWithoutVictims(f, victims) {
+		return nil, false
 	}
-	victims = slices.DeleteFunc(victims, func(v victim) bool {
-		return !slices.ContainsFunc(v.tasks, func(t *task) bool { return inside[t.Worker] })
-	})
 	var chosen []victim
-	for len(victims) > 0 && p.assignTasks(ps, tasks, free, group, false) == nil {
-		i := p.bestVictim(ps, victims, free)
-		p.addAllocation(free, victims[i], 1)
+	for len(victims) > 0 && !f.fits() {
+		i := p.bestVictim(ps, victims, f.free)
+		f.add(victims[i], 1)
 		chosen = append(chosen, victims[i])
 		victims = append(victims[:i], victims[i+1:]...)
 	}
-	if p.assignTasks(ps, tasks, free, group, false) == nil {
+	if !f.fits() {
 		return nil, false
 	}
-	return p.minimalVictims(ps, tasks, free, group, chosen), true
+	return minimalVictims(f, chosen), true
+}
+
+// fitWithoutVictims reports whether the tasks would fit if all victims were stopped.
+func (p *plan) fitWithoutVictims(f *freed, victims []victim) bool {
+	for _, v := range victims {
+		f.add(v, 1)
+	}
+	fits := f.fits()
+	for _, v := range victims {
+		f.add(v, -1)
+	}
+	return fits
 }
 
 // totalCost returns the work that is lost by stopping the victims, in core seconds.
@@ -82,52 +146,42 @@
 
 // minimalVictims returns the chosen victims without those that needn't be stopped for the tasks to fit. The most expensive
 // ones are left out first.
-func (p *plan) minimalVictims(ps *pendingStep, tasks []*task, free map[*worker]batch.Amount, workers []*worker, chosen []victim) []victim {
+func minimalVictims(f *freed, chosen []victim) []victim {
 	sort.SliceStable(chosen, func(x, y int) bool { return chosen[x].cost > chosen[y].cost })
 	var required []victim
 	for _, v := range chosen {
-		p.addAllocation(free, v, -1)
-		if p.assignTasks(ps, tasks, free, workers, false) == nil {
-			p.addAllocation(free, v, 1)
+		f.add(v, -1)
+		if !f.fits() {
+			f.add(v, 1)
 			required = append(required, v)
 		}
 	}
 	return required
 }
 
-// addAllocation adds what the victim's runs use to the free capacity of their workers, or subtracts it if sign is negative.
-func (p *plan) addAllocation(free map[*worker]batch.Amount, v victim, sign int) {
-	for _, t := range v.tasks {
-		w := p.Scheduler.worker(t.Worker)
-		amount := t.job.job.Steps[t.Step].Allocation()
-		if sign > 0 {
-			free[w] = free[w].Add(amount)
-		} else {
-			free[w] = free[w].Sub(amount)
-		}
-	}
-}
-
 // stopVictim stops the victim's runs for the tasks of a step.
 func (p *plan) stopVictim(ps *pendingStep, v victim) {
 	for _, t := range v.tasks {
-		t.mustStop = true
+		p.orderStop(t)
 		w := p.Scheduler.worker(t.Worker)
-		p.freeAfterStops[w] = p.freeAfterStops[w].Add(t.job.job.Steps[t.Step].Allocation())
-		p.trace("stop", batch.RunID{Task: t.id(t.job), Run: t.Run}, t.Worker, "room for "+string(ps.job.job.ID))
+		p.freeAfterStops[w.index] = p.freeAfterStops[w.index].Add(t.job.job.Steps[t.Step].Allocation())
+		p.expected[w.index] = nil
+		p.traceStop(t, "room for "+string(ps.job.job.ID))
 	}
+	p.notAfterStops = nil
 }
 
 // bestVictim returns the index of the victim to be stopped next: the cheapest, with the cost multiplied by the number of
 // accelerators that its worker lacks for a task, so that workers with nearly enough are preferred. Victims on workers that
 // already have enough come last.
-func (p *plan) bestVictim(ps *pendingStep, victims []victim, free map[*worker]batch.Amount) int {
+func (p *plan) bestVictim(ps *pendingStep, victims []victim, free []batch.Amount) int {
 	best, bestCost := 0, 0.0
-	for i, v := range victims {
+	need := ps.step.Allocation()
+	for i := range victims {
+		v := &victims[i]
 		cost := v.cost
-		w := p.Scheduler.worker(v.tasks[0].Worker)
-		missing := ps.step.Need.GPU - free[w].GPU
-		if missing <= 0 && free[w].Contains(ps.step.Allocation()) {
+		missing := ps.step.Need.GPU - free[v.worker.index].GPU
+		if missing <= 0 && free[v.worker.index].Contains(need) {
 			cost += 1e6
 		}
 		cost *= 1 + float64(max(0, missing))
@@ -141,23 +195,40 @@
 // victims returns the runs that may be preempted for a step: not those of guaranteed jobs, nor long-running ones with a
 // limit on their unavailability, nor, unless the step is guaranteed, those of the same or a higher priority.
 func (p *plan) victims(ps *pendingStep) []victim {
-	guaranteedJobs := p.guaranteedJobs(p.wall)
+	if p.placements != p.victimPlacements {
+		clear(p.victimLists)
+		p.victimPlacements = p.placements
+	}
+	all, cached := p.victimLists[ps.queue.Service]
+	if !cached {
+		all = p.listVictims(ps.queue.Service)
+		p.victimLists[ps.queue.Service] = all
+	}
+	list := make([]victim, 0, len(all))
+	for _, v := range all {
+		// The members of a gang are stopped together.
+		if !v.tasks[0].mustStop && (ps.guaranteed || v.priority > ps.queue.Priority) {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+// listVictims returns the runs on the workers of a service that may be preempted for guaranteed steps.
+func (p *plan) listVictims(service string) []victim {
 	seen := map[*task]bool{}
 	var list []victim
 	for _, w := range p.workers {
-		if !w.usable(p.now, ps.queue.Service) {
+		if !w.usable(p.now, service) {
 			continue
 		}
 		for _, id := range w.sortedRuns() {
 			t := w.runs[id]
-			if seen[t] || t.mustStop || guaranteedJobs[t.job.job.ID] {
-				continue
-			}
 			step := &t.job.job.Steps[t.Step]
-			if step.LongRunning && step.MaxUnavailable != nil || !ps.guaranteed && p.policy.QueueFor(&t.job.job).Priority <= ps.queue.Priority {
+			if t.mustStop || p.guaranteedJobs[id.Job] || step.LongRunning && step.MaxUnavailable != nil || step.Gang && seen[t] {
 				continue
 			}
-			v := victim{tasks: []*task{t}}
+			v := victim{tasks: []*task{t}, priority: p.policy.QueueFor(&t.job.job).Priority}
 			if step.Gang {
 				v.tasks = v.tasks[:0]
 				for _, m := range t.job.gangMembers(t) {
@@ -166,8 +237,11 @@
 					}
 				}
 			}
+			v.worker = p.Scheduler.worker(v.tasks[0].Worker)
 			for _, m := range v.tasks {
-				seen[m] = true
+				if step.Gang {
+					seen[m] = true
+				}
 				v.cost += p.stopCost(m, step)
 			}
 			list = append(list, v)
--- a/core/alloc/prop_test.go
+++ b/core/alloc/prop_test.go
@@ -279,7 +279,7 @@
 
 // storeProgress stores all pending updates and confirms them.
 func (sim *simulation) storeProgress() {
-	for _, r := range sim.scheduler.PendingUpdates(1000) {
+	for _, r := range sim.scheduler.PendingUpdates(1000, func(model.JobID) bool { return false }) {
 		sim.write(batch.ProgressKey(r.Job), &r.Progress)
 		sim.scheduler.ConfirmStored(r)
 	}
--- a/core/alloc/report.go
+++ b/core/alloc/report.go
@@ -1,18 +1,18 @@
 package alloc
 
 import (
+	"slices"
 	"time"
 
 	"wagtailhoist/core/batch"
-	"wagtailhoist/core/model"
 )
 
 // ApplyReport applies an agent's report. session is the number of the agent's connection on which it arrived; on a new
 // connection, starts that are not confirmed and all stops are sent again. It returns false if a later incarnation of the
 // worker has replaced the reporting one. Earlier incarnations are removed.
 func (s *Scheduler) ApplyReport(now, wall time.Time, r *batch.Report, session uint64) bool {
-	for _, other := range s.sortedWorkers() {
-		if other.Node != r.Worker.Node || other.ID == r.Worker.ID {
+	for _, other := range slices.Clone(s.byNode[r.Worker.Node]) {
+		if other.ID == r.Worker.ID {
 			continue
 		}
 		if other.Born > r.Worker.Born {
@@ -21,6 +21,7 @@
 		s.removeWorker(other, wall, "replaced by "+r.Worker.ID)
 	}
 	w := s.worker(r.Worker.ID)
+	s.touch(w)
 	if w.Capacity != r.Worker.Capacity || w.Readiness != r.Worker.Readiness || w.Service != r.Worker.Service || w.listed != r.Listed {
 		s.needsPlan = true
 	}
@@ -40,13 +41,21 @@
 		return true
 	}
 	if r.Listed {
-		w.leaseEnd = now.Add(s.leaseTimeout())
-		w.lastListed = now
+		// Reports of two connections may be applied out of order.
+		w.leaseEnd = latest(w.leaseEnd, now.Add(s.leaseTimeout()))
+		w.lastListed = latest(w.lastListed, now)
 		s.applyLists(now, wall, w, r)
 	}
 	return true
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // applyLists applies the worker's lists of ended, running and refused runs.
 func (s *Scheduler) applyLists(now, wall time.Time, w *worker, r *batch.Report) {
 	for i := range r.Ended {
@@ -123,7 +132,7 @@
 	if t == nil || t.Run != e.Run {
 		delete(w.foreign, e.RunID)
 		// The run may be a member of a gang that is done. Its end is acknowledged once the job's progress is stored.
-		w.pendingEnds = append(w.pendingEnds, pendingEnd{number: e.Number, job: s.jobs[e.Task.Job], generation: s.generation(e.Task.Job)})
+		w.addPendingEnd(e.Number, s.jobs[e.Task.Job])
 		s.trace("end of another run", e.RunID, w.ID, string(e.Cause))
 		return
 	}
@@ -132,15 +141,7 @@
 		t.Checkpoint = e.Checkpoint
 	}
 	s.finishRun(now, wall, w, t, e.Cause)
-	w.pendingEnds = append(w.pendingEnds, pendingEnd{number: e.Number, job: j, generation: j.generation})
-}
-
-// generation returns the generation of a job's progress, 0 if the job is unknown.
-func (s *Scheduler) generation(id model.JobID) uint64 {
-	if j := s.jobs[id]; j != nil {
-		return j.generation
-	}
-	return 0
+	w.addPendingEnd(e.Number, j)
 }
 
 // applyRefusal applies a worker's refusal to start a run.
--- a/core/alloc/reserve.go
+++ b/core/alloc/reserve.go
@@ -1,6 +1,7 @@
 package alloc
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -18,17 +19,49 @@
 	if p.singleReservations == limit {
 		return
 	}
-	for _, s := range p.soonestSlots(ps) {
-		if p.singleReservations == limit || len(tasks) == 0 {
-			return
+	for _, s := range p.soonestWorkers(ps, min(len(tasks), limit-p.singleReservations)) {
+		p.reserved[s.worker.index] = s.at
+		p.singleReservations++
+	}
+}
+
+// soonestWorkers returns the workers that are expected to have room for a task of the step soonest, at most limit, with the
+// time at which they have it. Workers that have room at once aren't included, since the task could not be placed on them.
+func (p *plan) soonestWorkers(ps *pendingStep, limit int) []availableSlot {
+	soonest := make([]availableSlot, 0, limit+1)
+	allowRemote := ps.step.DataRack == "" || p.allowsRemote(ps)
+	for _, w := range p.candidates(ps) {
+		if !p.reserved[w.index].IsZero() || !allowRemote && w.rack() != ps.step.DataRack {
+			continue
+		}
+		at, ok := p.nextRoom(ps, w)
+		if !ok || len(soonest) == limit && !at.Before(soonest[limit-1].at) {
+			continue
 		}
-		// Slots that are available at once aren't reserved, since the task could not be placed on them.
-		if s.at.After(p.now) && p.reserved[s.worker].IsZero() {
-			p.reserved[s.worker] = s.at
-			p.singleReservations++
-			tasks = tasks[1:]
+		i := sort.Search(len(soonest), func(i int) bool { return at.Before(soonest[i].at) })
+		soonest = slices.Insert(soonest, i, availableSlot{w, at})
+		soonest = soonest[:min(len(soonest), limit)]
+	}
+	return soonest
+}
+
+// nextRoom returns when the end of a run is expected to make room for a task of the step on a worker.
+func (p *plan) nextRoom(ps *pendingStep, w *worker) (time.Time, bool) {
+	need := ps.step.Allocation()
+	free := p.free[w.index]
+	for free.Contains(need) {
+		free = free.Sub(need)
+	}
+	for _, end := range p.expectedEnds(w) {
+		free = free.Add(end.amount)
+		if end.at.After(p.now) && free.Contains(need) {
+			return end.at, true
+		}
+		for free.Contains(need) {
+			free = free.Sub(need)
 		}
 	}
+	return time.Time{}, false
 }
 
 // reserveForGang reserves workers until all members of a gang are expected to fit at the same time.
@@ -41,7 +74,7 @@
 		return
 	}
 	for _, s := range slots[:len(tasks)] {
-		p.reserved[s.worker] = slots[len(tasks)-1].at
+		p.reserved[s.worker.index] = slots[len(tasks)-1].at
 	}
 	p.gangReservations++
 }
@@ -58,10 +91,10 @@
 	var list []availableSlot
 	allowRemote := ps.step.DataRack == "" || p.allowsRemote(ps)
 	for _, w := range p.candidates(ps) {
-		if _, reserved := p.reserved[w]; reserved || !allowRemote && w.rack() != ps.step.DataRack {
+		if !p.reserved[w.index].IsZero() || !allowRemote && w.rack() != ps.step.DataRack {
 			continue
 		}
-		free := p.free[w]
+		free := p.free[w.index]
 		expectedEnds := p.expectedEnds(w)
 		for i := -1; i < len(expectedEnds); i++ {
 			at := p.now
@@ -87,6 +120,9 @@
 
 // expectedEnds returns the estimated ends of a worker's runs in order of time.
 func (p *plan) expectedEnds(w *worker) []expectedEnd {
+	if list := p.expected[w.index]; list != nil {
+		return list
+	}
 	list := make([]expectedEnd, 0, len(w.runs))
 	for _, id := range w.sortedRuns() {
 		t := w.runs[id]
@@ -101,5 +137,6 @@
 		list = append(list, expectedEnd{at, step.Allocation()})
 	}
 	sort.SliceStable(list, func(x, y int) bool { return list[x].at.Before(list[y].at) })
+	p.expected[w.index] = list
 	return list
 }
--- a/core/alloc/scheduler.go
+++ b/core/alloc/scheduler.go
@@ -1,7 +1,8 @@
 package alloc
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"wagtailhoist/core/batch"
@@ -41,6 +42,14 @@
 	policy  batch.Policy
 	jobs    map[model.JobID]*job
 	workers map[string]*worker
+	// active holds the jobs without an outcome.
+	active map[model.JobID]*job
+	// sorted holds the workers by ID, byNode the incarnations of each node.
+	sorted []*worker
+	byNode map[string][]*worker
+	// touched holds the workers for which orders may be due.
+	touched []*worker
+	updates updateQueue
 	// termStart is when the owner's term began. Runs on workers that have not reported since may go on for a lease from then.
 	termStart time.Time
 	// needsPlan is set when the state has changed in a way that may allow or require other placements.
@@ -102,8 +111,9 @@
 
 // StartTerm initializes the scheduler at the start of a term of leadership with the stored jobs.
 func (s *Scheduler) StartTerm(now, wall time.Time, cache *batch.Cache) {
-	s.jobs = map[model.JobID]*job{}
-	s.workers = map[string]*worker{}
+	s.jobs, s.active = map[model.JobID]*job{}, map[model.JobID]*job{}
+	s.workers, s.byNode = map[string]*worker{}, map[string][]*worker{}
+	s.sorted, s.touched, s.updates = nil, nil, updateQueue{}
 	s.termStart = now
 	for id := range cache.Jobs {
 		s.UpdateJob(now, wall, id, cache.Jobs[id])
@@ -122,13 +132,17 @@
 	if record == nil || record.Job == nil {
 		if j := s.jobs[id]; j != nil && !j.hasPlacedTasks() {
 			delete(s.jobs, id)
+			delete(s.active, id)
 		}
 		return
 	}
 	j := s.jobs[id]
 	if j == nil {
-		j = newJob(record, now, wall)
+		j = newJob(record, now, wall, &s.updates)
 		s.jobs[id] = j
+		if j.outcome == "" {
+			s.active[id] = j
+		}
 		s.adoptRuns(j)
 		s.needsPlan = true
 	}
@@ -161,10 +175,68 @@
 		w.ID = id
 		w.Node, _, w.Born = batch.ParseWorkerID(id)
 		s.workers[id] = w
+		s.byNode[w.Node] = append(s.byNode[w.Node], w)
+		at, _ := slices.BinarySearchFunc(s.sorted, id, compareWorkerID)
+		s.sorted = slices.Insert(s.sorted, at, w)
+		s.renumber(at)
 	}
 	return w
 }
 
+func compareWorkerID(w *worker, id string) int { return strings.Compare(w.ID, id) }
+
+// renumber sets the indexes of the workers from a position on.
+func (s *Scheduler) renumber(from int) {
+	for i := from; i < len(s.sorted); i++ {
+		s.sorted[i].index = i
+	}
+}
+
+// deleteWorker removes a worker from all indexes.
+func (s *Scheduler) deleteWorker(w *worker) {
+	delete(s.workers, w.ID)
+	s.byNode[w.Node] = slices.DeleteFunc(s.byNode[w.Node], func(other *worker) bool { return other == w })
+	if len(s.byNode[w.Node]) == 0 {
+		delete(s.byNode, w.Node)
+	}
+	s.sorted = slices.Delete(s.sorted, w.index, w.index+1)
+	s.renumber(w.index)
+}
+
+// touch notes that orders may be due for a worker.
+func (s *Scheduler) touch(w *worker) {
+	if w != nil && !w.touched {
+		w.touched = true
+		s.touched = append(s.touched, w)
+	}
+}
+
+// TakeTouched returns the workers for which orders may have become due since the last call. Orders that are resent after a
+// time are not included.
+func (s *Scheduler) TakeTouched() []string {
+	ids := make([]string, 0, len(s.touched))
+	for _, w := range s.touched {
+		w.touched = false
+		ids = append(ids, w.ID)
+	}
+	s.touched = s.touched[:0]
+	return ids
+}
+
+// orderStop notes that a run has to be stopped.
+func (s *Scheduler) orderStop(t *task) {
+	t.mustStop = true
+	s.touch(s.workers[t.Worker])
+}
+
+// traceStop reports the reason for which a run is stopped.
+func (s *Scheduler) traceStop(t *task, reason string) {
+	s.trace("stop", batch.RunID{Task: t.id(t.job), Run: t.Run}, t.Worker, reason)
+}
+
+// updateQueue holds the jobs with progress to be stored, in the order of their first change that isn't stored.
+type updateQueue struct{ jobs []*job }
+
 // ProgressUpdate is a job's progress that has to be stored.
 type ProgressUpdate struct {
 	Job      model.JobID
@@ -173,21 +245,45 @@
 	Generation uint64
 }
 
-// PendingUpdates returns the progress of up to limit jobs whose last change isn't stored.
-func (s *Scheduler) PendingUpdates(limit int) []ProgressUpdate {
+// PendingUpdates returns the progress of up to limit jobs whose last change isn't stored, except those for which skip
+// returns true. The job whose change has waited longest comes first.
+func (s *Scheduler) PendingUpdates(limit int, skip func(model.JobID) bool) []ProgressUpdate {
 	var records []ProgressUpdate
-	for _, id := range s.sortedJobs() {
-		if j := s.jobs[id]; j.generation > j.storedGeneration && len(records) < limit {
-			records = append(records, ProgressUpdate{id, j.progress(), j.generation})
+	waiting := s.updates.jobs[:0]
+	for _, j := range s.updates.jobs {
+		if j.generation <= j.storedGeneration || s.jobs[j.job.ID] != j {
+			j.queued = false
+			continue
+		}
+		waiting = append(waiting, j)
+		if len(records) < limit && !skip(j.job.ID) {
+			records = append(records, ProgressUpdate{j.job.ID, j.progress(), j.generation})
 		}
 	}
+	clear(s.updates.jobs[len(waiting):])
+	s.updates.jobs = waiting
 	return records
 }
 
 // ConfirmStored records that an update is stored, so that the orders and acknowledgements that depend on it are sent.
 func (s *Scheduler) ConfirmStored(r ProgressUpdate) {
-	if j := s.jobs[r.Job]; j != nil && r.Generation > j.storedGeneration {
-		j.storedGeneration = r.Generation
+	j := s.jobs[r.Job]
+	if j == nil || r.Generation <= j.storedGeneration {
+		return
+	}
+	j.storedGeneration = r.Generation
+	for _, t := range j.tasks {
+		if t.Phase == batch.TaskPlaced && !t.startSent {
+			s.touch(s.workers[t.Worker])
+		}
+	}
+	for _, w := range j.awaitingStore {
+		if s.workers[w.ID] == w {
+			s.touch(w)
+		}
+	}
+	if j.storedGeneration == j.generation {
+		j.awaitingStore = nil
 	}
 }
 
@@ -198,29 +294,21 @@
 		retention = defaultRetention
 	}
 	var expired []model.JobID
-	for _, id := range s.sortedJobs() {
-		j := s.jobs[id]
+	for id, j := range s.jobs {
 		if j.outcome != "" && j.storedGeneration >= j.generation && !j.hasPlacedTasks() && wall.Sub(time.UnixMilli(j.endedAt)) > retention {
 			expired = append(expired, id)
 		}
 	}
+	slices.Sort(expired)
 	return expired
 }
 
-func (s *Scheduler) sortedJobs() []model.JobID {
-	ids := make([]model.JobID, 0, len(s.jobs))
-	for id := range s.jobs {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
-func (s *Scheduler) sortedWorkers() []*worker {
-	all := make([]*worker, 0, len(s.workers))
-	for _, w := range s.workers {
-		all = append(all, w)
+// activeJobs returns the jobs without an outcome by ID.
+func (s *Scheduler) activeJobs() []*job {
+	all := make([]*job, 0, len(s.active))
+	for _, j := range s.active {
+		all = append(all, j)
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	slices.SortFunc(all, func(a, b *job) int { return strings.Compare(string(a.job.ID), string(b.job.ID)) })
 	return all
 }
--- a/core/alloc/stall.go
+++ b/core/alloc/stall.go
@@ -22,13 +22,12 @@
 // PreemptStalled handles workers that list their runs but make no progress. It stops stalled runs that have little progress,
 // so that they are restarted on other workers, and puts workers into quarantine on which all runs are stalled.
 func (s *Scheduler) PreemptStalled(now time.Time) {
-	for _, w := range s.sortedWorkers() {
-		if !w.listed || len(w.runs) == 0 {
+	for _, w := range s.sorted {
+		if !w.listed {
 			continue
 		}
 		stalled, progressing := 0, 0
-		for _, id := range w.sortedRuns() {
-			t := w.runs[id]
+		for _, t := range w.runs {
 			switch {
 			case !t.confirmed || t.mustStop || t.percent >= nearlyDonePercent || t.job.job.Steps[t.Step].LongRunning:
 			case now.Sub(t.progressedAt) < stallTime || w.lastListed.Sub(t.progressedAt) < stallTime:
@@ -57,7 +56,7 @@
 			}
 		}
 	}
-	t.mustStop = true
+	s.orderStop(t)
 	s.needsPlan = true
-	s.trace("stop", batch.RunID{Task: t.id(j), Run: t.Run}, t.Worker, "no progress")
+	s.traceStop(t, "no progress")
 }
--- a/core/alloc/worker.go
+++ b/core/alloc/worker.go
@@ -42,6 +42,11 @@
 	// quarantinedUntil is when the worker may get tasks again. failureStreak is the number of failures in a row.
 	quarantinedUntil time.Time
 	failureStreak    int
+
+	// touched reports whether the worker is in the scheduler's list of workers for which orders may be due.
+	touched bool
+	// index is the worker's position in Scheduler.sorted.
+	index int
 }
 
 // foreignRun is a run that uses resources of a worker without being placed there.
@@ -61,6 +66,17 @@
 	generation uint64
 }
 
+// addPendingEnd notes that an end is to be acknowledged once the job's present progress is stored, or at once if the job is
+// nil because it isn't known.
+func (w *worker) addPendingEnd(number uint64, j *job) {
+	e := pendingEnd{number: number, job: j}
+	if j != nil {
+		e.generation = j.generation
+		j.awaitingStore = append(j.awaitingStore, w)
+	}
+	w.pendingEnds = append(w.pendingEnds, e)
+}
+
 // acknowledgeStoredEnds advances acknowledgedEnd to the last end before the first one that isn't stored.
 func (w *worker) acknowledgeStoredEnds() {
 	for len(w.pendingEnds) > 0 {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -30,6 +30,8 @@
 	ID string `cbor:"1,keyasint"`
 	// Address is the host:port at which the entry accepts links.
 	Address string `cbor:"2,keyasint"`
+	// Share is the entry's share of processor time, in cores; 0 means that it isn't known.
+	Share float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Mirror is a copy of the stored jobs and of the keys below LeadPrefix. It is ready to run once Store and Log are set.
@@ -190,30 +192,43 @@
 }
 
 // Owner returns the address of the present owner, or an empty string if there is none.
-func (m *Mirror) Owner() string { return m.address(m.LeadItem(OwnerKey)) }
+func (m *Mirror) Owner() string { return m.entryInfo(m.LeadItem(OwnerKey)).Address }
 
 // Entries returns the addresses of the entries other than self.
 func (m *Mirror) Entries(self string) []string {
+	var addresses []string
+	for _, info := range m.OtherEntries(self) {
+		addresses = append(addresses, info.Address)
+	}
+	sort.Strings(addresses)
+	return addresses
+}
+
+// OtherEntries returns the registered entries whose address isn't self, in no particular order.
+func (m *Mirror) OtherEntries(self string) []EntryInfo {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var addresses []string
+	var infos []EntryInfo
 	for key, item := range m.leadItems {
-		if address := m.address(item); strings.HasPrefix(key, EntryPrefix) && address != "" && address != self {
-			addresses = append(addresses, address)
+		if !strings.HasPrefix(key, EntryPrefix) {
+			continue
+		}
+		if info := m.entryInfo(item); info.Address != "" && info.Address != self {
+			infos = append(infos, info)
 		}
 	}
-	sort.Strings(addresses)
-	return addresses
+	return infos
 }
 
-// address returns the address in an item below LeadPrefix, or an empty string if it doesn't exist or can't be decoded.
-func (m *Mirror) address(item store.Item) string {
+// entryInfo returns the content of an item below LeadPrefix, which is empty if it doesn't exist or can't be decoded.
+func (m *Mirror) entryInfo(item store.Item) EntryInfo {
 	if item.Version == 0 {
-		return ""
+		return EntryInfo{}
 	}
 	var info EntryInfo
 	if err := cbor.Unmarshal(item.Value, &info); err != nil {
 		m.Log.Error("stored record of an entry can't be decoded", "key", item.Key, "version", item.Version, "error", err)
+		return EntryInfo{}
 	}
-	return info.Address
+	return info
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -12,6 +12,7 @@
 
 	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
+	"wagtailhoist/core/elect"
 	"wagtailhoist/io/clock"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
@@ -44,11 +45,6 @@
 	leaseMargin = 100 * time.Millisecond
 	// electionPoll is the interval at which an entry checks whether there is an owner.
 	electionPoll = 100 * time.Millisecond
-	// electionDelay is how many round trips to the store an entry waits before it stands for election, so that entries
-	// near the store come first.
-	electionDelay = 6
-	// maxElectionDelay bounds the wait before an entry stands for election.
-	maxElectionDelay = 400 * time.Millisecond
 	// mirrorMaxAge bounds the time since the store last answered the mirror; an older mirror doesn't prove that there is no
 	// owner. It is the wait of a watch and a second.
 	mirrorMaxAge = 3 * time.Second
@@ -69,6 +65,9 @@
 	// Policy returns the declared queues and teams, and their revision, which is 0 until a declaration has been read.
 	Policy func() (batch.Policy, uint64)
 
+	// candidate is used only by the goroutine of Run.
+	candidate elect.Candidate
+
 	mu sync.Mutex
 	// term is nil while this entry isn't the owner.
 	term *term
@@ -80,6 +79,7 @@
 
 // Run takes part in elections until ctx ends, and then gives up the lease if this entry is the owner.
 func (o *Owner) Run(ctx context.Context) {
+	o.candidate.Share = o.Self.Share
 	var vacant time.Time
 	for ctx.Err() == nil {
 		if !o.vacant() {
@@ -90,7 +90,7 @@
 		if vacant.IsZero() {
 			vacant = clock.Now()
 		}
-		if clock.Now().Sub(vacant) < o.electionDelay() {
+		if now := clock.Now(); now.Sub(vacant) < o.candidate.Delay(now, time.Duration(o.roundTrip.Load()), o.otherEntries()) {
 			clock.Sleep(ctx, electionPoll/4)
 			continue
 		}
@@ -99,9 +99,13 @@
 	}
 }
 
-// electionDelay returns how long this entry waits before it stands for election.
-func (o *Owner) electionDelay() time.Duration {
-	return min(maxElectionDelay, electionDelay*time.Duration(o.roundTrip.Load()))
+// otherEntries returns the other entries that are registered in the store.
+func (o *Owner) otherEntries() []elect.Entry {
+	var others []elect.Entry
+	for _, info := range o.Mirror.OtherEntries(o.Self.Address) {
+		others = append(others, elect.Entry{Share: info.Share})
+	}
+	return others
 }
 
 // vacant reports whether the mirror is current and shows that there is no owner. No election takes place before a
@@ -164,7 +168,11 @@
 		o.mu.Lock()
 		o.term = t
 		o.mu.Unlock()
-		t.run(termCtx)
+		o.candidate.BeginTerm(clock.Now())
+		if reason := t.run(termCtx); reason != "" {
+			o.Log.Info("handing over to another entry", "fence", fence, "reason", reason, "share", o.Self.Share)
+			o.candidate.RecordHandOver(clock.Now())
+		}
 		o.mu.Lock()
 		o.term = nil
 		o.mu.Unlock()
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -28,6 +28,22 @@
 	maxRecordsPerCommit = 15
 	// maxQueuedOrders bounds the order messages that wait to be sent to an agent; the link of an agent with more is closed.
 	maxQueuedOrders = 64
+	// maxCommits bounds the commits under way. Several go out at once so that a slow store doesn't delay all starts.
+	maxCommits = 8
+	// commitSpacing is how long after a commit the next one goes out although its answer is missing; the store usually
+	// answers sooner, and the changes that come up meanwhile share a commit.
+	commitSpacing = 20 * time.Millisecond
+	// minPlanPause is the shortest pause between two plans, so that the events that arrive meanwhile share a plan.
+	minPlanPause = 5 * time.Millisecond
+	// planPauseFactor is the pause after a plan in multiples of its duration. It bounds the share of time that plans take on
+	// a VM that is too slow for its fleet.
+	planPauseFactor = 2
+	// handOverCheckInterval is the interval at which the owner checks whether it should hand over.
+	handOverCheckInterval = 500 * time.Millisecond
+	// lagLogInterval is the shortest interval between two log lines about late decisions.
+	lagLogInterval = 2 * time.Second
+	// lagLogLimit is the lag from which late decisions are logged.
+	lagLogLimit = 500 * time.Millisecond
 	// commitRetryPause is the pause after a change that couldn't be stored.
 	commitRetryPause = 60 * time.Millisecond
 	// adviceRetryPause is the pause after a failed call to the advice service.
@@ -53,6 +69,8 @@
 	session *session
 	// report is nil if the link has ended.
 	report *batch.Report
+	// receivedAt is when the report arrived, on the boot-time clock.
+	receivedAt time.Time
 }
 
 // commitResult is the result of a commit; records and values are empty if it deleted ended jobs.
@@ -93,21 +111,31 @@
 	sessionByWorker map[string]*session
 	// progressVersions holds the versions of the progress records in the store, which the next change is conditional on.
 	progressVersions map[model.JobID]uint64
-	// committing and adviceRequested are true while a commit or an advice query is under way.
-	committing      bool
+	// commits counts the commits under way, and committing holds the jobs whose progress they store.
+	commits     int
+	committing  map[model.JobID]bool
+	committedAt time.Time
+	// adviceRequested is true while an advice query is under way.
 	adviceRequested bool
 	adviceRetryAt   time.Time
 	commitRetryAt   time.Time
 	plannedAt       time.Time
-	deletedAt       time.Time
-	policyRevision  uint64
+	// planAllowedAt is when the next plan may begin, checkedAt when a hand-over was last considered.
+	planAllowedAt time.Time
+	checkedAt     time.Time
+	// polledAt is when poll was last called, maxLag the longest wait of the reports that were handled since the last decision.
+	polledAt       time.Time
+	maxLag         time.Duration
+	lagLoggedAt    time.Time
+	deletedAt      time.Time
+	policyRevision uint64
 }
 
 func newTerm(o *Owner, fence uint64) *term {
 	t := &term{
-		owner: o, fence: fence, agentEvents: make(chan agentEvent, 256), commitResults: make(chan commitResult, 1),
+		owner: o, fence: fence, agentEvents: make(chan agentEvent, 256), commitResults: make(chan commitResult, maxCommits),
 		adviceAnswers: make(chan adviceAnswer, 1), done: make(chan struct{}),
-		sessionByWorker: map[string]*session{}, progressVersions: map[model.JobID]uint64{},
+		sessionByWorker: map[string]*session{}, progressVersions: map[model.JobID]uint64{}, committing: map[model.JobID]bool{},
 	}
 	t.scheduler.Settings = o.Settings
 	t.scheduler.Trace = t.traceDecision
@@ -131,8 +159,9 @@
 		"since", e.Since.Milliseconds(), "fence", t.fence)
 }
 
-// run schedules jobs until ctx ends or the ownership is lost.
-func (t *term) run(ctx context.Context) {
+// run schedules jobs until ctx ends or the ownership is lost. It returns why the owner should hand over to another entry, or
+// an empty string if the term ended otherwise.
+func (t *term) run(ctx context.Context) string {
 	now, wall := clock.Now(), time.Now()
 	t.owner.Mirror.VisitChanges(func(cache *batch.Cache, _ []model.JobID, _ bool) {
 		for id, e := range cache.Jobs {
@@ -141,31 +170,93 @@
 		t.updatePolicy()
 		t.scheduler.StartTerm(now, wall, cache)
 	})
+	t.checkedAt = now
+	t.polledAt = now
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
+	planTimer := time.NewTimer(pollInterval)
+	defer planTimer.Stop()
 	for {
+		ticked := false
 		select {
 		case <-ctx.Done():
-			return
+			return ""
 		case event := <-t.agentEvents:
 			t.handleAgentEvent(event)
-			t.handleQueuedEvents()
 		case result := <-t.commitResults:
 			if !t.handleCommit(result) {
-				return
+				return ""
 			}
 		case a := <-t.adviceAnswers:
 			t.handleAdvice(a)
 		case <-t.owner.Mirror.Wake():
 			t.applyStoreChanges()
+		case <-planTimer.C:
 		case <-ticker.C:
-			t.applyStoreChanges()
-			t.scheduler.ExpireLeases(clock.Now(), time.Now())
-			t.scheduler.PreemptStalled(clock.Now())
-			t.scheduler.Evacuate(clock.Now())
+			ticked = true
 		}
-		t.advance(ctx)
+		if reason := t.process(ctx, ticked); reason != "" {
+			return reason
+		}
+		planTimer.Reset(t.planWait())
+	}
+}
+
+// process handles the reports that have arrived meanwhile, does what is due at a tick, and then decides. It returns why the
+// owner should hand over, or an empty string.
+func (t *term) process(ctx context.Context, ticked bool) string {
+	t.handleQueuedEvents()
+	if t.maxLag > 0 {
+		t.recordLag(clock.Now(), t.maxLag)
+		t.maxLag = 0
+	}
+	if ticked {
+		// All reports that have arrived are applied before, however late: a worker that reports isn't lost.
+		t.poll()
+		if reason := t.checkHandOver(); reason != "" {
+			return reason
+		}
+	}
+	t.advance(ctx, ticked)
+	return ""
+}
+
+// poll does what is due at each tick.
+func (t *term) poll() {
+	now, wall := clock.Now(), time.Now()
+	t.recordLag(now, now.Sub(t.polledAt)-pollInterval)
+	t.polledAt = now
+	t.applyStoreChanges()
+	t.scheduler.ExpireLeases(now, wall)
+	t.scheduler.PreemptStalled(now)
+	t.scheduler.Evacuate(now)
+}
+
+// recordLag records how late an event was handled.
+func (t *term) recordLag(now time.Time, lag time.Duration) {
+	t.owner.candidate.RecordLag(now, lag)
+	if lag >= lagLogLimit && now.Sub(t.lagLoggedAt) >= lagLogInterval {
+		t.lagLoggedAt = now
+		t.owner.Log.Warn("decisions are late", "lag", lag.Milliseconds(), "workers", len(t.sessionByWorker), "fence", t.fence)
+	}
+}
+
+// checkHandOver returns why the owner should hand over, or an empty string.
+func (t *term) checkHandOver() string {
+	now := clock.Now()
+	if now.Sub(t.checkedAt) < handOverCheckInterval {
+		return ""
 	}
+	t.checkedAt = now
+	return t.owner.candidate.HandOver(now, t.owner.otherEntries())
+}
+
+// planWait returns how long to wait for the next plan.
+func (t *term) planWait() time.Duration {
+	if !t.scheduler.NeedsPlan() {
+		return maxPlanInterval
+	}
+	return max(time.Millisecond, t.planAllowedAt.Sub(clock.Now()))
 }
 
 // handleQueuedEvents handles the events that have arrived meanwhile, so that one plan covers them all.
@@ -215,6 +306,7 @@
 		return
 	}
 	now := clock.Now()
+	t.maxLag = max(t.maxLag, now.Sub(event.receivedAt))
 	if !t.owner.IsOwner(now) {
 		return
 	}
@@ -223,7 +315,7 @@
 		t.queueOrders(s, link.Orders{Orders: batch.Orders{Fence: t.fence, Sequence: event.report.Sequence}})
 		return
 	}
-	if !t.scheduler.ApplyReport(now, time.Now(), event.report, s.number) {
+	if !t.scheduler.ApplyReport(event.receivedAt, time.Now(), event.report, s.number) {
 		t.owner.Log.Warn("report ignored: its worker was replaced or given up as lost", "worker", event.report.Worker.ID)
 		return
 	}
@@ -239,19 +331,42 @@
 	}
 }
 
-// advance plans if necessary, stores the progress that has changed, asks for advice and sends the orders that are due.
-func (t *term) advance(ctx context.Context) {
-	now, wall := clock.Now(), time.Now()
+// advance answers reports, plans if necessary, stores the progress that has changed, asks for advice and sends the orders
+// that are due. Reports are answered first: the runs of a worker end if its lease isn't extended.
+func (t *term) advance(ctx context.Context, resend bool) {
+	now := clock.Now()
 	if !t.owner.IsOwner(now) {
 		return
 	}
-	if t.scheduler.NeedsPlan() || now.Sub(t.plannedAt) > maxPlanInterval {
+	t.sendOrders(now, resend)
+	if t.scheduler.NeedsPlan() && !now.Before(t.planAllowedAt) || now.Sub(t.plannedAt) > maxPlanInterval {
+		t.scheduler.Plan(now, time.Now())
+		end := clock.Now()
 		t.plannedAt = now
-		t.scheduler.Plan(now, wall)
+		t.planAllowedAt = end.Add(max(minPlanPause, min(planPauseFactor*end.Sub(now), maxPlanInterval)))
+		if now = end; !t.owner.IsOwner(now) {
+			return
+		}
 	}
 	t.storeProgress(ctx, now)
 	t.requestAdvice(ctx, now)
-	for worker, s := range t.sessionByWorker {
+	t.sendOrders(now, false)
+}
+
+// sendOrders sends the orders that are due, and the answers to reports. If resend is set, it also looks for orders that
+// have to be sent again.
+func (t *term) sendOrders(now time.Time, resend bool) {
+	touched := t.scheduler.TakeTouched()
+	if resend {
+		for worker := range t.sessionByWorker {
+			touched = append(touched, worker)
+		}
+	}
+	for _, worker := range touched {
+		s := t.sessionByWorker[worker]
+		if s == nil {
+			continue
+		}
 		orders, due := t.scheduler.Orders(now, worker)
 		if !due && s.unanswered == 0 {
 			continue
@@ -302,12 +417,12 @@
 	}
 }
 
-// storeProgress commits the progress that has changed, one commit at a time. If none has, it deletes ended jobs.
+// storeProgress commits the progress that has changed. If none has, it deletes ended jobs.
 func (t *term) storeProgress(ctx context.Context, now time.Time) {
-	if t.committing || now.Before(t.commitRetryAt) {
+	if t.commits == maxCommits || t.commits > 0 && now.Sub(t.committedAt) < commitSpacing || now.Before(t.commitRetryAt) {
 		return
 	}
-	records := t.scheduler.PendingUpdates(maxRecordsPerCommit)
+	records := t.scheduler.PendingUpdates(maxRecordsPerCommit, func(id model.JobID) bool { return t.committing[id] })
 	if len(records) == 0 {
 		t.deleteExpiredJobs(ctx, now)
 		return
@@ -325,7 +440,11 @@
 		change.Sets = append(change.Sets, store.Set{Key: key, Value: value})
 		values = append(values, value)
 	}
-	t.committing = true
+	for i := range records {
+		t.committing[records[i].Job] = true
+	}
+	t.commits++
+	t.committedAt = now
 	go func() {
 		revision, err := t.owner.Store.Commit(ctx, change)
 		t.commitResults <- commitResult{records, values, revision, err}
@@ -334,7 +453,10 @@
 
 // handleCommit handles the result of a commit. It returns false if the owner key no longer has the fence of this term.
 func (t *term) handleCommit(result commitResult) bool {
-	t.committing = false
+	t.commits--
+	for _, record := range result.records {
+		delete(t.committing, record.Job)
+	}
 	if result.err == nil {
 		for _, record := range result.records {
 			t.progressVersions[record.Job] = result.revision
@@ -369,7 +491,7 @@
 
 // deleteExpiredJobs deletes the records of jobs that ended long ago.
 func (t *term) deleteExpiredJobs(ctx context.Context, now time.Time) {
-	if now.Sub(t.deletedAt) < jobDeletionInterval {
+	if t.commits > 0 || now.Sub(t.deletedAt) < jobDeletionInterval {
 		return
 	}
 	t.deletedAt = now
@@ -384,7 +506,7 @@
 	for _, id := range expired {
 		change.Deletes = append(change.Deletes, batch.JobKey(id), batch.ProgressKey(id), batch.CancelKey(id))
 	}
-	t.committing = true
+	t.commits++
 	go func() {
 		_, err := t.owner.Store.Commit(ctx, change)
 		t.commitResults <- commitResult{err: err}
@@ -419,7 +541,7 @@
 			return
 		}
 		if report, ok := frame.(link.Report); ok {
-			t.deliver(agentEvent{s, &report.Report})
+			t.deliver(agentEvent{s, &report.Report, clock.Now()})
 		}
 	}
 }
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -57,8 +57,9 @@
 	maxReportInterval = 800 * time.Millisecond
 	// minReportInterval is the shortest interval between reports.
 	minReportInterval = 10 * time.Millisecond
-	// ownerAnswerLimit is how long an owner may leave reports unanswered before the link to it is closed.
-	ownerAnswerLimit = 1800 * time.Millisecond
+	// ownerAnswerLimit is how long an owner may leave reports unanswered before the link to it is closed. An owner that is
+	// only late must not have to accept all links again as well; a silent one is noticed by the link.
+	ownerAnswerLimit = 3500 * time.Millisecond
 	// redialPause is the pause between attempts to connect to the owner, and between checks for a worker to poll.
 	redialPause = 100 * time.Millisecond
 	// pollWait is how long the worker waits for a run to end before it answers a poll.
