--- a/cmds/runner.go
+++ b/cmds/runner.go
@@ -67,8 +67,8 @@
 		Worker:   &platform.Minion{Address: c.Worker, HTTP: platform.NewHTTP(), Log: log},
 		Node:     c.ID,
 		Settings: link.Settings{Self: self, Token: c.Token, SilenceTimeout: linkSilenceTimeout},
-		Owner:    ownerMirror.Owner,
-		Log:      log,
+		Owner:    ownerMirror.Owner, OwnerChanged: ownerMirror.Wake(),
+		Log: log,
 	}
 }
 
--- a/core/alloc/reserve.go
+++ b/core/alloc/reserve.go
@@ -48,6 +48,10 @@
 // nextRoom returns when the end of a run is expected to make room for a task of the step on a worker.
 func (p *plan) nextRoom(ps *pendingStep, w *worker) (time.Time, bool) {
 	need := ps.step.Allocation()
+	if need == (batch.Amount{}) {
+		// There is always room for a task that needs nothing.
+		return time.Time{}, false
+	}
 	free := p.free[w.index]
 	for free.Contains(need) {
 		free = free.Sub(need)
@@ -102,7 +106,8 @@
 				free = free.Add(expectedEnds[i].amount)
 				at = expectedEnds[i].at
 			}
-			for free.Contains(ps.step.Allocation()) {
+			// The tasks may need nothing, so that any number of them fits.
+			for slots := 0; slots < len(ps.tasks) && free.Contains(ps.step.Allocation()); slots++ {
 				free = free.Sub(ps.step.Allocation())
 				list = append(list, availableSlot{w, at})
 			}
--- a/core/alloc/reserve_test.go
+++ b/core/alloc/reserve_test.go
@@ -96,3 +96,22 @@
 		t.Errorf("got %d tasks of the wide job on the workers reserved for it, want %d", got, want)
 	}
 }
+
+// A gang whose tasks need nothing but may not share workers doesn't fit on too few workers. The search for its slots didn't
+// end, and used up the memory of the process.
+func TestGangThatNeedsNothingIsPlanned(t *testing.T) {
+	f := newFixture(t)
+	f.addWorker("n1", "r1")
+	step := batch.Step{Count: 3, Gang: true, MaxPerWorker: 1, Estimate: time.Second}
+	id := f.submit("p1", "a", step)
+	f.runRound()
+	if got, want := f.state(id), batch.JobQueued; got != want {
+		t.Errorf("state of a gang that doesn't fit: got %q, want %q", got, want)
+	}
+	f.addWorker("n2", "r1")
+	f.addWorker("n3", "r1")
+	f.runRound()
+	if got, want := f.countRuns(id), 3; got != want {
+		t.Errorf("runs with enough workers: got %d, want %d", got, want)
+	}
+}
--- a/io/owner/fixture_test.go
+++ b/io/owner/fixture_test.go
@@ -35,6 +35,35 @@
 	// delay is the duration of each commit; running and mostRunning count the commits under way and the most at one time.
 	delay                time.Duration
 	running, mostRunning int
+	// downSince is since when all calls are refused, zero while the store serves. Leases don't run out meanwhile.
+	downSince time.Time
+}
+
+// setDown begins or ends an outage. At its end, leases go on where they were or, if lapse is set, have run out meanwhile.
+func (s *memoryStore) setDown(down, lapse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if down {
+		s.expire()
+		s.downSince = clock.Now()
+		return
+	}
+	outage := clock.Now().Sub(s.downSince)
+	s.downSince = time.Time{}
+	if !lapse {
+		for _, l := range s.leases {
+			l.expires = l.expires.Add(outage)
+		}
+	}
+	s.expire()
+}
+
+// refuse returns an error while the store is down; the caller holds s.mu.
+func (s *memoryStore) refuse() error {
+	if s.downSince.IsZero() {
+		return nil
+	}
+	return &store.RefusedError{Op: "call", Status: http.StatusServiceUnavailable}
 }
 
 // revisedItem is a change at a revision; a deleted key has version 0.
@@ -51,6 +80,9 @@
 
 // expire ends leases that have run out; the caller holds s.mu.
 func (s *memoryStore) expire() {
+	if !s.downSince.IsZero() {
+		return
+	}
 	for id, l := range s.leases {
 		if clock.Now().After(l.expires) {
 			s.endLease(id)
@@ -92,6 +124,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
+	if err := s.refuse(); err != nil {
+		return 0, err
+	}
 	s.expire()
 	var current []store.Item
 	failed := false
@@ -117,6 +152,9 @@
 func (s *memoryStore) Grant(_ context.Context, ttl time.Duration) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.refuse(); err != nil {
+		return 0, err
+	}
 	s.revision++
 	s.leases[s.revision] = &memoryLease{ttl, clock.Now().Add(ttl)}
 	return s.revision, nil
@@ -125,6 +163,9 @@
 func (s *memoryStore) Renew(_ context.Context, lease uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.refuse(); err != nil {
+		return err
+	}
 	s.expire()
 	l := s.leases[lease]
 	if l == nil {
@@ -137,6 +178,9 @@
 func (s *memoryStore) Revoke(_ context.Context, lease uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.refuse(); err != nil {
+		return err
+	}
 	s.endLease(lease)
 	return nil
 }
@@ -144,6 +188,9 @@
 func (s *memoryStore) List(_ context.Context, prefix string) ([]store.Item, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.refuse(); err != nil {
+		return nil, 0, err
+	}
 	var items []store.Item
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) {
@@ -156,6 +203,10 @@
 func (s *memoryStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Item, uint64, error) {
 	for end := clock.Now().Add(wait); ; clock.Sleep(ctx, 2*time.Millisecond) {
 		s.mu.Lock()
+		if err := s.refuse(); err != nil {
+			s.mu.Unlock()
+			return nil, 0, err
+		}
 		s.expire()
 		var items []store.Item
 		for _, h := range s.history {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,16 +36,16 @@
 }
 
 const (
-	// leaseTTL is the duration of the owner's lease: once it has run out, a killed owner can be replaced. It tolerates two lost
-	// renewals, or a store that takes 250 ms to answer.
-	leaseTTL = 2 * time.Second
+	// leaseTTL is the duration of the owner's lease: once it has run out, a killed owner can be replaced. It tolerates a lost
+	// renewal, or a store that takes 400 ms to answer.
+	leaseTTL = 1200 * time.Millisecond
 	// renewInterval is the interval between renewals of the owner's lease.
-	renewInterval = 500 * time.Millisecond
+	renewInterval = 300 * time.Millisecond
 	// leaseMargin is how long before the end of its lease the owner stops deciding, so that it has stopped when the store
 	// lets the lease expire.
 	leaseMargin = 100 * time.Millisecond
 	// electionPoll is the interval at which an entry checks whether there is an owner.
-	electionPoll = 100 * time.Millisecond
+	electionPoll = 50 * time.Millisecond
 	// mirrorMaxAge bounds the time since the store last answered the mirror; an older mirror doesn't prove that there is no
 	// owner. It is the wait of a watch and a second.
 	mirrorMaxAge = 3 * time.Second
@@ -162,14 +163,14 @@
 	go func() {
 		defer close(renewStopped)
 		defer endTerm()
-		o.renew(termCtx, lease)
+		o.renew(termCtx, fence, lease)
 	}()
 	if o.awaitMirror(termCtx, fence) {
 		o.mu.Lock()
 		o.term = t
 		o.mu.Unlock()
 		o.candidate.BeginTerm(clock.Now())
-		if reason := t.run(termCtx); reason != "" {
+		if reason := o.runTerm(termCtx, t); reason != "" {
 			o.Log.Info("handing over to another entry", "fence", fence, "reason", reason, "share", o.Self.Share)
 			o.candidate.RecordHandOver(clock.Now())
 		}
@@ -189,6 +190,18 @@
 	o.Log.Info("ownership ended", "fence", fence)
 }
 
+// runTerm runs the decisions of a term. A panic ends the term only: another entry takes over, and this one goes on serving
+// callers.
+func (o *Owner) runTerm(ctx context.Context, t *term) (reason string) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			o.Log.Error("term ended by a panic", "fence", t.fence, "cause", cause, "stack", string(debug.Stack()))
+			reason = "decisions panicked"
+		}
+	}()
+	return t.run(ctx)
+}
+
 // awaitMirror waits until the mirror has all that earlier owners wrote. It returns false if ctx ends before.
 func (o *Owner) awaitMirror(ctx context.Context, fence uint64) bool {
 	for ctx.Err() == nil {
@@ -200,8 +213,11 @@
 	return false
 }
 
-// renew renews the lease until it is lost or ctx ends.
-func (o *Owner) renew(ctx context.Context, lease uint64) {
+// renew renews the lease until the store has ended it, another entry is the owner, or ctx ends. While the store can't be
+// reached, the owner stops deciding at the end of its lease; it goes on if the store, which may keep leases during its outage,
+// still has the lease afterwards. Nothing can have changed then: no other entry can become the owner while the lease exists.
+func (o *Owner) renew(ctx context.Context, fence, lease uint64) {
+	paused := false
 	for {
 		clock.Sleep(ctx, renewInterval)
 		if ctx.Err() != nil {
@@ -216,12 +232,19 @@
 		case err == nil:
 			o.leaseEnd.Store(begun.Add(leaseTTL - leaseMargin).UnixNano())
 			o.roundTrip.Store(int64(clock.Now().Sub(begun)))
+			if paused {
+				paused = false
+				o.Log.Info("decisions resumed: the lease was renewed", "lease", lease, "fence", fence)
+			}
 		case errors.As(err, &leaseErr):
 			o.Log.Warn("ownership lost: the lease has ended", "lease", lease)
 			return
-		case !o.IsOwner(clock.Now()):
-			o.Log.Warn("ownership lost: the lease couldn't be renewed in time", "lease", lease, "error", err)
+		case o.otherOwner(fence):
+			o.Log.Warn("ownership lost: another entry is the owner", "lease", lease, "fence", fence)
 			return
+		case !paused && !o.IsOwner(clock.Now()):
+			paused = true
+			o.Log.Warn("decisions paused: the lease couldn't be renewed in time", "lease", lease, "fence", fence, "error", err)
 		}
 		if err != nil {
 			clock.Sleep(ctx, 100*time.Millisecond)
@@ -229,6 +252,11 @@
 	}
 }
 
+// otherOwner reports whether the mirror shows an owner that was elected later than fence.
+func (o *Owner) otherOwner(fence uint64) bool {
+	return o.Mirror.LeadItem(mirror.OwnerKey).Version > fence
+}
+
 // ServeAgent handles an agent's link until it is closed. While this entry isn't the owner, it closes the link at once.
 func (o *Owner) ServeAgent(l *link.Link) {
 	o.mu.Lock()
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -244,7 +244,7 @@
 // checkHandOver returns why the owner should hand over, or an empty string.
 func (t *term) checkHandOver() string {
 	now := clock.Now()
-	if now.Sub(t.checkedAt) < handOverCheckInterval {
+	if now.Sub(t.checkedAt) < handOverCheckInterval || !t.owner.IsOwner(now) {
 		return ""
 	}
 	t.checkedAt = now
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -87,7 +87,9 @@
 	Settings link.Settings
 	// Owner returns the address of the present owner, or an empty string if there is none.
 	Owner func() string
-	Log   *slog.Logger
+	// OwnerChanged receives a value when another process may have become the owner; nil means that Owner is only polled.
+	OwnerChanged <-chan struct{}
+	Log          *slog.Logger
 
 	mu sync.Mutex
 	// status is the worker's last status report, with the readiness that this agent found out.
@@ -233,7 +235,14 @@
 
 // session connects to an owner, sends it reports and carries out its orders until the link ends.
 func (r *Runner) session(ctx context.Context, address string) {
-	l, err := link.Dial(ctx, address, r.Settings)
+	sessionCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		// The address of an owner that lost power doesn't answer, so that the dial and the link to it end only by timeouts.
+		r.awaitOtherOwner(sessionCtx, address)
+		cancel()
+	}()
+	l, err := link.Dial(sessionCtx, address, r.Settings)
 	if err != nil {
 		r.Log.Debug("connection to the owner failed", "address", address, "error", err)
 		return
@@ -242,8 +251,6 @@
 	r.sendTimes = map[uint64]time.Time{}
 	r.answeredAt = clock.Now()
 	r.mu.Unlock()
-	sessionCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	var receiving sync.WaitGroup
 	receiving.Go(func() {
 		defer cancel()
@@ -254,6 +261,20 @@
 	receiving.Wait()
 }
 
+// awaitOtherOwner returns when the owner is known to be at another address, or ctx ends.
+func (r *Runner) awaitOtherOwner(ctx context.Context, address string) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.OwnerChanged:
+			if owner := r.Owner(); owner != "" && owner != address {
+				return
+			}
+		}
+	}
+}
+
 // receive carries out an owner's orders until the link ends. A process that is no longer the owner accepts links and closes
 // them at once, several times a second until the next owner is known; the owner counts as reached only after its first orders.
 func (r *Runner) receive(ctx context.Context, l *link.Link, address string) {
@@ -286,7 +307,7 @@
 // or the owner doesn't answer.
 func (r *Runner) sendReports(ctx context.Context, l *link.Link, address string) {
 	for ctx.Err() == nil {
-		if r.Owner() != address && r.Owner() != "" {
+		if owner := r.Owner(); owner != address && owner != "" {
 			return
 		}
 		report, ownerSilent := r.report(clock.Now())
