Read the desired state before a request when the store has been silent for too long

Cause: an entry that was suspended for seconds handled the requests that waited for it by the desired state from before, with keys that had been withdrawn meanwhile, until its watch delivered the change. Ruled out: the age of the copy while the process runs; a watch is answered at least every two seconds. Before: TestSuspendedEntryReadsTheDesiredState gets 405 instead of 401 for the withdrawn key. After: passes.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -192,7 +192,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ownerCtx, stopOwner := context.WithCancel(ctx)
 	var stopping atomic.Bool
-	front := &platform.JobHandler{Jobs: p.Jobs, Desired: p.Watcher.Desired, Log: log, Meter: p.Meter}
+	front := &platform.JobHandler{Jobs: p.Jobs, Desired: p.Watcher.Desired, Refresh: p.Watcher.Refresh, Log: log, Meter: p.Meter}
 	callers := &http.Server{
 		Handler: front, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: 16 << 10,
 	}
