Wait for closed connections before the last request of TestLimits

Cause: the minion may count a connection for a moment after its answer has arrived. Two such connections reach the limit of two, so that the connection of the last request was closed at once: EOF, or a connection reset. Change: the test waits until no connection is open, as it did before its second part.

--- a/stand/minion/minion_test.go
+++ b/stand/minion/minion_test.go
@@ -69,6 +69,16 @@
 	}
 }
 
+// waitUntilClosed waits until no connection to the minion is open.
+func waitUntilClosed(t *testing.T, m *Minion) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); m.listener.Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("open connections: got %d, want 0", m.listener.Open())
+		}
+	}
+}
+
 // A minion must not execute or accept more than its slots and connections allow: tests of the agent's limits rely on this.
 func TestLimits(t *testing.T) {
 	m, url := newMinion(t, 1)
@@ -90,9 +100,7 @@
 	if sum != http.StatusOK+http.StatusServiceUnavailable || m.counts.Overflow != 1 {
 		t.Errorf("sum of the statuses: got %d with %d refused for lack of a slot, want 200 and 503", sum, m.counts.Overflow)
 	}
-	for end := time.Now().Add(10 * time.Second); m.listener.Open() > 0 && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
+	waitUntilClosed(t, m)
 	m.mu.Lock()
 	m.slots = 3
 	m.mu.Unlock()
@@ -112,6 +120,8 @@
 	if err := m.listener.SetRefusing(false); err != nil {
 		t.Fatal(err)
 	}
+	// The minion may close the connections of answered requests after their answers have arrived; until then they count.
+	waitUntilClosed(t, m)
 	if _, _, err := send(t, url, "e"); err != nil {
 		t.Errorf("sending after the listener has opened again: got %v, want no error", err)
 	}
