Learn run times from completed runs

Cause: callers' estimates are wrong by up to ten times, and in one direction. The platform's objective counts real work, so that jobs were taken for late, or of no more use, too early; a run beyond its estimate counted as about to end, so that nothing was reserved behind it. Change: a regression of log run time on log estimate for each queue, in which the estimate counts as two samples; objectives, order, reservations and preemption use it. Run times are stored with done tasks, so that a later owner knows them. A run that is overdue goes on for a quarter of its time; progress above a tenth is extrapolated, for reservations too. Tests: TestObjectiveFollowsTheLearnedRunTime and three more; TestLargeTaskIsNotStarvedByStreamOfSmallJobs failed until overdue runs were given time.

--- a/core/alloc/job.go
+++ b/core/alloc/job.go
@@ -42,6 +42,9 @@
 	// mustStop reports whether the run has to end; stopSent is when a stop order was last sent.
 	mustStop bool
 	stopSent time.Time
+	// partial reports whether the run resumed from a checkpoint or began under an earlier owner, so that its run time isn't
+	// known.
+	partial bool
 	// startedAt is when the run was first listed, progressedAt when its percentage last changed.
 	startedAt, progressedAt time.Time
 	percent                 int
--- a/core/alloc/pending.go
+++ b/core/alloc/pending.go
@@ -23,6 +23,8 @@
 	timeliness timeliness
 	// deadline is when the job misses its objective.
 	deadline time.Time
+	// estimate is the expected run time of a task.
+	estimate time.Duration
 }
 
 // timeliness says whether a job can still meet its latency objective.
@@ -64,7 +66,7 @@
 
 // pendingStep returns the waiting tasks of a step, or nil if there are none or if members of its gang are still placed.
 func (s *Scheduler) pendingStep(now, wall time.Time, j *job, occurrence, step int) *pendingStep {
-	ps := &pendingStep{job: j, step: &j.job.Steps[step], queue: s.policy.QueueFor(&j.job)}
+	ps := &pendingStep{job: j, step: &j.job.Steps[step], queue: s.policy.QueueFor(&j.job), estimate: s.expectedTime(&j.job, step)}
 	placed := 0
 	for _, t := range j.stepTasks(occurrence, step) {
 		switch t.Phase {
@@ -81,14 +83,14 @@
 	if j.job.Timed() {
 		objectiveStart = now.Add(j.job.Due(occurrence).Sub(wall))
 	}
-	objective := ps.queue.Objective(&j.job)
+	objective := ps.queue.Objective(s.criticalPath(&j.job))
 	ps.deadline = objectiveStart.Add(objective)
 	switch {
 	case ps.step.LongRunning:
 		// A long-running task stays of use to its users however late it starts.
 	case now.Sub(objectiveStart) > tooLateFactor*objective:
 		ps.timeliness = tooLate
-	case now.Add(ps.step.Estimate / 2).After(ps.deadline):
+	case now.Add(ps.estimate / 2).After(ps.deadline):
 		ps.timeliness = late
 	}
 	return ps
--- a/core/alloc/plan.go
+++ b/core/alloc/plan.go
@@ -64,7 +64,7 @@
 // workers.
 func (m *misfit) covers(ps *pendingStep, tasks int) bool {
 	return m.service == ps.queue.Service && (m.label == "" || m.label == ps.step.RequiredLabel) && (m.guaranteed || !ps.guaranteed) &&
-		tasks >= m.tasks && ps.step.Estimate >= m.estimate && ps.step.Allocation().Contains(m.need)
+		tasks >= m.tasks && ps.estimate >= m.estimate && ps.step.Allocation().Contains(m.need)
 }
 
 // knownMisfit reports whether tasks of a step certainly don't fit.
@@ -83,7 +83,7 @@
 	if step.DataRack != "" || step.RackLocal || step.MaxPerWorker > 0 || step.CPUExempt || step.MaxTailLatency > 0 || ps.queue.RequiresTicket {
 		return list
 	}
-	return append(list, misfit{ps.candidateKey(), ps.guaranteed, step.Allocation(), tasks, step.Estimate})
+	return append(list, misfit{ps.candidateKey(), ps.guaranteed, step.Allocation(), tasks, ps.estimate})
 }
 
 func (ps *pendingStep) candidateKey() candidateKey {
@@ -171,7 +171,7 @@
 	if ps.guaranteed {
 		return age > guaranteedLocalWait
 	}
-	return age > time.Duration((p.remoteSlowdown()-1)*2*float64(ps.step.Estimate))
+	return age > time.Duration((p.remoteSlowdown()-1)*2*float64(ps.estimate))
 }
 
 // workerGroups returns the sets of workers on which all tasks of a step may be placed together, the preferred ones first.
@@ -355,7 +355,7 @@
 // endsBeforeReservation reports whether a task of the step would end before the worker's reservation, if it has one.
 func (p *plan) endsBeforeReservation(ps *pendingStep, w *worker) bool {
 	until := p.reserved[w.index]
-	return until.IsZero() || p.now.Add(ps.step.Estimate).Before(until)
+	return until.IsZero() || p.now.Add(ps.estimate).Before(until)
 }
 
 // tasksOnWorker counts the placed tasks of the same step and occurrence on a worker.
@@ -381,6 +381,7 @@
 	for i, t := range tasks {
 		w := assigned[i]
 		t.resetRun()
+		t.partial = t.Checkpoint != "" && ps.step.Checkpoints
 		t.Phase, t.Run, t.Worker, t.placedGeneration = batch.TaskPlaced, run, w.ID, j.generation
 		w.runs[t.id(j)] = t
 		p.subtract(ps, w)
--- a/core/alloc/preempt.go
+++ b/core/alloc/preempt.go
@@ -15,7 +15,7 @@
 // needsPreemption reports whether a step of priority 0 misses its objective unless others are preempted now. It is for
 // bursts of urgent jobs that exceed their team's guarantee.
 func (p *plan) needsPreemption(ps *pendingStep) bool {
-	return ps.queue.Priority == 0 && ps.timeliness == onTime && p.now.Add(ps.step.Estimate+preemptionLead).After(ps.deadline)
+	return ps.queue.Priority == 0 && ps.timeliness == onTime && p.now.Add(ps.estimate+preemptionLead).After(ps.deadline)
 }
 
 // preempt stops the runs that lose the least work until the tasks fit, and reports whether they do. It is mainly for jobs
@@ -141,7 +141,7 @@
 
 // estimatedWork returns the estimated work of a number of the step's tasks, in core seconds.
 func (ps *pendingStep) estimatedWork(tasks int) float64 {
-	return float64(tasks) * ps.step.Estimate.Seconds() * ps.step.Need.Cores()
+	return float64(tasks) * ps.estimate.Seconds() * ps.step.Need.Cores()
 }
 
 // minimalVictims returns the chosen victims without those that needn't be stopped for the tasks to fit. The most expensive
--- a/core/alloc/reference_test.go
+++ b/core/alloc/reference_test.go
@@ -85,7 +85,7 @@
 	if ps.guaranteed {
 		return age > guaranteedLocalWait
 	}
-	return age > time.Duration((p.remoteSlowdown()-1)*2*float64(ps.step.Estimate))
+	return age > time.Duration((p.remoteSlowdown()-1)*2*float64(ps.estimate))
 }
 
 // workerGroups returns the sets of workers on which all tasks of a step may be placed together, the preferred ones first.
@@ -231,7 +231,7 @@
 // endsBeforeReservation reports whether a task of the step would end before the worker's reservation, if it has one.
 func (p *referencePlan) endsBeforeReservation(ps *pendingStep, w *worker) bool {
 	until, reserved := p.reserved[w]
-	return !reserved || p.now.Add(ps.step.Estimate).Before(until)
+	return !reserved || p.now.Add(ps.estimate).Before(until)
 }
 
 // tasksOnWorker counts the placed tasks of the same step and occurrence on a worker.
@@ -298,7 +298,7 @@
 // needsPreemption reports whether a step of priority 0 misses its objective unless others are preempted now. It is for
 // bursts of urgent jobs that exceed their team's guarantee.
 func (p *referencePlan) needsPreemption(ps *pendingStep) bool {
-	return ps.queue.Priority == 0 && ps.timeliness == onTime && p.now.Add(ps.step.Estimate+preemptionLead).After(ps.deadline)
+	return ps.queue.Priority == 0 && ps.timeliness == onTime && p.now.Add(ps.estimate+preemptionLead).After(ps.deadline)
 }
 
 // preempt stops the runs that lose the least work until the tasks fit, and reports whether they do. It is mainly for jobs
@@ -534,12 +534,9 @@
 	for _, id := range w.sortedRuns() {
 		t := w.runs[id]
 		step := &t.job.job.Steps[t.Step]
-		at := p.now.Add(step.Estimate)
-		if t.confirmed {
-			at = t.startedAt.Add(step.Estimate)
-		}
-		if t.mustStop || at.Before(p.now) {
-			at = p.now
+		at := p.now
+		if !t.mustStop {
+			at = p.now.Add(p.remainingTime(p.now, t))
 		}
 		list = append(list, expectedEnd{at, step.Allocation()})
 	}
--- a/core/alloc/reserve.go
+++ b/core/alloc/reserve.go
@@ -132,12 +132,9 @@
 	for _, id := range w.sortedRuns() {
 		t := w.runs[id]
 		step := &t.job.job.Steps[t.Step]
-		at := p.now.Add(step.Estimate)
-		if t.confirmed {
-			at = t.startedAt.Add(step.Estimate)
-		}
-		if t.mustStop || at.Before(p.now) {
-			at = p.now
+		at := p.now
+		if !t.mustStop {
+			at = p.now.Add(p.remainingTime(p.now, t))
 		}
 		list = append(list, expectedEnd{at, step.Allocation()})
 	}
--- a/core/alloc/scheduler.go
+++ b/core/alloc/scheduler.go
@@ -50,6 +50,8 @@
 	// touched holds the workers for which orders may be due.
 	touched []*worker
 	updates updateQueue
+	// runTimes is what was learned about the run times of each queue.
+	runTimes runTimes
 	// termStart is when the owner's term began. Runs on workers that have not reported since may go on for a lease from then.
 	termStart time.Time
 	// needsPlan is set when the state has changed in a way that may allow or require other placements.
@@ -113,7 +115,7 @@
 func (s *Scheduler) StartTerm(now, wall time.Time, cache *batch.Cache) {
 	s.jobs, s.active = map[model.JobID]*job{}, map[model.JobID]*job{}
 	s.workers, s.byNode = map[string]*worker{}, map[string][]*worker{}
-	s.sorted, s.touched, s.updates = nil, nil, updateQueue{}
+	s.sorted, s.touched, s.updates, s.runTimes = nil, nil, updateQueue{}, runTimes{}
 	s.termStart = now
 	for id := range cache.Jobs {
 		s.UpdateJob(now, wall, id, cache.Jobs[id])
@@ -154,15 +156,17 @@
 	}
 }
 
-// adoptRuns adds the runs of a job that an earlier owner placed to the workers on which it placed them.
+// adoptRuns adds the runs of a job that an earlier owner placed to the workers on which it placed them, and learns from the
+// run times that it recorded.
 func (s *Scheduler) adoptRuns(j *job) {
+	s.runTimes.recordStored(j)
 	for _, t := range j.tasks {
 		if t.Phase != batch.TaskPlaced {
 			continue
 		}
 		w := s.worker(t.Worker)
 		w.runs[t.id(j)] = t
-		t.job = j
+		t.job, t.partial = j, true
 	}
 }
 
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -119,6 +119,11 @@
 
 // CriticalPath returns the estimated run time of the longest chain of dependent steps.
 func (j *Job) CriticalPath() time.Duration {
+	return j.LongestChain(func(step int) time.Duration { return j.Steps[step].Estimate })
+}
+
+// LongestChain returns the duration of the longest chain of dependent steps, where duration gives that of a step.
+func (j *Job) LongestChain(duration func(step int) time.Duration) time.Duration {
 	longest := time.Duration(0)
 	finish := make([]time.Duration, len(j.Steps))
 	for i := range j.Steps {
@@ -126,7 +131,7 @@
 		for _, predecessor := range j.Steps[i].After {
 			start = max(start, finish[predecessor])
 		}
-		finish[i] = start + j.Steps[i].Estimate
+		finish[i] = start + duration(i)
 		longest = max(longest, finish[i])
 	}
 	return longest
@@ -161,10 +166,10 @@
 	RequiresTicket bool `cbor:"8,keyasint,omitempty"`
 }
 
-// Objective returns the latency objective of a job, from its submission or due time to its completion: Stretch times its
-// critical path, plus Target.
-func (q *Queue) Objective(j *Job) time.Duration {
-	return time.Duration(q.Stretch*float64(j.CriticalPath())) + q.Target
+// Objective returns the latency objective of a job with the given critical path, from its submission or due time to its
+// completion: Stretch times its critical path, plus Target.
+func (q *Queue) Objective(criticalPath time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(criticalPath)) + q.Target
 }
 
 // Team is the declaration of a team.
--- a/core/batch/progress.go
+++ b/core/batch/progress.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"wagtailhoist/core/model"
 )
@@ -77,6 +78,8 @@
 	Checkpoint string `cbor:"8,keyasint,omitempty"`
 	// Started reports whether a worker has listed any run of the task as running.
 	Started bool `cbor:"9,keyasint,omitempty"`
+	// RunTime is how long the run of a done task took; 0 if its owner didn't see all of it.
+	RunTime time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Progress is the stored progress of a job.
