--- a/stand/main.go
+++ b/stand/main.go
@@ -10,6 +10,7 @@
 	"wagtailhoist/stand/minion"
 	"wagtailhoist/stand/plat"
 	"wagtailhoist/stand/relay"
+	"wagtailhoist/stand/replay"
 	"wagtailhoist/stand/serve"
 )
 
@@ -18,6 +19,7 @@
 	Minion   minion.Command `cmd:"" help:"Run an HTTP back end."`
 	Caller   caller.Command `cmd:"" help:"Send requests and verify the answers."`
 	Relay    relay.Command  `cmd:"" help:"Run a TCP relay."`
+	Replay   replay.Command `cmd:"" help:"Play load patterns against the scheduler in simulated time, and compare versions."`
 }
 
 func main() {
--- /dev/null
+++ b/stand/replay/result.go
@@ -0,0 +1,189 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	// lateFactor is the multiple of the objective up to which a job earns its late worth.
+	lateFactor = 3
+	// windowLength is the length of a window, worstWindows the number of windows that count as the worst.
+	windowLength = 2 * time.Second
+	worstWindows = 2
+	// The weights of the parts of a day's worth.
+	dayWeight, windowWeight, classWeight = 0.6, 0.25, 0.15
+)
+
+// ClassResult is what the jobs of a class earned.
+type ClassResult struct {
+	Name                 string  `json:"name"`
+	Jobs, InTime, Late   int     `json:"-"`
+	Owed, Earned, Median float64 `json:"-"`
+	Worth                float64 `json:"worth"`
+}
+
+// Result is what a day earned.
+type Result struct {
+	Seed int64 `json:"seed"`
+	// Worth is the weighted share of the worth that the day's jobs could earn.
+	Worth   float64       `json:"worth"`
+	Whole   float64       `json:"whole"`
+	Windows float64       `json:"windows"`
+	Classes []ClassResult `json:"classes"`
+	// Thrown is the work that was lost as a share of the work of all jobs.
+	Thrown  float64 `json:"thrown"`
+	Stops   int     `json:"stops"`
+	Commits int     `json:"commits"`
+	// Plans is the time that plans took, in seconds.
+	Plans float64 `json:"plans"`
+}
+
+// value returns what the job is worth in time, and what it earned.
+func (j *submitted) value(meanWork float64) (owed, earned float64) {
+	size := min(4, 0.3+0.7*j.cost()/meanWork)
+	owed = j.class.Worth * size
+	if j.completed.IsZero() {
+		return owed, 0
+	}
+	objective := seconds(j.class.Stretch*j.work.Seconds() + j.class.Target)
+	switch taken := j.completed.Sub(j.at); {
+	case taken <= objective:
+		return owed, owed
+	case taken <= lateFactor*objective:
+		return owed, j.class.Late * size
+	}
+	return owed, 0
+}
+
+// cost returns the job's work in core seconds.
+func (j *submitted) cost() float64 {
+	s := &j.Steps[0]
+	return float64(s.Count) * j.work.Seconds() * s.Need.Cores()
+}
+
+// result sums up a day that was played.
+func (d *day) result(seed int64) Result {
+	r := Result{Seed: seed, Stops: d.stops, Commits: d.commits, Plans: d.planTime.Seconds()}
+	var owed, earned, work float64
+	windows := make([]share, int(math.Ceil(d.load.Length/windowLength.Seconds())))
+	for i := range d.load.Classes {
+		c := &d.load.Classes[i]
+		result := ClassResult{Name: c.Name}
+		var mean float64
+		var members []*submitted
+		for _, j := range d.order {
+			if j.class == c {
+				members = append(members, j)
+				mean += j.cost()
+			}
+		}
+		work += mean
+		mean /= max(1, float64(len(members)))
+		var times []float64
+		for _, j := range members {
+			if j.cancelled {
+				continue
+			}
+			o, e := j.value(mean)
+			result.Jobs++
+			result.Owed += o
+			result.Earned += e
+			w := &windows[min(len(windows)-1, int(j.at.Sub(d.start)/windowLength))]
+			w.owed += o
+			w.earned += e
+			if !j.completed.IsZero() {
+				times = append(times, j.completed.Sub(j.at).Seconds())
+			}
+			switch {
+			case e == o:
+				result.InTime++
+			case e > 0:
+				result.Late++
+			}
+		}
+		slices.Sort(times)
+		if len(times) > 0 {
+			result.Median = times[len(times)/2]
+		}
+		result.Worth = share{result.Owed, result.Earned}.ratio()
+		owed += result.Owed
+		earned += result.Earned
+		r.Classes = append(r.Classes, result)
+	}
+	r.Whole = share{owed, earned}.ratio()
+	r.Windows = worst(windows)
+	r.Thrown = d.thrown / max(1, work)
+	worstClass := 1.0
+	for _, c := range r.Classes {
+		worstClass = min(worstClass, c.Worth)
+	}
+	r.Worth = dayWeight*r.Whole + windowWeight*r.Windows + classWeight*worstClass
+	return r
+}
+
+// share is the worth that was owed and earned.
+type share struct{ owed, earned float64 }
+
+// ratio returns the share that was earned, 1 if nothing was owed.
+func (s share) ratio() float64 {
+	if s.owed == 0 {
+		return 1
+	}
+	return s.earned / s.owed
+}
+
+// worst returns the mean ratio of the worst windows.
+func worst(windows []share) float64 {
+	ratios := make([]float64, 0, len(windows))
+	for _, w := range windows {
+		ratios = append(ratios, w.ratio())
+	}
+	slices.Sort(ratios)
+	n := min(worstWindows, len(ratios))
+	sum := 0.0
+	for _, ratio := range ratios[:n] {
+		sum += ratio
+	}
+	return sum / float64(max(1, n))
+}
+
+// print writes a table of the days and of their classes.
+func print(out io.Writer, results []Result) error {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "seed\tworth\twhole\twindows\t")
+	for _, c := range results[0].Classes {
+		fmt.Fprintf(w, "%s\t", c.Name)
+	}
+	fmt.Fprintln(w, "thrown\tstops\tcommits\tplans s\t")
+	for _, r := range results {
+		fmt.Fprintf(w, "%d\t%.3f\t%.3f\t%.3f\t", r.Seed, r.Worth, r.Whole, r.Windows)
+		for _, c := range r.Classes {
+			fmt.Fprintf(w, "%.3f\t", c.Worth)
+		}
+		fmt.Fprintf(w, "%.3f\t%d\t%d\t%.2f\t\n", r.Thrown, r.Stops, r.Commits, r.Plans)
+	}
+	mean, spread := meanSpread(results, func(r *Result) float64 { return r.Worth })
+	fmt.Fprintf(w, "mean\t%.4f\t±%.4f\t\n", mean, spread)
+	return w.Flush()
+}
+
+// meanSpread returns the mean of a figure and the half width of its 95 % interval.
+func meanSpread(results []Result, figure func(*Result) float64) (mean, half float64) {
+	n := float64(len(results))
+	for i := range results {
+		mean += figure(&results[i]) / n
+	}
+	if n < 2 {
+		return mean, 0
+	}
+	sum := 0.0
+	for i := range results {
+		sum += math.Pow(figure(&results[i])-mean, 2)
+	}
+	return mean, 1.96 * math.Sqrt(sum/(n-1)/n)
+}
