Let a paused owner wait for the next tick

Cause: while the lease couldn't be renewed and a plan was due, the loop's timer fired every millisecond for the whole outage. Found by reading. Test: TestPausedOwnerWaitsForTheNextTick got 1 ms before.

--- a/io/owner/overload_test.go
+++ b/io/owner/overload_test.go
@@ -69,3 +69,15 @@
 		t.Error("the worker still counts although its last report arrived a minute ago")
 	}
 }
+
+// While the lease can't be renewed, no plan is made; waiting for one kept the loop busy.
+func TestPausedOwnerWaitsForTheNextTick(t *testing.T) {
+	term, _ := newIdleTerm(t)
+	if got := term.planWait(); got > minPlanPause {
+		t.Errorf("wait for a plan that is due: got %v, want at most %v", got, minPlanPause)
+	}
+	term.owner.leaseEnd.Store(0)
+	if got, want := term.planWait(), maxPlanInterval; got != want {
+		t.Errorf("wait for a plan while the owner may not decide: got %v, want %v", got, want)
+	}
+}
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -253,10 +253,11 @@
 
 // planWait returns how long to wait for the next plan.
 func (t *term) planWait() time.Duration {
-	if !t.scheduler.NeedsPlan() {
+	now := clock.Now()
+	if !t.scheduler.NeedsPlan() || !t.owner.IsOwner(now) {
 		return maxPlanInterval
 	}
-	return max(time.Millisecond, t.planAllowedAt.Sub(clock.Now()))
+	return max(time.Millisecond, t.planAllowedAt.Sub(now))
 }
 
 // handleQueuedEvents handles the events that have arrived meanwhile, so that one plan covers them all.
--- a/stand/replay/command.go
+++ b/stand/replay/command.go
@@ -34,7 +34,7 @@
 		load.Fleet.Workers = c.Workers
 	}
 	results := Play(load, c.First, c.Days)
-	if err := print(os.Stdout, results); err != nil {
+	if err := printTable(os.Stdout, results); err != nil {
 		return err
 	}
 	if c.Out != "" {
--- a/stand/replay/result.go
+++ b/stand/replay/result.go
@@ -152,8 +152,8 @@
 	return sum / float64(max(1, n))
 }
 
-// print writes a table of the days and of their classes.
-func print(out io.Writer, results []Result) error {
+// printTable writes a table of the days and of their classes.
+func printTable(out io.Writer, results []Result) error {
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(w, "seed\tworth\twhole\twindows\t")
 	for _, c := range results[0].Classes {
