--- a/core/alloc/preempt.go
+++ b/core/alloc/preempt.go
@@ -8,26 +8,19 @@
 	"wagtailhoist/core/batch"
 )
 
-const (
-	// preemptionLead is how long before the latest possible start of a step of priority 0 other runs are preempted for it. A
-	// stop takes up to 900 ms, and the start has to wait for a write to the store.
-	preemptionLead = 1200 * time.Millisecond
-	// overrunReserve is the part of its expected run time by which a step of priority 0 may take longer without being late.
-	overrunReserve = 0.6
-	// maxLossFactor is the multiple of the work of a step of priority 0 that may be lost for it.
-	maxLossFactor = 2
-)
+// preemptionLead is how long before the latest possible start of a step of priority 0 other runs are preempted for it. A
+// stop takes up to 900 ms, and the start has to wait for a write to the store.
+const preemptionLead = 1200 * time.Millisecond
 
 // needsPreemption reports whether a step of priority 0 misses its objective unless others are preempted now. It is for
 // bursts of urgent jobs that exceed their team's guarantee.
 func (p *plan) needsPreemption(ps *pendingStep) bool {
-	latestEnd := p.now.Add(preemptionLead + time.Duration((1+overrunReserve)*float64(ps.estimate)))
-	return ps.queue.Priority == 0 && ps.timeliness == onTime && latestEnd.After(ps.deadline)
+	return ps.queue.Priority == 0 && ps.timeliness == onTime && p.now.Add(ps.estimate+preemptionLead).After(ps.deadline)
 }
 
 // preempt stops the runs that lose the least work until the tasks fit, and reports whether they do. It is mainly for jobs
 // that claim their team's guarantee while others borrow its accelerators. For other jobs, nothing is stopped if that would
-// lose more than maxLossFactor times the work that the tasks are expected to need.
+// lose more work than the tasks are estimated to need.
 func (p *plan) preempt(ps *pendingStep, tasks []*task) bool {
 	if !ps.queue.RequiresTicket && knownMisfit(p.notByPreemption, ps, len(tasks)) {
 		return false
@@ -45,7 +38,7 @@
 		p.notByPreemption = recordMisfit(p.notByPreemption, ps, len(tasks))
 		return false
 	}
-	if !ps.guaranteed && totalCost(best) > maxLossFactor*ps.estimatedWork(len(tasks)) {
+	if !ps.guaranteed && totalCost(best) > ps.estimatedWork(len(tasks)) {
 		return false
 	}
 	for _, v := range best {
