--- a/core/alloc/preempt.go
+++ b/core/alloc/preempt.go
@@ -102,7 +102,7 @@
 			victims = append(victims, v)
 		}
 	}
-	if !p.fitWithoutVictims(f, victims) {
+	if !p.fitsWithAllStopped(f, victims) {
 		return nil, false
 	}
 	var chosen []victim
@@ -118,8 +118,8 @@
 	return minimalVictims(f, chosen), true
 }
 
-// fitWithoutVictims reports whether the tasks would fit if all victims were stopped.
-func (p *plan) fitWithoutVictims(f *freed, victims []victim) bool {
+// fitsWithAllStopped reports whether the tasks would fit if all victims were stopped.
+func (p *plan) fitsWithAllStopped(f *freed, victims []victim) bool {
 	for _, v := range victims {
 		f.add(v, 1)
 	}
