--- a/io/owner/overload_test.go
+++ b/io/owner/overload_test.go
@@ -1,10 +1,14 @@
 package owner
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
+	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
 	"wagtailhoist/io/clock"
 	"wagtailhoist/io/link"
@@ -81,3 +85,51 @@
 		t.Errorf("wait for a plan while the owner may not decide: got %v, want %v", got, want)
 	}
 }
+
+// Reports must be answered before a plan, which may take long on a slow VM: without answers, the runs of the workers end.
+func TestReportsAreAnsweredBeforeThePlan(t *testing.T) {
+	term, s := newIdleTerm(t)
+	answered := -1
+	term.scheduler.Trace = func(e alloc.Event) {
+		if e.Kind == "placed" {
+			answered = len(s.queued)
+		}
+	}
+	term.agentEvents <- agentEvent{s, listedReport(1), clock.Now()}
+	term.process(context.Background(), false)
+	if answered != 1 {
+		t.Errorf("messages queued when the plan placed its first task: got %d, want the answer to the report (-1: nothing was placed)", answered)
+	}
+}
+
+// On a VM that is too slow for its fleet, plans in a row left no time for reports. After each plan the loop has to pause.
+func TestPlansLeaveTimeForReports(t *testing.T) {
+	term, s := newIdleTerm(t)
+	term.agentEvents <- agentEvent{s, listedReport(1), clock.Now()}
+	term.process(context.Background(), false)
+	if got := term.planAllowedAt.Sub(term.plannedAt); got < minPlanPause {
+		t.Errorf("time from a plan to the next: got %v, want at least %v", got, minPlanPause)
+	}
+	// Until then, a change that needs a plan waits, however long ago the plan was: the test may be slow.
+	term.planAllowedAt, term.plannedAt = clock.Now().Add(time.Hour), clock.Now().Add(time.Hour)
+	term.scheduler.SetPolicy(batch.Policy{})
+	term.process(context.Background(), false)
+	if !term.scheduler.NeedsPlan() {
+		t.Error("a plan was made during the pause")
+	}
+}
+
+// Only lag without a break leads to a hand-over, so that each batch of reports must count with its longest wait, not with
+// that of the last report.
+func TestLagIsThatOfTheLongestWait(t *testing.T) {
+	term, s := newIdleTerm(t)
+	var log bytes.Buffer
+	term.owner.Log = slog.New(slog.NewJSONHandler(&log, nil))
+	now := clock.Now()
+	term.agentEvents <- agentEvent{s, listedReport(1), now.Add(-time.Minute)}
+	term.agentEvents <- agentEvent{s, listedReport(2), now}
+	term.process(context.Background(), false)
+	if !strings.Contains(log.String(), "decisions are late") {
+		t.Errorf("no line about late decisions after a report that waited for a minute: %s", &log)
+	}
+}
