Decide apart from the loop when the owner plans and commits

Cause: the pauses between plans and the commits side by side were decided inside the loop, between its input and output, and could be replayed only with it. Two mutations had no test: stored records that touch no worker, and an owner that doesn't yield. Change: core/pace has both decisions with the load each answers and replays of it; the loop calls them. The tests of core/elect and core/alloc fail for the two mutations. One difference: a deletion of ended jobs also counts for the 20 ms between commits. Mutations that fail a test: no answer before the plan, no pause, the lag of the last report, the time of handling instead of arrival, an older report that shortens the lease, overdue runs that end at once, worst fit, a term that ends with its lease.

--- a/core/alloc/report_test.go
+++ b/core/alloc/report_test.go
@@ -27,3 +27,16 @@
 		t.Errorf("phase of the task after the end of the lease: got %v, want waiting", got)
 	}
 }
+
+// A start goes out when its record is stored; waiting for the worker's next report would cost most of a second.
+func TestStoredPlacementTouchesItsWorker(t *testing.T) {
+	f := newFixture(t)
+	w := f.addWorker("n1", "r1")
+	f.submit("p1", "a", gpuStep(1, 1))
+	f.scheduler.Plan(f.now, f.now)
+	f.scheduler.TakeTouched()
+	f.storeProgress()
+	if got := f.scheduler.TakeTouched(); len(got) != 1 || got[0] != w.ID {
+		t.Errorf("workers with orders due after the record was stored: got %v, want %v", got, w.ID)
+	}
+}
--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -83,6 +83,19 @@
 	}
 }
 
+// A late owner that hands over must not win the next election by being nearest to the store.
+func TestLateOwnerLetsOthersStandFirst(t *testing.T) {
+	others := []Entry{{0.8}}
+	late, far := Candidate{Share: 0.8}, Candidate{Share: 0.8}
+	late.RecordHandOver(epoch)
+	if near, other := late.Delay(epoch, 0, others), far.Delay(epoch, time.Second, others); near <= other {
+		t.Errorf("delay after the hand-over: got %v, want more than the %v of the farthest entry", near, other)
+	}
+	if got, want := late.Delay(epoch.Add(yieldTime), 0, others), time.Duration(0); got != want {
+		t.Errorf("delay some time after the hand-over: got %v, want %v", got, want)
+	}
+}
+
 // Entries that are all late, or whose strong ones never take over, must not hand over to each other again and again: each
 // hand-over interrupts decisions.
 func TestHandOversAreBounded(t *testing.T) {
--- a/io/owner/commit.go
+++ b/io/owner/commit.go
@@ -16,7 +16,7 @@
 
 // storeProgress commits the progress that has changed. If none has, it deletes ended jobs.
 func (t *term) storeProgress(ctx context.Context, now time.Time) {
-	if t.commits == maxCommits || t.commits > 0 && now.Sub(t.committedAt) < commitSpacing || now.Before(t.commitRetryAt) {
+	if !t.commits.Allowed(now) {
 		return
 	}
 	records := t.scheduler.PendingUpdates(maxRecordsPerCommit, func(id model.JobID) bool { return t.committing[id] })
@@ -40,8 +40,7 @@
 	for i := range records {
 		t.committing[records[i].Job] = true
 	}
-	t.commits++
-	t.committedAt = now
+	t.commits.Begin(now)
 	go func() {
 		revision, err := t.owner.Store.Commit(ctx, change)
 		t.commitResults <- commitResult{records, values, revision, err}
@@ -50,7 +49,9 @@
 
 // handleCommit handles the result of a commit. It returns false if the owner key no longer has the fence of this term.
 func (t *term) handleCommit(result commitResult) bool {
-	t.commits--
+	var checkErr *store.CheckError
+	changed := errors.As(result.err, &checkErr)
+	t.commits.End(clock.Now(), result.err != nil && !changed)
 	for _, record := range result.records {
 		delete(t.committing, record.Job)
 	}
@@ -61,10 +62,8 @@
 		}
 		return true
 	}
-	var checkErr *store.CheckError
-	if !errors.As(result.err, &checkErr) {
+	if !changed {
 		t.owner.Log.Warn("progress not stored; retrying", "jobs", len(result.records), "error", result.err)
-		t.commitRetryAt = clock.Now().Add(commitRetryPause)
 		return true
 	}
 	current := map[string]store.Item{}
@@ -88,7 +87,7 @@
 
 // deleteExpiredJobs deletes the records of jobs that ended long ago.
 func (t *term) deleteExpiredJobs(ctx context.Context, now time.Time) {
-	if t.commits > 0 || now.Sub(t.deletedAt) < jobDeletionInterval {
+	if !t.commits.Idle() || now.Sub(t.deletedAt) < jobDeletionInterval {
 		return
 	}
 	t.deletedAt = now
@@ -103,7 +102,7 @@
 	for _, id := range expired {
 		change.Deletes = append(change.Deletes, batch.JobKey(id), batch.ProgressKey(id), batch.CancelKey(id))
 	}
-	t.commits++
+	t.commits.Begin(now)
 	go func() {
 		_, err := t.owner.Store.Commit(ctx, change)
 		t.commitResults <- commitResult{err: err}
--- a/io/owner/commit_test.go
+++ b/io/owner/commit_test.go
@@ -7,6 +7,7 @@
 
 	"wagtailhoist/core/batch"
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/pace"
 )
 
 // A slow store must not serialize the starts: with one commit at a time, a burst of jobs waited for one round trip after the
@@ -46,7 +47,7 @@
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.mostRunning < 2 || s.mostRunning > maxCommits {
-		t.Errorf("got up to %d commits at a time, want 2 to %d", s.mostRunning, maxCommits)
+	if s.mostRunning < 2 || s.mostRunning > pace.MaxCommits {
+		t.Errorf("got up to %d commits at a time, want 2 to %d", s.mostRunning, pace.MaxCommits)
 	}
 }
--- a/io/owner/overload_test.go
+++ b/io/owner/overload_test.go
@@ -10,6 +10,7 @@
 
 	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
+	"wagtailhoist/core/pace"
 	"wagtailhoist/io/clock"
 	"wagtailhoist/io/link"
 )
@@ -77,11 +78,11 @@
 // While the lease can't be renewed, no plan is made; waiting for one kept the loop busy.
 func TestPausedOwnerWaitsForTheNextTick(t *testing.T) {
 	term, _ := newIdleTerm(t)
-	if got := term.planWait(); got > minPlanPause {
-		t.Errorf("wait for a plan that is due: got %v, want at most %v", got, minPlanPause)
+	if got := term.planWait(); got > pace.MinPause {
+		t.Errorf("wait for a plan that is due: got %v, want at most %v", got, pace.MinPause)
 	}
 	term.owner.leaseEnd.Store(0)
-	if got, want := term.planWait(), maxPlanInterval; got != want {
+	if got, want := term.planWait(), pace.MaxInterval; got != want {
 		t.Errorf("wait for a plan while the owner may not decide: got %v, want %v", got, want)
 	}
 }
@@ -107,11 +108,9 @@
 	term, s := newIdleTerm(t)
 	term.agentEvents <- agentEvent{s, listedReport(1), clock.Now()}
 	term.process(context.Background(), false)
-	if got := term.planAllowedAt.Sub(term.plannedAt); got < minPlanPause {
-		t.Errorf("time from a plan to the next: got %v, want at least %v", got, minPlanPause)
-	}
-	// Until then, a change that needs a plan waits, however long ago the plan was: the test may be slow.
-	term.planAllowedAt, term.plannedAt = clock.Now().Add(time.Hour), clock.Now().Add(time.Hour)
+	// The pause must hold however slow the test is, so the plan counts as made in an hour.
+	begin := clock.Now().Add(time.Hour)
+	term.plans.Record(begin, begin)
 	term.scheduler.SetPolicy(batch.Policy{})
 	term.process(context.Background(), false)
 	if !term.scheduler.NeedsPlan() {
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -9,6 +9,7 @@
 	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/pace"
 	"wagtailhoist/io/clock"
 	"wagtailhoist/io/link"
 )
@@ -16,31 +17,17 @@
 const (
 	// pollInterval is the interval at which lease expiry, stalled gangs and evictions are checked.
 	pollInterval = 100 * time.Millisecond
-	// maxPlanInterval is the longest interval between two plans.
-	maxPlanInterval = 300 * time.Millisecond
 	// maxRecordsPerCommit bounds the records in a change: the store accepts 32 checks and sets, two for each record and
 	// one for the fence.
 	maxRecordsPerCommit = 15
 	// maxQueuedOrders bounds the order messages that wait to be sent to an agent; the link of an agent with more is closed.
 	maxQueuedOrders = 64
-	// maxCommits bounds the commits under way. Several go out at once so that a slow store doesn't delay all starts.
-	maxCommits = 8
-	// commitSpacing is how long after a commit the next one goes out although its answer is missing; the store usually
-	// answers sooner, and the changes that come up meanwhile share a commit.
-	commitSpacing = 20 * time.Millisecond
-	// minPlanPause is the shortest pause between two plans, so that the events that arrive meanwhile share a plan.
-	minPlanPause = 5 * time.Millisecond
-	// planPauseFactor is the pause after a plan in multiples of its duration. It bounds the share of time that plans take on
-	// a VM that is too slow for its fleet.
-	planPauseFactor = 2
 	// handOverCheckInterval is the interval at which the owner checks whether it should hand over.
 	handOverCheckInterval = 500 * time.Millisecond
 	// lagLogInterval is the shortest interval between two log lines about late decisions.
 	lagLogInterval = 2 * time.Second
 	// lagLogLimit is the lag from which late decisions are logged.
 	lagLogLimit = 500 * time.Millisecond
-	// commitRetryPause is the pause after a change that couldn't be stored.
-	commitRetryPause = 60 * time.Millisecond
 	// adviceRetryPause is the pause after a failed call to the advice service.
 	adviceRetryPause = 300 * time.Millisecond
 	// jobDeletionInterval is the interval at which ended jobs are deleted.
@@ -106,18 +93,15 @@
 	sessionByWorker map[string]*session
 	// progressVersions holds the versions of the progress records in the store, which the next change is conditional on.
 	progressVersions map[model.JobID]uint64
-	// commits counts the commits under way, and committing holds the jobs whose progress they store.
-	commits     int
-	committing  map[model.JobID]bool
-	committedAt time.Time
+	plans            pace.Plans
+	// committing holds the jobs whose progress the commits under way store.
+	commits    pace.Commits
+	committing map[model.JobID]bool
 	// adviceRequested is true while an advice query is under way.
 	adviceRequested bool
 	adviceRetryAt   time.Time
-	commitRetryAt   time.Time
-	plannedAt       time.Time
-	// planAllowedAt is when the next plan may begin, checkedAt when a hand-over was last considered.
-	planAllowedAt time.Time
-	checkedAt     time.Time
+	// checkedAt is when a hand-over was last considered.
+	checkedAt time.Time
 	// polledAt is when poll was last called, maxLag the longest wait of the reports that were handled since the last decision.
 	polledAt       time.Time
 	maxLag         time.Duration
@@ -128,7 +112,7 @@
 
 func newTerm(o *Owner, fence uint64) *term {
 	t := &term{
-		owner: o, fence: fence, agentEvents: make(chan agentEvent, 256), commitResults: make(chan commitResult, maxCommits),
+		owner: o, fence: fence, agentEvents: make(chan agentEvent, 256), commitResults: make(chan commitResult, pace.MaxCommits),
 		adviceAnswers: make(chan adviceAnswer, 1), done: make(chan struct{}),
 		sessionByWorker: map[string]*session{}, progressVersions: map[model.JobID]uint64{}, committing: map[model.JobID]bool{},
 	}
@@ -249,10 +233,7 @@
 // planWait returns how long to wait for the next plan.
 func (t *term) planWait() time.Duration {
 	now := clock.Now()
-	if !t.scheduler.NeedsPlan() || !t.owner.IsOwner(now) {
-		return maxPlanInterval
-	}
-	return max(time.Millisecond, t.planAllowedAt.Sub(now))
+	return t.plans.Wait(now, t.scheduler.NeedsPlan() && t.owner.IsOwner(now))
 }
 
 // handleQueuedEvents handles the events that have arrived meanwhile, so that one plan covers them all.
@@ -335,11 +316,10 @@
 		return
 	}
 	t.sendOrders(now, resend)
-	if t.scheduler.NeedsPlan() && !now.Before(t.planAllowedAt) || now.Sub(t.plannedAt) > maxPlanInterval {
+	if t.plans.Due(now, t.scheduler.NeedsPlan()) {
 		t.scheduler.Plan(now, time.Now())
 		end := clock.Now()
-		t.plannedAt = now
-		t.planAllowedAt = end.Add(max(minPlanPause, min(planPauseFactor*end.Sub(now), maxPlanInterval)))
+		t.plans.Record(now, end)
 		if now = end; !t.owner.IsOwner(now) {
 			return
 		}
