Log to a locked buffer from the start in the tests of overload

The trace names both sides; the product's code isn't concerned. Change: the log is set before the entry starts. The product's code is the same in this commit.

--- a/io/owner/overload_test.go
+++ b/io/owner/overload_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,14 +17,34 @@
 	"wagtailhoist/io/link"
 )
 
-// newIdleTerm returns a term whose loop doesn't run, so that a test can let it be late, and a job with one running task.
-func newIdleTerm(t *testing.T) (*term, *session) {
+// lockedBuffer collects the log of several goroutines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// newIdleTerm returns a term whose loop doesn't run, so that a test can let it be late, and a waiting job with one task. The
+// entry logs to log.
+func newIdleTerm(t *testing.T, log io.Writer) (*term, *session) {
 	t.Helper()
 	s := newMemoryStore()
 	queue := batch.Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, Target: time.Second}
 	e := newEntry(t, s, "e1", batch.Policy{}, func(o *Owner) {
 		// Without a policy, the entry doesn't stand for election.
 		o.Policy = func() (batch.Policy, uint64) { return batch.Policy{}, 0 }
+		o.Log = slog.New(slog.NewJSONHandler(log, nil))
 	})
 	putJob(t, s, "j1", queue, batch.Step{Count: 1, Need: batch.Amount{CPU: 1000, Memory: 100, GPU: 1}, Estimate: time.Hour})
 	waitFor(t, "mirror", func() bool {
@@ -44,7 +66,7 @@
 // An owner that is late must not give up a worker whose reports it has received but not handled yet: its work would be
 // started a second time elsewhere.
 func TestLateOwnerKeepsWorkersThatReport(t *testing.T) {
-	term, s := newIdleTerm(t)
+	term, s := newIdleTerm(t, io.Discard)
 	now := clock.Now()
 	// The last report that was handled arrived long ago, the next one waits in the channel.
 	term.scheduler.ApplyReport(now.Add(-time.Minute), time.Now(), listedReport(1), s.number)
@@ -65,7 +87,7 @@
 
 // The end of a worker's lease counts from the arrival of its last report, not from when a late owner handled it.
 func TestLeaseCountsFromTheArrivalOfTheReport(t *testing.T) {
-	term, s := newIdleTerm(t)
+	term, s := newIdleTerm(t, io.Discard)
 	arrived := clock.Now().Add(-time.Minute)
 	term.agentEvents <- agentEvent{s, listedReport(1), arrived}
 	term.process(context.Background(), false)
@@ -77,7 +99,7 @@
 
 // While the lease can't be renewed, no plan is made; waiting for one kept the loop busy.
 func TestPausedOwnerWaitsForTheNextTick(t *testing.T) {
-	term, _ := newIdleTerm(t)
+	term, _ := newIdleTerm(t, io.Discard)
 	if got := term.planWait(); got > pace.MinPause {
 		t.Errorf("wait for a plan that is due: got %v, want at most %v", got, pace.MinPause)
 	}
@@ -89,7 +111,7 @@
 
 // Reports must be answered before a plan, which may take long on a slow VM: without answers, the runs of the workers end.
 func TestReportsAreAnsweredBeforeThePlan(t *testing.T) {
-	term, s := newIdleTerm(t)
+	term, s := newIdleTerm(t, io.Discard)
 	answered := -1
 	term.scheduler.Trace = func(e alloc.Event) {
 		if e.Kind == "placed" {
@@ -105,7 +127,7 @@
 
 // On a VM that is too slow for its fleet, plans in a row left no time for reports. After each plan the loop has to pause.
 func TestPlansLeaveTimeForReports(t *testing.T) {
-	term, s := newIdleTerm(t)
+	term, s := newIdleTerm(t, io.Discard)
 	term.agentEvents <- agentEvent{s, listedReport(1), clock.Now()}
 	term.process(context.Background(), false)
 	// The pause must hold however slow the test is, so the plan counts as made in an hour.
@@ -121,14 +143,13 @@
 // Only lag without a break leads to a hand-over, so that each batch of reports must count with its longest wait, not with
 // that of the last report.
 func TestLagIsThatOfTheLongestWait(t *testing.T) {
-	term, s := newIdleTerm(t)
-	var log bytes.Buffer
-	term.owner.Log = slog.New(slog.NewJSONHandler(&log, nil))
+	log := &lockedBuffer{}
+	term, s := newIdleTerm(t, log)
 	now := clock.Now()
 	term.agentEvents <- agentEvent{s, listedReport(1), now.Add(-time.Minute)}
 	term.agentEvents <- agentEvent{s, listedReport(2), now}
 	term.process(context.Background(), false)
 	if !strings.Contains(log.String(), "decisions are late") {
-		t.Errorf("no line about late decisions after a report that waited for a minute: %s", &log)
+		t.Errorf("no line about late decisions after a report that waited for a minute: %s", log)
 	}
 }
