Apply reports that arrive while the owner can't renew its lease

Cause: handleAgentEvent dropped each report that arrived while IsOwner was false. An agent reports a refusal once, so that the owner took the start as under way for the rest of the term. Ruled out: a refusal that the agent doesn't report (its log has "start refused" and "stopped", and the next report is sent at once); a start that is never sent. A pause of under a second left no line in the log; it does now, with the number of reports. Change: reports are applied during a pause; answers and orders still wait for the lease. An answer never carries a lease for the report of an earlier worker of the same agent. Why it works: applying a report changes only the owner's state, which is discarded if the lease is lost.

--- a/io/owner/overload_test.go
+++ b/io/owner/overload_test.go
@@ -12,6 +12,7 @@
 
 	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
+	"wagtailhoist/core/model"
 	"wagtailhoist/core/pace"
 	"wagtailhoist/io/clock"
 	"wagtailhoist/io/link"
@@ -153,3 +154,49 @@
 		t.Errorf("no line about late decisions after a report that waited for a minute: %s", log)
 	}
 }
+
+// A refusal is reported once. An owner that dropped the reports which arrived while it couldn't renew its lease lost it, and
+// the task was never started.
+func TestRefusalReportedDuringAPauseIsApplied(t *testing.T) {
+	term, s := newIdleTerm(t, io.Discard)
+	term.deliver(agentEvent{s, listedReport(1), clock.Now()})
+	term.process(context.Background(), false)
+	run := batch.RunID{Task: batch.TaskID{Job: "j1"}, Run: 1}
+	// The term's fence is none of the store's, so that the progress is confirmed without a commit.
+	for _, update := range term.scheduler.PendingUpdates(1, func(model.JobID) bool { return false }) {
+		term.scheduler.ConfirmStored(update)
+	}
+	term.sendOrders(clock.Now(), false)
+	<-s.queued
+	if o := <-s.queued; len(o.Starts) != 1 || o.Starts[0].RunID != run {
+		t.Fatalf("got orders %+v, want the start of %v", o.Orders, run)
+	}
+	end := term.owner.leaseEnd.Swap(0)
+	refused := listedReport(2)
+	refused.Refused = []batch.Refusal{{RunID: run, Reason: batch.RefusedUnhealthy}}
+	term.deliver(agentEvent{s, refused, clock.Now()})
+	unlisted := listedReport(3)
+	unlisted.Listed = false
+	term.deliver(agentEvent{s, unlisted, clock.Now()})
+	unknown := &batch.Report{Sequence: 4}
+	term.deliver(agentEvent{s, unknown, clock.Now()})
+	term.process(context.Background(), true)
+	if got := len(s.queued); got != 0 {
+		t.Errorf("messages to the agent while the owner may not decide: got %d, want none", got)
+	}
+	term.owner.leaseEnd.Store(end)
+	var placed []batch.RunID
+	term.scheduler.Trace = func(e alloc.Event) {
+		if e.Kind == "placed" {
+			placed = append(placed, e.Run)
+		}
+	}
+	term.deliver(agentEvent{s, listedReport(5), clock.Now()})
+	waitFor(t, "second run of the refused task", func() bool {
+		term.process(context.Background(), true)
+		return len(placed) > 0
+	})
+	if got, want := placed[0].Run, 2; got != want {
+		t.Errorf("got run %d placed after the pause, want %d", got, want)
+	}
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -217,7 +217,6 @@
 // reached, the owner stops deciding at the end of its lease; it goes on if the store, which may keep leases during its outage,
 // still has the lease afterwards. Nothing can have changed then: no other entry can become the owner while the lease exists.
 func (o *Owner) renew(ctx context.Context, fence, lease uint64) {
-	paused := false
 	for {
 		clock.Sleep(ctx, renewInterval)
 		if ctx.Err() != nil {
@@ -232,19 +231,14 @@
 		case err == nil:
 			o.leaseEnd.Store(begun.Add(leaseTTL - leaseMargin).UnixNano())
 			o.roundTrip.Store(int64(clock.Now().Sub(begun)))
-			if paused {
-				paused = false
-				o.Log.Info("decisions resumed: the lease was renewed", "lease", lease, "fence", fence)
-			}
 		case errors.As(err, &leaseErr):
 			o.Log.Warn("ownership lost: the lease has ended", "lease", lease)
 			return
 		case o.otherOwner(fence):
 			o.Log.Warn("ownership lost: another entry is the owner", "lease", lease, "fence", fence)
 			return
-		case !paused && !o.IsOwner(clock.Now()):
-			paused = true
-			o.Log.Warn("decisions paused: the lease couldn't be renewed in time", "lease", lease, "fence", fence, "error", err)
+		default:
+			o.Log.Warn("lease not renewed; retrying", "lease", lease, "fence", fence, "error", err)
 		}
 		if err != nil {
 			clock.Sleep(ctx, 100*time.Millisecond)
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -103,8 +103,12 @@
 	// checkedAt is when a hand-over was last considered.
 	checkedAt time.Time
 	// polledAt is when poll was last called, maxLag the longest wait of the reports that were handled since the last decision.
-	polledAt       time.Time
-	maxLag         time.Duration
+	polledAt time.Time
+	maxLag   time.Duration
+	// pausedAt is since when the lease has not been renewed in time, zero while it is; pausedReports counts the reports that were
+	// applied since.
+	pausedAt       time.Time
+	pausedReports  int
 	lagLoggedAt    time.Time
 	deletedAt      time.Time
 	policyRevision uint64
@@ -185,6 +189,7 @@
 // owner should hand over, or an empty string.
 func (t *term) process(ctx context.Context, ticked bool) string {
 	t.handleQueuedEvents()
+	t.recordPause(clock.Now())
 	if t.maxLag > 0 {
 		t.recordLag(clock.Now(), t.maxLag)
 		t.maxLag = 0
@@ -211,6 +216,20 @@
 	t.scheduler.Evacuate(now)
 }
 
+// recordPause logs when the owner stops deciding because its lease wasn't renewed in time, and when it goes on.
+func (t *term) recordPause(now time.Time) {
+	paused := !t.owner.IsOwner(now)
+	switch {
+	case paused && t.pausedAt.IsZero():
+		t.pausedAt, t.pausedReports = now, 0
+		t.owner.Log.Warn("decisions paused: the lease wasn't renewed in time", "fence", t.fence)
+	case !paused && !t.pausedAt.IsZero():
+		t.owner.Log.Info("decisions resumed: the lease was renewed", "paused", now.Sub(t.pausedAt).Milliseconds(),
+			"reports", t.pausedReports, "fence", t.fence)
+		t.pausedAt = time.Time{}
+	}
+}
+
 // recordLag records how late an event was handled.
 func (t *term) recordLag(now time.Time, lag time.Duration) {
 	t.owner.candidate.RecordLag(now, lag)
@@ -273,7 +292,8 @@
 	})
 }
 
-// handleAgentEvent passes an agent's report to the scheduler and notes that it has to be answered.
+// handleAgentEvent passes an agent's report to the scheduler and notes that it has to be answered. Reports are applied also while
+// the lease can't be renewed, since refusals are reported only once; they are answered afterwards.
 func (t *term) handleAgentEvent(event agentEvent) {
 	s := event.session
 	if event.report == nil {
@@ -284,25 +304,32 @@
 	}
 	now := clock.Now()
 	t.maxLag = max(t.maxLag, now.Sub(event.receivedAt))
-	if !t.owner.IsOwner(now) {
-		return
+	mayAnswer := t.owner.IsOwner(now)
+	if !mayAnswer {
+		t.pausedReports++
 	}
 	if event.report.Worker.ID == "" {
-		// An agent whose worker isn't known yet is answered without a lease.
-		t.queueOrders(s, link.Orders{Orders: batch.Orders{Fence: t.fence, Sequence: event.report.Sequence}})
+		if mayAnswer {
+			// An agent whose worker isn't known yet is answered without a lease.
+			t.queueOrders(s, link.Orders{Orders: batch.Orders{Fence: t.fence, Sequence: event.report.Sequence}})
+		}
 		return
 	}
 	if !t.scheduler.ApplyReport(event.receivedAt, time.Now(), event.report, s.number) {
 		t.owner.Log.Warn("report ignored: its worker was replaced or given up as lost", "worker", event.report.Worker.ID)
 		return
 	}
-	if s.worker != event.report.Worker.ID && t.sessionByWorker[s.worker] == s {
-		delete(t.sessionByWorker, s.worker)
+	if s.worker != event.report.Worker.ID {
+		if t.sessionByWorker[s.worker] == s {
+			delete(t.sessionByWorker, s.worker)
+		}
+		s.unanswered = 0
 	}
 	s.worker = event.report.Worker.ID
 	t.sessionByWorker[s.worker] = s
-	s.unanswered = event.report.Sequence
-	if !event.report.Listed {
+	if event.report.Listed {
+		s.unanswered = event.report.Sequence
+	} else if mayAnswer {
 		t.queueOrders(s, link.Orders{Orders: batch.Orders{Fence: t.fence, Sequence: event.report.Sequence, Worker: s.worker}})
 		s.unanswered = 0
 	}
