Take another incarnation as the worker only once it has confirmed it

Cause: Runner.UpdateStatus took any status report with a later start time as the next incarnation of the worker, so that one report of another writer ended all its runs for the owner ("lost", "replaced by") and hid the worker's own reports. Ruled out: the owner's rules for incarnations, which only repeat what the agent says; a check of the service against the declared ones, since the agent doesn't know them and a service may be declared later. Change: the agent keeps such a report as a candidate and asks the worker with a call that names the incarnation. The report applies once the worker answers as that instance with that start time; candidates are bounded in number and age. Why it works: only the process behind the worker's address can confirm an incarnation.

--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -110,6 +110,8 @@
 	acknowledged uint64
 	// refusingSince is since when the worker's port has refused connections, zero while it accepts them.
 	refusingSince time.Time
+	// candidates are the reported incarnations that the worker hasn't confirmed, by worker ID.
+	candidates map[string]candidate
 	// orders are the pending orders.
 	orders map[batch.RunID]*order
 	// refusals are to be reported with the next list.
@@ -118,9 +120,10 @@
 	sendTimes  map[uint64]time.Time
 	sequence   uint64
 	answeredAt time.Time
-	// reportNow and pollNow signal that a report or a poll is due at once.
-	reportNow chan struct{}
-	pollNow   chan struct{}
+	// reportNow, pollNow and confirmNow signal that a report, a poll or the confirmation of a candidate is due at once.
+	reportNow  chan struct{}
+	pollNow    chan struct{}
+	confirmNow chan struct{}
 }
 
 // order is an order that is being carried out.
@@ -134,7 +137,11 @@
 func (r *Runner) Run(ctx context.Context) {
 	r.init()
 	var wait sync.WaitGroup
-	wait.Add(2)
+	wait.Add(3)
+	go func() {
+		defer wait.Done()
+		r.confirmLoop(ctx)
+	}()
 	go func() {
 		defer wait.Done()
 		r.pollLoop(ctx)
@@ -157,58 +164,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.reportNow == nil {
-		r.reportNow, r.pollNow = make(chan struct{}, 1), make(chan struct{}, 1)
+		r.reportNow, r.pollNow, r.confirmNow = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
+		r.candidates = map[string]candidate{}
 		r.orders = map[batch.RunID]*order{}
 		r.sendTimes = map[uint64]time.Time{}
 	}
 }
 
-// UpdateStatus applies a status report of the worker. It returns false if a later incarnation has reported before.
-func (r *Runner) UpdateStatus(report StatusReport) bool {
-	r.init()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	report.Worker.Node = r.Node
-	report.Worker.ID = batch.WorkerID(r.Node, report.Instance, report.Worker.Born)
-	old := r.status.Worker
-	if old.ID != "" && report.Worker.Born < old.Born {
-		return false
-	}
-	if old.ID != report.Worker.ID {
-		r.Log.Info("status report of a new worker incarnation", "worker", report.Worker.ID, "before", old.ID, "service", report.Worker.Service)
-		r.resetWorker()
-	}
-	if old.ID != report.Worker.ID || old.Readiness != report.Worker.Readiness || old.Capacity != report.Worker.Capacity {
-		signal(r.reportNow)
-	}
-	r.status = report
-	signal(r.pollNow)
-	return true
-}
-
-// WorkerLeaving marks the worker as departed after it has announced that it leaves.
-func (r *Runner) WorkerLeaving(instance string) {
-	r.init()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.status.Instance != instance {
-		return
-	}
-	r.Log.Info("worker departed: it announced that it leaves", "worker", r.status.Worker.ID)
-	r.status.Worker.Readiness = batch.WorkerDeparted
-	signal(r.reportNow)
-}
-
-// resetWorker discards all that concerns the last incarnation, and cancels its orders.
-func (r *Runner) resetWorker() {
-	for run, o := range r.orders {
-		o.cancel()
-		delete(r.orders, run)
-	}
-	r.refusals, r.list, r.listFence, r.listAt = nil, RunList{}, 0, time.Time{}
-	r.acknowledged, r.workerClock, r.clockReadAt = 0, 0, time.Time{}
-}
-
 // signal wakes the reader of c without blocking; signals before it reads are merged.
 func signal(c chan struct{}) {
 	select {
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -13,12 +13,14 @@
 )
 
 // fakeWorker records its calls in order. It answers starts first with errs in turn, then with results, and then carries
-// them out.
+// them out. It answers polls that are addressed to instance.
 type fakeWorker struct {
-	mu      sync.Mutex
-	calls   []string
-	results []OrderResult
-	errs    []error
+	mu       sync.Mutex
+	calls    []string
+	results  []OrderResult
+	errs     []error
+	instance string
+	born     int64
 }
 
 func (w *fakeWorker) Start(_ context.Context, _ Target, s batch.StartOrder, _ int64) (OrderResult, error) {
@@ -45,14 +47,60 @@
 	return OrderResult{Clock: 2001}, nil
 }
 
-func (w *fakeWorker) ExtendLease(context.Context, Target, uint64, int64, time.Duration) (RunList, error) {
-	return RunList{}, errors.New("not asked for")
+func (w *fakeWorker) ExtendLease(ctx context.Context, t Target, _ uint64, _ int64, wait time.Duration) (RunList, error) {
+	w.mu.Lock()
+	instance, born := w.instance, w.born
+	w.mu.Unlock()
+	if t.Instance != instance {
+		return RunList{}, errors.New("another incarnation is meant")
+	}
+	clock.Sleep(ctx, wait)
+	return RunList{Born: born, Clock: 1000}, ctx.Err()
+}
+
+// become makes the worker another incarnation.
+func (w *fakeWorker) become(instance string, born int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.instance, w.born = instance, born
+}
+
+// waitForInstance waits until the runner takes an instance as its worker.
+func waitForInstance(t *testing.T, r *Runner, want string) {
+	t.Helper()
+	got := ""
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		r.mu.Lock()
+		got = r.status.Instance
+		r.mu.Unlock()
+		if got == want {
+			return
+		}
+	}
+	t.Fatalf("got worker %q, want %q", got, want)
+}
+
+// startRunner runs a runner until the test ends.
+func startRunner(t *testing.T, r *Runner) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
 }
 
 // newRunner returns a runner that has a lease and knows its worker and the worker's clock.
 func newRunner(w *fakeWorker) *Runner {
 	r := &Runner{Worker: w, Node: "n1", Owner: func() string { return "" }, Log: slog.New(slog.DiscardHandler)}
+	w.become("i-1", 1)
 	r.UpdateStatus(StatusReport{Instance: "i-1", Worker: batch.Worker{Born: 1, Service: "s"}})
+	r.confirmCandidates(context.Background())
 	r.fence, r.listFence = 3, 3
 	r.workerClock, r.clockReadAt, r.leaseEnd = 1000, clock.Now(), clock.Now().Add(5*time.Second)
 	r.list = RunList{Born: 1, Clock: 1000}
@@ -180,15 +228,77 @@
 
 // A status report of an earlier incarnation may arrive late and must not replace that of its successor.
 func TestStatusOfAnEarlierIncarnationIsIgnored(t *testing.T) {
-	r := newRunner(&fakeWorker{})
+	w := &fakeWorker{}
+	r := newRunner(w)
+	startRunner(t, r)
+	w.become("i-2", 2)
 	if !r.UpdateStatus(StatusReport{Instance: "i-2", Worker: batch.Worker{Born: 2}}) {
 		t.Error("a later incarnation was refused")
 	}
+	waitForInstance(t, r, "i-2")
 	if r.UpdateStatus(StatusReport{Instance: "i-1", Worker: batch.Worker{Born: 1}}) {
 		t.Error("the status report of an earlier incarnation was applied")
 	}
-	if got, want := r.status.Instance, "i-2"; got != want {
-		t.Errorf("got %q, want %q", got, want)
+	waitForInstance(t, r, "i-2")
+}
+
+// A status report of another writer must not replace the worker: its tasks would be started elsewhere while they run, and its
+// own reports would be ignored as those of an earlier incarnation.
+func TestStatusOfAnotherWriterDoesNotReplaceTheWorker(t *testing.T) {
+	w := &fakeWorker{}
+	r := newRunner(w)
+	startRunner(t, r)
+	for _, foreign := range []StatusReport{
+		{Instance: "i-9", Worker: batch.Worker{Born: 9, Service: "none"}},
+		{Instance: "i-1", Worker: batch.Worker{Born: 9, Service: "s"}},
+	} {
+		r.UpdateStatus(foreign)
+		time.Sleep(2 * confirmPause)
+		if !r.UpdateStatus(StatusReport{Instance: "i-1", Worker: batch.Worker{Born: 1, Service: "s"}}) {
+			t.Errorf("the worker's own report was refused after one of %s, born %d", foreign.Instance, foreign.Worker.Born)
+		}
+		if p, _ := r.report(clock.Now()); p.Worker.ID != batch.WorkerID("n1", "i-1", 1) {
+			t.Errorf("got worker %q reported after a report of another writer", p.Worker.ID)
+		}
+	}
+	w.become("i-2", 2)
+	r.UpdateStatus(StatusReport{Instance: "i-2", Worker: batch.Worker{Born: 2}})
+	waitForInstance(t, r, "i-2")
+}
+
+// Others may send any number of reports; only the last ones are kept, and only for a time.
+func TestUnconfirmedReportsAreBounded(t *testing.T) {
+	r := newRunner(&fakeWorker{})
+	for i := range 3 * maxCandidates {
+		r.UpdateStatus(StatusReport{Instance: "i-9", Worker: batch.Worker{Born: int64(9 + i)}})
+	}
+	if got, want := len(r.candidates), maxCandidates; got != want {
+		t.Errorf("got %d candidates, want %d", got, want)
+	}
+	for id, c := range r.candidates {
+		c.receivedAt = c.receivedAt.Add(-2 * candidateMaxAge)
+		r.candidates[id] = c
+	}
+	if r.confirmCandidates(context.Background()) {
+		t.Errorf("got candidates %v after their time, want none", r.candidates)
+	}
+}
+
+// A new incarnation may report before its port is open. It must not count as departed because the port has refused
+// connections since the end of the last one.
+func TestRefusedConnectionsOfTheLastIncarnationDoNotCount(t *testing.T) {
+	w := &fakeWorker{}
+	r := newRunner(w)
+	state, _ := r.pollState()
+	now := clock.Now()
+	r.recordFailedPoll(state, true, now)
+	w.become("i-2", 2)
+	r.UpdateStatus(StatusReport{Instance: "i-2", Worker: batch.Worker{Born: 2}})
+	r.confirmCandidates(context.Background())
+	state, _ = r.pollState()
+	r.recordFailedPoll(state, true, now.Add(2*refusingLimit))
+	if got := r.status.Worker.Readiness; got != batch.WorkerReady {
+		t.Errorf("got readiness %d, want %d", got, batch.WorkerReady)
 	}
 }
 
--- /dev/null
+++ b/io/runner/status.go
@@ -0,0 +1,165 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"wagtailhoist/core/batch"
+	"wagtailhoist/io/clock"
+)
+
+const (
+	// maxCandidates bounds the incarnations that wait for the worker's confirmation.
+	maxCandidates = 8
+	// candidateMaxAge is how long a status report waits for the worker's confirmation. The worker reports again sooner.
+	candidateMaxAge = 3 * time.Second
+	// confirmPause is the pause between attempts to confirm the candidates.
+	confirmPause = 100 * time.Millisecond
+)
+
+// candidate is the last status report of an incarnation that the worker hasn't confirmed.
+type candidate struct {
+	report     StatusReport
+	receivedAt time.Time
+}
+
+// UpdateStatus applies a status report of the present incarnation of the worker. A report of a later incarnation is applied
+// once the worker has confirmed it, since others may send reports to this process too. It returns false if a later
+// incarnation has reported before.
+func (r *Runner) UpdateStatus(report StatusReport) bool {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report.Worker.Node = r.Node
+	report.Worker.ID = batch.WorkerID(r.Node, report.Instance, report.Worker.Born)
+	old := r.status.Worker
+	switch {
+	case old.ID == report.Worker.ID:
+		r.setStatus(report)
+	case old.ID != "" && report.Worker.Born < old.Born:
+		return false
+	default:
+		r.addCandidate(candidate{report, clock.Now()})
+	}
+	return true
+}
+
+// setStatus replaces the status of the worker, and discards all that concerns the last incarnation if it is another one.
+func (r *Runner) setStatus(report StatusReport) {
+	old := r.status.Worker
+	if old.ID != report.Worker.ID {
+		r.Log.Info("status report of a new worker incarnation", "worker", report.Worker.ID, "before", old.ID, "service", report.Worker.Service)
+		r.resetWorker()
+	}
+	if old.ID != report.Worker.ID || old.Readiness != report.Worker.Readiness || old.Capacity != report.Worker.Capacity {
+		signal(r.reportNow)
+	}
+	r.status = report
+	signal(r.pollNow)
+}
+
+// addCandidate keeps a status report until the worker confirms its incarnation. The oldest one gives way to it if there are
+// too many.
+func (r *Runner) addCandidate(c candidate) {
+	r.candidates[c.report.Worker.ID] = c
+	for len(r.candidates) > maxCandidates {
+		oldest := c
+		for _, other := range r.candidates {
+			if other.receivedAt.Before(oldest.receivedAt) {
+				oldest = other
+			}
+		}
+		delete(r.candidates, oldest.report.Worker.ID)
+	}
+	signal(r.confirmNow)
+}
+
+// confirmLoop asks the worker to confirm candidates until ctx ends.
+func (r *Runner) confirmLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.confirmNow:
+		}
+		for r.confirmCandidates(ctx) {
+			clock.Sleep(ctx, confirmPause)
+		}
+	}
+}
+
+// confirmCandidates asks the worker about each candidate, and applies the status report of the one that it confirms. It
+// returns whether any are left.
+func (r *Runner) confirmCandidates(ctx context.Context) bool {
+	r.mu.Lock()
+	now := clock.Now()
+	waiting := make([]candidate, 0, len(r.candidates))
+	for id, c := range r.candidates {
+		if now.Sub(c.receivedAt) > candidateMaxAge {
+			r.Log.Warn("status report ignored: the worker doesn't confirm its incarnation", "worker", id, "service", c.report.Worker.Service)
+			delete(r.candidates, id)
+			continue
+		}
+		waiting = append(waiting, c)
+	}
+	fence := r.fence
+	r.mu.Unlock()
+	for _, c := range waiting {
+		if ctx.Err() != nil {
+			return false
+		}
+		if r.isIncarnation(ctx, Target{c.report.Instance, fence}, c.report.Worker.Born) {
+			r.acceptCandidate(c.report.Worker.ID)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.candidates) > 0
+}
+
+// isIncarnation reports whether the worker answers a call that is addressed to an incarnation as that incarnation.
+func (r *Runner) isIncarnation(ctx context.Context, target Target, born int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	list, err := r.Worker.ExtendLease(ctx, target, 0, 0, 0)
+	return err == nil && (list.Born == 0 || list.Born == born)
+}
+
+// acceptCandidate applies the status report of a confirmed candidate and discards those of earlier incarnations.
+func (r *Runner) acceptCandidate(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, ok := r.candidates[id]
+	if !ok {
+		return
+	}
+	r.setStatus(c.report)
+	for other := range r.candidates {
+		if other == id || r.candidates[other].report.Worker.Born < c.report.Worker.Born {
+			delete(r.candidates, other)
+		}
+	}
+}
+
+// WorkerLeaving marks the worker as departed after it has announced that it leaves.
+func (r *Runner) WorkerLeaving(instance string) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.status.Instance != instance {
+		return
+	}
+	r.Log.Info("worker departed: it announced that it leaves", "worker", r.status.Worker.ID)
+	r.status.Worker.Readiness = batch.WorkerDeparted
+	signal(r.reportNow)
+}
+
+// resetWorker discards all that concerns the last incarnation, and cancels its orders.
+func (r *Runner) resetWorker() {
+	for run, o := range r.orders {
+		o.cancel()
+		delete(r.orders, run)
+	}
+	r.refusals, r.list, r.listFence, r.listAt = nil, RunList{}, 0, time.Time{}
+	r.acknowledged, r.workerClock, r.clockReadAt, r.refusingSince = 0, 0, time.Time{}, time.Time{}
+}
