Send starts in messages that fit into a link frame

Cause: all starts that were due for a worker went into one frame, each with its spec. Over 4 MiB, Link.Send refused it, and the goroutine that writes to the agent ended without closing the link, so that no lease followed either. After the agent's new link the same frame was due again. Ruled out: the kill of the owner itself; it only lets many jobs become due at once. Change: Scheduler.Orders takes a limit in bytes and leaves the worker due for the rest. The owner sends up to 256 KiB of starts a message, and none while four messages wait for the agent. The writing goroutine closes the link when it ends. Why it works: a message has one start more than the limit at most, and a start is bounded by the spec's 4,000 bytes and a checkpoint.

--- a/core/alloc/fixture_test.go
+++ b/core/alloc/fixture_test.go
@@ -121,7 +121,7 @@
 // executeOrders lets all workers carry out their orders and report.
 func (f *fixture) executeOrders() {
 	for id, w := range f.workers {
-		o, _ := f.scheduler.Orders(f.now, id)
+		o, _ := f.scheduler.Orders(f.now, id, 1<<20)
 		w.acknowledgedEnd = max(w.acknowledgedEnd, o.AcknowledgedEnds)
 		for _, s := range o.Starts {
 			w.running = append(w.running, batch.RunStatus{RunID: s.RunID})
--- a/core/alloc/scheduler_test.go
+++ b/core/alloc/scheduler_test.go
@@ -1,6 +1,7 @@
 package alloc
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -13,11 +14,11 @@
 	w := f.addWorker("n1", "r1")
 	f.submit("p1", "a", gpuStep(1, 1))
 	f.scheduler.Plan(f.now, f.now)
-	if o, _ := f.scheduler.Orders(f.now, w.ID); len(o.Starts) != 0 {
+	if o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20); len(o.Starts) != 0 {
 		t.Errorf("got %d starts before the record is stored, want none", len(o.Starts))
 	}
 	f.storeProgress()
-	if o, _ := f.scheduler.Orders(f.now, w.ID); len(o.Starts) != 1 {
+	if o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20); len(o.Starts) != 1 {
 		t.Errorf("got %d starts after the record is stored, want 1", len(o.Starts))
 	}
 }
@@ -29,11 +30,11 @@
 	id := f.submit("p1", "a", gpuStep(1, 1))
 	f.runRound()
 	f.endRuns(id, batch.EndDone)
-	if o, _ := f.scheduler.Orders(f.now, w.ID); o.AcknowledgedEnds != 0 {
+	if o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20); o.AcknowledgedEnds != 0 {
 		t.Errorf("got acknowledgement up to %d before the end is stored, want 0", o.AcknowledgedEnds)
 	}
 	f.storeProgress()
-	if o, _ := f.scheduler.Orders(f.now, w.ID); o.AcknowledgedEnds != 1 {
+	if o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20); o.AcknowledgedEnds != 1 {
 		t.Errorf("got acknowledgement up to %d after the end is stored, want 1", o.AcknowledgedEnds)
 	}
 	if got, want := f.state(id), batch.JobCompleted; got != want {
@@ -49,7 +50,7 @@
 	id := f.submit("p1", "a", gangStep(2, 2))
 	f.runRound()
 	f.endRuns(id, batch.EndDone)
-	if o, _ := f.scheduler.Orders(f.now, w.ID); o.AcknowledgedEnds != 0 {
+	if o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20); o.AcknowledgedEnds != 0 {
 		t.Errorf("got acknowledgement up to %d before the gang's end is stored, want 0", o.AcknowledgedEnds)
 	}
 }
@@ -82,7 +83,7 @@
 	f.report(w2)
 	f.scheduler.Plan(f.now, f.now)
 	f.storeProgress()
-	if o, _ := f.scheduler.Orders(f.now, w2.ID); len(o.Starts) != 0 {
+	if o, _ := f.scheduler.Orders(f.now, w2.ID, 1<<20); len(o.Starts) != 0 {
 		t.Fatal("a member was started while another was running")
 	}
 	f.executeOrders()
@@ -230,18 +231,18 @@
 	f.runRound()
 	f.scheduler.StartTerm(f.now, f.now, &f.cache)
 	f.scheduler.ApplyReport(f.now, f.now, &batch.Report{Worker: w.Worker}, 2)
-	if o, _ := f.scheduler.Orders(f.now, w.ID); len(o.Starts) != 0 {
+	if o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20); len(o.Starts) != 0 {
 		t.Errorf("got starts %v for a worker that has not reported lists, want none", o.Starts)
 	}
 	f.report(w)
-	if o, _ := f.scheduler.Orders(f.now, w.ID); len(o.Starts) != 0 {
+	if o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20); len(o.Starts) != 0 {
 		t.Errorf("got starts %v for a run that is listed, want none", o.Starts)
 	}
 	// A run that is missing from the first lists has not started, and is ordered.
 	f.scheduler.StartTerm(f.now, f.now, &f.cache)
 	w.running = nil
 	f.report(w)
-	if o, _ := f.scheduler.Orders(f.now, w.ID); len(o.Starts) != 1 {
+	if o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20); len(o.Starts) != 1 {
 		t.Errorf("got starts %v for a run that is not listed, want one of job %s", o.Starts, id)
 	}
 }
@@ -257,7 +258,7 @@
 	f.report(w)
 	f.scheduler.Plan(f.now, f.now)
 	f.storeProgress()
-	o, _ := f.scheduler.Orders(f.now, w.ID)
+	o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20)
 	if len(o.Stops) != 1 || o.Stops[0] != foreignRun {
 		t.Errorf("got stops %v, want %v", o.Stops, foreignRun)
 	}
@@ -312,7 +313,7 @@
 	f.scheduler.Plan(f.now, f.now)
 	f.storeProgress()
 	for _, w := range []*fakeWorker{w1, w2} {
-		o, _ := f.scheduler.Orders(f.now, w.ID)
+		o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20)
 		if w == w1 {
 			w.running = append(w.running, batch.RunStatus{RunID: o.Starts[0].RunID})
 		}
@@ -370,7 +371,7 @@
 	f.scheduler.ApplyAdvice(q, f.now, map[string]string{w2.ID: "ticket"}, time.Second)
 	f.scheduler.Plan(f.now, f.now)
 	f.storeProgress()
-	if o, _ := f.scheduler.Orders(f.now, w2.ID); len(o.Starts) != 2 || o.Starts[0].Ticket != "ticket" {
+	if o, _ := f.scheduler.Orders(f.now, w2.ID, 1<<20); len(o.Starts) != 2 || o.Starts[0].Ticket != "ticket" {
 		t.Errorf("got starts %+v, want two with the ticket", o.Starts)
 	}
 	if _, ok := f.scheduler.NextAdviceQuery(); ok {
@@ -412,3 +413,35 @@
 		t.Errorf("got %d runs of the long task on another worker, want %d", got, want)
 	}
 }
+
+// Orders with more starts than fit into a message to the agent were never sent. They have to be split, each start has to be in
+// one part, and the worker has to stay due until the last one.
+func TestOrdersAreSplit(t *testing.T) {
+	f := newFixture(t)
+	w := f.addWorker("n1", "r1")
+	id := f.submit("p1", "a", batch.Step{Count: 10, Need: batch.Amount{CPU: 10}, Estimate: time.Second})
+	f.scheduler.jobs[id].job.Spec = strings.Repeat("x", 4000)
+	f.scheduler.Plan(f.now, f.now)
+	f.storeProgress()
+	f.scheduler.TakeTouched()
+	if o, due := f.scheduler.Orders(f.now, w.ID, 0); due || len(o.Starts) != 0 {
+		t.Errorf("got orders %+v without room for starts, want none", o)
+	}
+	sent := map[batch.RunID]int{}
+	for _, want := range []int{3, 3, 3, 1, 0} {
+		touched := f.scheduler.TakeTouched()
+		if got, due := len(touched) == 1, want > 0; got != due {
+			t.Errorf("after %d starts: got workers with orders %v, want the worker: %v", len(sent), touched, due)
+		}
+		o, _ := f.scheduler.Orders(f.now, w.ID, 10_000)
+		if got := len(o.Starts); got != want {
+			t.Errorf("got %d starts in a part, want %d", got, want)
+		}
+		for _, start := range o.Starts {
+			sent[start.RunID]++
+		}
+	}
+	if got, want := len(sent), 10; got != want {
+		t.Errorf("got %d different starts, want %d", got, want)
+	}
+}
--- a/core/alloc/simulation_test.go
+++ b/core/alloc/simulation_test.go
@@ -251,7 +251,7 @@
 	if !w.linked {
 		return
 	}
-	orders, _ := sim.scheduler.Orders(sim.now, w.ID)
+	orders, _ := sim.scheduler.Orders(sim.now, w.ID, 1<<20)
 	sim.applyAcknowledgement(w, orders.AcknowledgedEnds)
 	if w.restarted && len(orders.Starts) > 0 {
 		sim.Fatalf("start of %v sent to %s, whose agent has no lists and no lease", orders.Starts[0].RunID, w.ID)
--- a/core/batch/orders.go
+++ b/core/batch/orders.go
@@ -158,6 +158,14 @@
 	Ticket string `cbor:"5,keyasint,omitempty"`
 }
 
+// startOrderOverhead is the most that the encoding of a StartOrder adds to its texts, in bytes.
+const startOrderOverhead = 64
+
+// Size returns the size of the encoded order in bytes, or somewhat more.
+func (o *StartOrder) Size() int {
+	return len(o.Task.Job) + len(o.Spec) + len(o.Checkpoint) + len(o.Ticket) + startOrderOverhead
+}
+
 // Orders is a message from the owner to an agent.
 type Orders struct {
 	// Fence is the owner's fencing token. Orders with a lower token than one already received are refused.
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -191,7 +191,7 @@
 }
 
 // Send writes a frame. If writing fails, the link is closed and the peer may or may not have received the
-// frame.
+// frame. A frame that is too long is not sent, and the link stays open.
 func (l *Link) Send(f Frame) error {
 	l.writeMu.Lock()
 	defer l.writeMu.Unlock()
--- a/io/owner/agent.go
+++ b/io/owner/agent.go
@@ -13,13 +13,15 @@
 	log := t.owner.Log.With("agent", string(l.Peer().Node), "fence", t.fence)
 	log.Info("agent connected")
 	go func() {
+		// Without orders and leases, the link is of no use; the agent connects again.
+		defer l.Close()
 		for {
 			select {
 			case <-l.Done():
 				return
 			case o := <-s.queued:
 				if err := l.Send(o); err != nil {
-					log.Warn("orders not sent to the agent", "error", err)
+					log.Warn("orders not sent to the agent; closing the link", "error", err)
 					return
 				}
 			}
--- a/io/owner/commit_test.go
+++ b/io/owner/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,3 +52,42 @@
 		t.Errorf("got up to %d commits at a time, want 2 to %d", s.mostRunning, pace.MaxCommits)
 	}
 }
+
+// The starts of a worker may exceed the largest frame of a link. They were then never sent, nor any lease after them.
+func TestStartsThatExceedAFrameAreSent(t *testing.T) {
+	const taskCount = 1600
+	s := newMemoryStore()
+	queue := batch.Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, Target: time.Second}
+	for i := range 4 {
+		putSpecJob(t, s, model.JobID(fmt.Sprintf("%016x", i)), queue, strings.Repeat("x", 4000),
+			batch.Step{Count: taskCount / 4, Need: batch.Amount{CPU: 50}, Estimate: time.Hour})
+	}
+	e := newEntry(t, s, "e1", batch.Policy{}, nil)
+	waitFor(t, "start of the term", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.term != nil
+	})
+	agent := dialOwner(t, e.Self.Address, "n1")
+	defer time.AfterFunc(testTimeout, agent.Close).Stop()
+	started := map[batch.RunID]bool{}
+	leases := 0
+	for len(started) < taskCount {
+		o, err := agent.report()
+		if err != nil {
+			t.Fatalf("link ended after %d starts: %v", len(started), err)
+		}
+		if o.Lease > 0 {
+			leases++
+		}
+		for _, start := range o.Starts {
+			if started[start.RunID] {
+				t.Errorf("%v was ordered twice", start.RunID)
+			}
+			started[start.RunID] = true
+		}
+	}
+	if got, want := len(started), taskCount; got != want || leases == 0 {
+		t.Errorf("got %d starts and %d leases, want %d starts and some leases", got, leases, want)
+	}
+}
--- a/io/owner/fixture_test.go
+++ b/io/owner/fixture_test.go
@@ -297,9 +297,15 @@
 
 // putJob stores a job with one step.
 func putJob(t *testing.T, s *memoryStore, id model.JobID, queue batch.Queue, step batch.Step) {
+	t.Helper()
+	putSpecJob(t, s, id, queue, "", step)
+}
+
+// putSpecJob stores a job with a spec and one step.
+func putSpecJob(t *testing.T, s *memoryStore, id model.JobID, queue batch.Queue, spec string, step batch.Step) {
 	t.Helper()
 	value, err := batch.Encode(&batch.Job{
-		ID: id, Queue: queue.Name, QueueConfig: queue, Team: "a", Steps: []batch.Step{step}, Accepted: time.Now().UnixMilli(),
+		ID: id, Queue: queue.Name, QueueConfig: queue, Team: "a", Spec: spec, Steps: []batch.Step{step}, Accepted: time.Now().UnixMilli(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/io/owner/overload_test.go
+++ b/io/owner/overload_test.go
@@ -81,7 +81,7 @@
 	default:
 		t.Error("the waiting report was not answered")
 	}
-	if orders, _ := term.scheduler.Orders(clock.Now(), workerOf("n1").ID); orders.Worker == "" {
+	if orders, _ := term.scheduler.Orders(clock.Now(), workerOf("n1").ID, maxStartBytes); orders.Worker == "" {
 		t.Error("the worker was given up although its report had arrived")
 	}
 }
@@ -93,7 +93,7 @@
 	term.agentEvents <- agentEvent{s, listedReport(1), arrived}
 	term.process(context.Background(), false)
 	term.process(context.Background(), true)
-	if orders, _ := term.scheduler.Orders(clock.Now(), workerOf("n1").ID); orders.Worker != "" {
+	if orders, _ := term.scheduler.Orders(clock.Now(), workerOf("n1").ID, maxStartBytes); orders.Worker != "" {
 		t.Error("the worker still counts although its last report arrived a minute ago")
 	}
 }
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -22,6 +22,12 @@
 	maxRecordsPerCommit = 15
 	// maxQueuedOrders bounds the order messages that wait to be sent to an agent; the link of an agent with more is closed.
 	maxQueuedOrders = 64
+	// maxStartBytes bounds the starts in an order message, in bytes, so that the leases in later messages don't wait long behind
+	// it on a slow link.
+	maxStartBytes = 256 << 10
+	// maxQueuedStarts is the number of order messages in an agent's queue from which no starts are added; they follow as the
+	// agent reads.
+	maxQueuedStarts = 4
 	// handOverCheckInterval is the interval at which the owner checks whether it should hand over.
 	handOverCheckInterval = 500 * time.Millisecond
 	// lagLogInterval is the shortest interval between two log lines about late decisions.
@@ -366,13 +372,23 @@
 		}
 	}
 	for _, worker := range touched {
-		s := t.sessionByWorker[worker]
-		if s == nil {
-			continue
+		if s := t.sessionByWorker[worker]; s != nil {
+			t.sendWorkerOrders(now, worker, s)
 		}
-		orders, due := t.scheduler.Orders(now, worker)
+	}
+}
+
+// sendWorkerOrders sends the orders that are due for a worker, and the answer to its last report. Orders that need more than
+// one message are sent as long as the agent keeps up with them.
+func (t *term) sendWorkerOrders(now time.Time, worker string, s *session) {
+	for {
+		maxBytes := maxStartBytes
+		if len(s.queued) >= maxQueuedStarts {
+			maxBytes = 0
+		}
+		orders, due := t.scheduler.Orders(now, worker, maxBytes)
 		if !due && s.unanswered == 0 {
-			continue
+			return
 		}
 		orders.Fence = t.fence
 		if s.unanswered != 0 {
@@ -380,6 +396,9 @@
 			s.unanswered = 0
 		}
 		t.queueOrders(s, link.Orders{Orders: orders})
+		if len(orders.Starts) == 0 {
+			return
+		}
 	}
 }
 
--- a/stand/replay/day.go
+++ b/stand/replay/day.go
@@ -355,7 +355,7 @@
 	}
 	d.commit()
 	for _, id := range d.scheduler.TakeTouched() {
-		if orders, due := d.scheduler.Orders(d.now, id); due {
+		if orders, due := d.scheduler.Orders(d.now, id, 1<<20); due {
 			d.after(seconds(d.load.Fleet.Link), func() { d.carryOut(id, &orders) })
 		}
 	}
