Draw no conclusion from missing runs while a worker lists its ends in parts

Cause: a worker returns 500 ends at a time. A run whose end came later was on neither list; its start was sent again, refused as old, stopped, and then counted as one that never started. Evidence: the agent logs "start refused by the worker", reason old, and "stopped"; the owner ends run 2 of the same task as done later. Ruled out: a lapsed lease (none lapsed), a second owner (one fence in all lines). Change: RunList and Report say whether ends may be missing. Why it works: a run is on one of the lists until its end is acknowledged, so that a complete list that lacks it proves that it never began.

--- a/core/alloc/report.go
+++ b/core/alloc/report.go
@@ -69,6 +69,16 @@
 		listedRuns[r.Running[i].RunID] = true
 		s.applyRunning(now, w, &r.Running[i])
 	}
+	if !r.MoreEnds {
+		s.applyMissing(now, w, listedRuns)
+	}
+	for _, refusal := range r.Refused {
+		s.applyRefusal(now, wall, w, refusal)
+	}
+}
+
+// applyMissing handles the runs that are on neither list of a worker whose list of ends is complete.
+func (s *Scheduler) applyMissing(now time.Time, w *worker, listedRuns map[batch.RunID]bool) {
 	for id, t := range w.runs {
 		if t.confirmed && !listedRuns[batch.RunID{Task: id, Run: t.Run}] {
 			// The run is missing from the list. Its start is resent, and the answer tells whether it has ended.
@@ -81,9 +91,6 @@
 			s.needsPlan = true
 		}
 	}
-	for _, refusal := range r.Refused {
-		s.applyRefusal(now, wall, w, refusal)
-	}
 }
 
 // applyRunning applies the status of a run that the worker lists as running.
--- a/core/alloc/report_test.go
+++ b/core/alloc/report_test.go
@@ -40,3 +40,34 @@
 		t.Errorf("workers with orders due after the record was stored: got %v, want %v", got, w.ID)
 	}
 }
+
+// A worker lists a limited number of ends at a time. A run whose end isn't listed yet was taken as one that never started, and
+// was started again after it was done.
+func TestRunIsKeptWhileItsEndIsNotListed(t *testing.T) {
+	f := newFixture(t)
+	w := f.addWorker("n1", "r1")
+	id := f.submit("p1", "a", gpuStep(2, 1))
+	f.runRound()
+	first, second := w.running[0].RunID, w.running[1].RunID
+	report := func(r batch.Report) batch.Orders {
+		f.now = f.now.Add(time.Second)
+		r.Worker, r.Listed = w.Worker, true
+		f.scheduler.ApplyReport(f.now, f.now, &r, 1)
+		f.scheduler.Plan(f.now, f.now)
+		f.storeProgress()
+		o, _ := f.scheduler.Orders(f.now, w.ID, 1<<20)
+		return o
+	}
+	ends := []batch.End{{Number: 1, RunID: first, Cause: batch.EndDone}}
+	if o := report(batch.Report{Ended: ends, MoreEnds: true}); len(o.Starts) != 0 || o.AcknowledgedEnds != 1 {
+		t.Errorf("got %d starts and ends acknowledged up to %d while a run's end isn't listed, want none and 1", len(o.Starts), o.AcknowledgedEnds)
+	}
+	if got, want := f.scheduler.jobs[id].task(0, 0, second.Task.Index).Run, second.Run; got != want {
+		t.Errorf("got run %d of the task whose end isn't listed, want %d", got, want)
+	}
+	ends = []batch.End{{Number: 2, RunID: second, Cause: batch.EndDone}}
+	report(batch.Report{Ended: ends, Refused: []batch.Refusal{{RunID: second, Reason: batch.RefusedStaleRun}}})
+	if got, want := f.state(id), batch.JobCompleted; got != want {
+		t.Errorf("got state %s after both ends, want %s", got, want)
+	}
+}
--- a/core/batch/orders.go
+++ b/core/batch/orders.go
@@ -145,6 +145,9 @@
 	Running []RunStatus `cbor:"4,keyasint,omitempty"`
 	Ended   []End       `cbor:"5,keyasint,omitempty"`
 	Refused []Refusal   `cbor:"6,keyasint,omitempty"`
+	// MoreEnds reports whether the worker may have more ends than Ended holds. A run that is missing from both lists may then
+	// have ended.
+	MoreEnds bool `cbor:"7,keyasint,omitempty"`
 }
 
 // StartOrder tells an agent to start a run.
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -30,6 +30,8 @@
 	Clock, Born int64
 	Running     []batch.RunStatus
 	Ended       []batch.End
+	// MoreEnds reports whether there may be ends after the last one of Ended. They are listed once those are acknowledged.
+	MoreEnds bool
 }
 
 // OrderResult is the outcome of an order that the worker answered.
@@ -293,7 +295,8 @@
 }
 
 // report returns the next report, and whether the owner has left reports unanswered for too long. The report has the list
-// and the refusals only if the list is current.
+// only if it is current, and the refusals only if it holds all ends: a start is also refused after the run's end, which must be
+// reported before.
 func (r *Runner) report(now time.Time) (batch.Report, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -301,8 +304,10 @@
 	r.sendTimes[r.sequence] = now
 	p := batch.Report{Sequence: r.sequence, Worker: r.status.Worker}
 	if r.listFence == r.fence && r.fence != 0 && now.Sub(r.listAt) < listMaxAge && r.list.Born == r.status.Worker.Born {
-		p.Listed, p.Running, p.Ended, p.Refused = true, r.list.Running, r.list.Ended, r.refusals
-		r.refusals = nil
+		p.Listed, p.Running, p.Ended, p.MoreEnds = true, r.list.Running, r.list.Ended, r.list.MoreEnds
+		if !p.MoreEnds {
+			p.Refused, r.refusals = r.refusals, nil
+		}
 	}
 	return p, now.Sub(r.answeredAt) > ownerAnswerLimit
 }
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -164,6 +164,24 @@
 	}
 }
 
+// A worker refuses the start of a run that has ended, and lists a limited number of ends at a time. Reported before the run's
+// end, the refusal made the owner start the task again after it was done.
+func TestRefusalWaitsForAllEnds(t *testing.T) {
+	r := newRunner(&fakeWorker{results: []OrderResult{{Reason: batch.RefusedStaleRun, Clock: 2000}}})
+	r.applyOrders(context.Background(), &startOrders)
+	waitForOrders(t, r)
+	state, _ := r.pollState()
+	r.applyList(state, RunList{Born: 1, Clock: 3000, MoreEnds: true}, clock.Now())
+	if p, _ := r.report(clock.Now()); !p.Listed || !p.MoreEnds || len(p.Refused) != 0 {
+		t.Errorf("got %+v while ends are missing, want a list without the refusal", p)
+	}
+	end := batch.End{Number: 501, RunID: runID, Cause: batch.EndDone}
+	r.applyList(state, RunList{Born: 1, Clock: 4000, Ended: []batch.End{end}}, clock.Now())
+	if p, _ := r.report(clock.Now()); len(p.Ended) != 1 || len(p.Refused) != 1 {
+		t.Errorf("got %+v with all ends, want the end and the refusal", p)
+	}
+}
+
 // An agent refuses starts itself after its lease has ended, since the run would outlive the lease, and while its worker
 // drains.
 func TestStartIsRefusedWithoutALeaseOrByADrainingWorker(t *testing.T) {
