Acknowledge a status report only once the minion has confirmed it

Cause: an agent answered 200 to each well-formed report, also to those of incarnations that its minion doesn't confirm. A minion whose own agent is late calls another one; told that its state is known, it drains while its own agent goes on starting tasks on it. Before: the report got 200 (the handler had no other answer).

--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -114,6 +114,8 @@
 	refusingSince time.Time
 	// candidates are the reported incarnations that the worker hasn't confirmed, by worker ID.
 	candidates map[string]candidate
+	// workerChanged is closed and replaced when another incarnation has become the worker.
+	workerChanged chan struct{}
 	// orders are the pending orders.
 	orders map[batch.RunID]*order
 	// refusals are to be reported with the next list.
@@ -167,7 +169,7 @@
 	defer r.mu.Unlock()
 	if r.reportNow == nil {
 		r.reportNow, r.pollNow, r.confirmNow = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
-		r.candidates = map[string]candidate{}
+		r.candidates, r.workerChanged = map[string]candidate{}, make(chan struct{})
 		r.orders = map[batch.RunID]*order{}
 		r.sendTimes = map[uint64]time.Time{}
 	}
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -279,8 +279,16 @@
 			t.Errorf("got worker %q reported after a report of another writer", p.Worker.ID)
 		}
 	}
+	short, cancel := context.WithTimeout(context.Background(), confirmPause)
+	defer cancel()
+	if r.AwaitConfirmation(short, "i-9", 9) {
+		t.Error("an incarnation was confirmed that the worker isn't")
+	}
 	w.become("i-2", 2)
 	r.UpdateStatus(StatusReport{Instance: "i-2", Worker: batch.Worker{Born: 2}})
+	if !r.AwaitConfirmation(context.Background(), "i-2", 2) {
+		t.Error("the worker's next incarnation was not confirmed")
+	}
 	waitForInstance(t, r, "i-2")
 }
 
--- a/io/runner/status.go
+++ b/io/runner/status.go
@@ -50,6 +50,8 @@
 	if old.ID != report.Worker.ID {
 		r.Log.Info("status report of a new worker incarnation", "worker", report.Worker.ID, "before", old.ID, "service", report.Worker.Service)
 		r.resetWorker()
+		close(r.workerChanged)
+		r.workerChanged = make(chan struct{})
 	}
 	if old.ID != report.Worker.ID || old.Readiness != report.Worker.Readiness || old.Capacity != report.Worker.Capacity {
 		signal(r.reportNow)
@@ -58,6 +60,25 @@
 	signal(r.pollNow)
 }
 
+// AwaitConfirmation waits until an incarnation is the worker, and returns false if it isn't when ctx ends.
+func (r *Runner) AwaitConfirmation(ctx context.Context, instance string, born int64) bool {
+	r.init()
+	id := batch.WorkerID(r.Node, instance, born)
+	for {
+		r.mu.Lock()
+		confirmed, changed := r.status.Worker.ID == id, r.workerChanged
+		r.mu.Unlock()
+		if confirmed {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
 // addCandidate keeps a status report until the worker confirms its incarnation. The oldest one gives way to it if there are
 // too many.
 func (r *Runner) addCandidate(c candidate) {
