Ignore a late notice of leaving while the worker still answers

Cause: a minion may start again under its name, and its notice of leaving names no start time. A late notice of the earlier incarnation marked the present one as departed; the owner then placed its tasks elsewhere while they ran, until the next status report. Change: a worker that drains departs at its notice, as before. Any other is asked first, with a call that names its incarnation, and stays if it answers. Before (with the question taken out): TestLateNoticeOfLeavingIsIgnored failed, "still answers: got readiness 2 after the notice, want 0". After: it passes; io/runner passes with -race. Conclusion: a planned end is as fast as before, since minions drain before it.

--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -310,6 +310,32 @@
 	}
 }
 
+// A notice of leaving may arrive after the worker has started again under its name. Taken as one of the present incarnation, it
+// made the owner start the tasks of that one elsewhere while they ran.
+func TestLateNoticeOfLeavingIsIgnored(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		answers  string
+		draining bool
+		want     batch.Readiness
+	}{
+		{"still answers", "i-1", false, batch.WorkerReady},
+		{"no longer answers", "", false, batch.WorkerDeparted},
+		{"drains", "i-1", true, batch.WorkerDeparted},
+	} {
+		w := &fakeWorker{}
+		r := newRunner(w)
+		if tc.draining {
+			r.UpdateStatus(StatusReport{Instance: "i-1", Worker: batch.Worker{Born: 1, Service: "s", Readiness: batch.WorkerDraining}})
+		}
+		w.become(tc.answers, 1)
+		r.WorkerLeaving(context.Background(), "i-1")
+		if got := r.status.Worker.Readiness; got != tc.want {
+			t.Errorf("%s: got readiness %d after the notice, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
 // A new incarnation may report before its port is open. It must not count as departed because the port has refused
 // connections since the end of the last one.
 func TestRefusedConnectionsOfTheLastIncarnationDoNotCount(t *testing.T) {
--- a/io/runner/status.go
+++ b/io/runner/status.go
@@ -162,15 +162,26 @@
 	}
 }
 
-// WorkerLeaving marks the worker as departed after it has announced that it leaves.
-func (r *Runner) WorkerLeaving(instance string) {
+// WorkerLeaving marks the worker as departed after it has announced that it leaves. A worker that doesn't drain has departed
+// only if it no longer answers: the notice may be a late one of an earlier incarnation with the same name.
+func (r *Runner) WorkerLeaving(ctx context.Context, instance string) {
 	r.init()
 	r.mu.Lock()
+	worker, target := r.status.Worker, Target{r.status.Instance, r.fence}
+	r.mu.Unlock()
+	if target.Instance != instance {
+		return
+	}
+	if worker.Readiness != batch.WorkerDraining && r.isIncarnation(ctx, target, worker.Born) {
+		r.Log.Warn("notice of leaving ignored: the worker still answers and doesn't drain", "worker", worker.ID)
+		return
+	}
+	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.status.Instance != instance {
+	if r.status.Worker.ID != worker.ID {
 		return
 	}
-	r.Log.Info("worker departed: it announced that it leaves", "worker", r.status.Worker.ID)
+	r.Log.Info("worker departed: it announced that it leaves", "worker", worker.ID)
 	r.status.Worker.Readiness = batch.WorkerDeparted
 	signal(r.reportNow)
 }
