--- a/io/mirror/follow.go
+++ b/io/mirror/follow.go
@@ -61,7 +61,7 @@
 		}
 		var historyErr *store.HistoryError
 		if errors.As(err, &historyErr) {
-			f.Log.Info("watched revision is no longer in the store's history; listing again", "prefix", f.Prefix, "revision", revision)
+			f.Log.Info("changes since the watched revision are gone or too long; listing again", "prefix", f.Prefix, "revision", revision)
 			listed = false
 			continue
 		}
--- a/io/store/txn.go
+++ b/io/store/txn.go
@@ -64,8 +64,8 @@
 	return !errors.As(err, &unavailable) && errors.As(err, &refused)
 }
 
-// HistoryError reports a watch from a revision whose later changes the service has discarded. The caller has to list
-// the keys again.
+// HistoryError reports a watch from a revision whose later changes the service has discarded, or can't return in one answer. The
+// caller has to list the keys again.
 type HistoryError struct {
 	Prefix string
 	After  uint64
@@ -73,5 +73,5 @@
 
 // Error names the watched prefix and the revision.
 func (e *HistoryError) Error() string {
-	return fmt.Sprintf("can't watch %q: the store has discarded the changes after revision %d", e.Prefix, e.After)
+	return fmt.Sprintf("can't watch %q: the store has no readable history after revision %d", e.Prefix, e.After)
 }
