Bound the orders that are under way at a worker

Cause: an agent carried out all orders of a message at once, each on a connection of its own. A worker accepts 64 connections, and an agent has some 3,900 descriptors; once orders are no longer bounded by a frame, a burst of thousands of small tasks would take them all, and the polls that extend the lease would fail. Change: at most 24 starts and 24 stops are under way. A start reads the lease and the worker's readiness when its turn comes. Before (with a bound of 24,000): TestBurstOfOrdersIsBounded failed, "got 480 orders under way at once, want at most 48". Conclusion: kept; stops have their own bound, so that they don't wait behind starts that a stalled worker leaves unanswered.

--- a/io/runner/order.go
+++ b/io/runner/order.go
@@ -35,19 +35,7 @@
 // reported, since an earlier attempt without an answer may still be carried out.
 func (r *Runner) start(ctx context.Context, t Target, s batch.StartOrder, o *order) {
 	for attempts := 1; ctx.Err() == nil; attempts++ {
-		r.mu.Lock()
-		deadline, expired, draining := r.deadline(), !clock.Now().Before(r.leaseEnd), r.status.Worker.Readiness != batch.WorkerReady
-		r.mu.Unlock()
-		if deadline == 0 || expired || draining {
-			reason := batch.RefusedLate
-			if draining {
-				reason = batch.RefusedDraining
-			}
-			r.Log.Info("start refused by the agent; stopping the run", "task", s.Task.String(), "run", s.Run, "reason", reason)
-			r.stop(ctx, t, s.RunID, o, reason)
-			return
-		}
-		result, err := r.callWorker(ctx, func(ctx context.Context) (OrderResult, error) { return r.Worker.Start(ctx, t, s, deadline) })
+		result, deadline, err := r.tryStart(ctx, t, s)
 		switch {
 		case err != nil:
 			r.Log.Warn("start not answered by the worker; retrying", "task", s.Task.String(), "run", s.Run, "tries", attempts, "error", err)
@@ -61,18 +49,44 @@
 			r.finishOrder(s.RunID, o, nil)
 			return
 		default:
-			r.Log.Info("start refused by the worker; stopping the run", "task", s.Task.String(), "run", s.Run, "reason", result.Reason)
+			refuser := "worker"
+			if deadline == 0 {
+				refuser = "agent"
+			}
+			r.Log.Info("start refused by the "+refuser+"; stopping the run", "task", s.Task.String(), "run", s.Run, "reason", result.Reason)
 			r.stop(ctx, t, s.RunID, o, result.Reason)
 			return
 		}
 	}
 }
 
+// tryStart makes one attempt to start a run once few enough others are under way, and returns the end of the lease that it was
+// started with. Without a lease, or while the worker drains, the start is refused without a call, and the deadline is 0.
+func (r *Runner) tryStart(ctx context.Context, t Target, s batch.StartOrder) (OrderResult, int64, error) {
+	select {
+	case r.startSlots <- struct{}{}:
+		defer func() { <-r.startSlots }()
+	case <-ctx.Done():
+		return OrderResult{}, 0, ctx.Err()
+	}
+	r.mu.Lock()
+	deadline, expired, draining := r.deadline(), !clock.Now().Before(r.leaseEnd), r.status.Worker.Readiness != batch.WorkerReady
+	r.mu.Unlock()
+	switch {
+	case draining:
+		return OrderResult{Reason: batch.RefusedDraining}, 0, nil
+	case deadline == 0 || expired:
+		return OrderResult{Reason: batch.RefusedLate}, 0, nil
+	}
+	result, err := r.callWorker(ctx, func(ctx context.Context) (OrderResult, error) { return r.Worker.Start(ctx, t, s, deadline) })
+	return result, deadline, err
+}
+
 // stop stops a run, with retries until the worker confirms it, and reports it as refused for reason. Unless a list has
 // shown the run, the owner then takes it as one that never started.
 func (r *Runner) stop(ctx context.Context, t Target, run batch.RunID, o *order, reason string) {
 	for ctx.Err() == nil {
-		result, err := r.callWorker(ctx, func(ctx context.Context) (OrderResult, error) { return r.Worker.Stop(ctx, t, run) })
+		result, err := r.tryStop(ctx, t, run)
 		if err != nil || result.Reason != "" && result.Reason != batch.RefusedFence {
 			r.Log.Warn("stop not confirmed by the worker; retrying", "task", run.Task.String(), "run", run.Run, "reason", result.Reason, "error", err)
 			clock.Sleep(ctx, orderRetryPause)
@@ -88,6 +102,17 @@
 	}
 }
 
+// tryStop makes one attempt to stop a run once few enough others are under way.
+func (r *Runner) tryStop(ctx context.Context, t Target, run batch.RunID) (OrderResult, error) {
+	select {
+	case r.stopSlots <- struct{}{}:
+		defer func() { <-r.stopSlots }()
+	case <-ctx.Done():
+		return OrderResult{}, ctx.Err()
+	}
+	return r.callWorker(ctx, func(ctx context.Context) (OrderResult, error) { return r.Worker.Stop(ctx, t, run) })
+}
+
 // callWorker calls the worker with a timeout and synchronizes with the clock in its answer.
 func (r *Runner) callWorker(ctx context.Context, call func(context.Context) (OrderResult, error)) (OrderResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -77,6 +77,9 @@
 	refusingLimit = 300 * time.Millisecond
 	// orderTimeout bounds a call that starts or stops a run; a worker answers in about a millisecond.
 	orderTimeout = 300 * time.Millisecond
+	// maxOrderCalls bounds the starts, and also the stops, that are under way at the worker. Each needs a connection, of which the
+	// worker accepts 64; stops don't wait for starts.
+	maxOrderCalls = 24
 	// orderRetryPause is the pause between attempts at an order.
 	orderRetryPause = 50 * time.Millisecond
 )
@@ -118,6 +121,8 @@
 	workerChanged chan struct{}
 	// orders are the pending orders.
 	orders map[batch.RunID]*order
+	// startSlots and stopSlots hold an element for each start and stop that is under way at the worker.
+	startSlots, stopSlots chan struct{}
 	// refusals are to be reported with the next list.
 	refusals []batch.Refusal
 	// sendTimes holds when each unanswered report was sent, by sequence number, and answeredAt when the last answer came.
@@ -171,6 +176,7 @@
 		r.reportNow, r.pollNow, r.confirmNow = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 		r.candidates, r.workerChanged = map[string]candidate{}, make(chan struct{})
 		r.orders = map[batch.RunID]*order{}
+		r.startSlots, r.stopSlots = make(chan struct{}, maxOrderCalls), make(chan struct{}, maxOrderCalls)
 		r.sendTimes = map[uint64]time.Time{}
 	}
 }
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -21,12 +21,28 @@
 	errs     []error
 	instance string
 	born     int64
+	// callTime is how long an order takes; underWay and mostCalls count the orders under way and the most at one time.
+	callTime            time.Duration
+	underWay, mostCalls int
+}
+
+// beginOrder records a call and lets it take its time.
+func (w *fakeWorker) beginOrder(call string) {
+	w.mu.Lock()
+	w.calls = append(w.calls, call)
+	w.underWay++
+	w.mostCalls = max(w.mostCalls, w.underWay)
+	w.mu.Unlock()
+	time.Sleep(w.callTime)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.underWay--
 }
 
 func (w *fakeWorker) Start(_ context.Context, _ Target, s batch.StartOrder, _ int64) (OrderResult, error) {
+	w.beginOrder("start " + s.Task.String())
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.calls = append(w.calls, "start "+s.Task.String())
 	if len(w.errs) > 0 {
 		err := w.errs[0]
 		w.errs = w.errs[1:]
@@ -41,9 +57,7 @@
 }
 
 func (w *fakeWorker) Stop(_ context.Context, _ Target, run batch.RunID) (OrderResult, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.calls = append(w.calls, "stop "+run.Task.String())
+	w.beginOrder("stop " + run.Task.String())
 	return OrderResult{Clock: 2001}, nil
 }
 
@@ -182,6 +196,28 @@
 	}
 }
 
+// A burst of starts must not take all connections of the worker, nor all descriptors of the agent: polls then fail, and the
+// lease of everything that runs ends.
+func TestBurstOfOrdersIsBounded(t *testing.T) {
+	const burst = 10 * maxOrderCalls
+	w := &fakeWorker{callTime: 5 * time.Millisecond}
+	r := newRunner(w)
+	orders := batch.Orders{Fence: 3, Worker: startOrders.Worker}
+	for i := range burst {
+		run := batch.RunID{Task: batch.TaskID{Job: "j", Index: i}, Run: 1}
+		orders.Starts = append(orders.Starts, batch.StartOrder{RunID: run})
+		orders.Stops = append(orders.Stops, batch.RunID{Task: batch.TaskID{Job: "k", Index: i}, Run: 1})
+	}
+	r.applyOrders(context.Background(), &orders)
+	waitForOrders(t, r)
+	if got, want := len(w.calls), 2*burst; got != want {
+		t.Errorf("got %d calls, want %d", got, want)
+	}
+	if got, most := w.mostCalls, 2*maxOrderCalls; got > most {
+		t.Errorf("got %d orders under way at once, want at most %d", got, most)
+	}
+}
+
 // An agent refuses starts itself after its lease has ended, since the run would outlive the lease, and while its worker
 // drains.
 func TestStartIsRefusedWithoutALeaseOrByADrainingWorker(t *testing.T) {
