Stop runs that a worker's successor of the same name may have before placing them again

In one form of the record a run begins on a worker with few ends, is stopped 1.44 s later (the interval of status reports), takes 0.38 s to stop, and the task has been started again before. Cause: a worker may start again under its name, and orders name only the instance. Until its next status report the successor carried out starts that were meant for the last incarnation. The owner then took these runs as lost with it, placed the tasks elsewhere at once, and had the runs stopped as unknown ones. Polls that acknowledged ends of the last incarnation also made the successor forget its own. Change: a run that is listed only because its start was answered is marked (Assumed). When a worker is replaced by one of the same name, runs that it hasn't listed itself move there and are stopped first. The agent sends no starts or polls to a successor that has answered before its report, acknowledges nothing in the first poll after a failed one, and ends the polls under way at the change.

--- a/core/alloc/job.go
+++ b/core/alloc/job.go
@@ -39,6 +39,8 @@
 	placedGeneration uint64
 	// startSent reports whether the start was sent in the agent's current session, confirmed whether the worker lists the run.
 	startSent, confirmed bool
+	// proven reports whether the worker itself has listed the run, so that it isn't on another incarnation.
+	proven bool
 	// mustStop reports whether the run has to end; stopSent is when a stop order was last sent.
 	mustStop bool
 	stopSent time.Time
@@ -89,7 +91,7 @@
 // resetRun clears the state of the current run that isn't stored, and its worker.
 func (t *task) resetRun() {
 	t.Worker = ""
-	t.startSent, t.confirmed, t.mustStop = false, false, false
+	t.startSent, t.confirmed, t.proven, t.mustStop = false, false, false, false
 	t.stopSent, t.startedAt, t.progressedAt = time.Time{}, time.Time{}, time.Time{}
 	t.percent = 0
 }
--- a/core/alloc/report.go
+++ b/core/alloc/report.go
@@ -18,6 +18,7 @@
 		if other.Born > r.Worker.Born {
 			return false
 		}
+		s.moveUnprovenRuns(now, other, r.Worker.ID)
 		s.removeWorker(other, wall, "replaced by "+r.Worker.ID)
 	}
 	w := s.worker(r.Worker.ID)
@@ -49,6 +50,29 @@
 	return true
 }
 
+// moveUnprovenRuns moves the runs of a worker that its successor may have, and orders their stop there: the successor carries out
+// calls that were meant for the worker if it has the same name. They end once the successor has confirmed the stop.
+func (s *Scheduler) moveUnprovenRuns(now time.Time, w *worker, successorID string) {
+	_, name, _ := batch.ParseWorkerID(w.ID)
+	if _, successorName, _ := batch.ParseWorkerID(successorID); successorName != name {
+		return
+	}
+	for _, id := range w.sortedRuns() {
+		t := w.runs[id]
+		if t.proven || t.job.storedGeneration < t.placedGeneration {
+			continue
+		}
+		successor := s.worker(successorID)
+		successor.leaseEnd = latest(successor.leaseEnd, now.Add(s.leaseTimeout()))
+		delete(w.runs, id)
+		successor.runs[id] = t
+		t.resetRun()
+		t.Worker, t.mustStop, t.partial = successorID, true, true
+		t.job.markChanged()
+		s.trace("stop", batch.RunID{Task: id, Run: t.Run}, successorID, "it may have reached this worker instead of "+w.ID)
+	}
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -104,6 +128,7 @@
 		}
 		return
 	}
+	t.proven = t.proven || !r.Assumed
 	if !t.confirmed {
 		t.confirmed = true
 		t.startedAt, t.progressedAt = now, now
--- a/core/alloc/report_test.go
+++ b/core/alloc/report_test.go
@@ -71,3 +71,61 @@
 		t.Errorf("got state %s after both ends, want %s", got, want)
 	}
 }
+
+// A worker may start again under its name and then carries out a start that was meant for its last incarnation. The task was
+// placed elsewhere as soon as the new incarnation reported, while its run went on there until it was stopped.
+func TestRunThatMayHaveReachedTheSuccessorIsStoppedFirst(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		successor string
+		// listing is how the last incarnation listed the run, nil if it didn't.
+		listing *batch.RunStatus
+		// wantStop says that the run has to be stopped at the successor before the task is placed again.
+		wantStop bool
+	}{
+		{"not listed", "w", nil, true},
+		{"start answered", "w", &batch.RunStatus{Assumed: true}, true},
+		{"listed", "w", &batch.RunStatus{}, false},
+		{"successor of another name", "v", nil, false},
+	} {
+		f := newFixture(t)
+		old := f.addWorker("n1", "r1")
+		id := f.submit("p1", "a", gpuStep(1, 1))
+		f.scheduler.Plan(f.now, f.now)
+		f.storeProgress()
+		o, _ := f.scheduler.Orders(f.now, old.ID, 1<<20)
+		run := o.Starts[0].RunID
+		if tc.listing != nil {
+			tc.listing.RunID = run
+			old.running = []batch.RunStatus{*tc.listing}
+			f.report(old)
+		}
+		f.addWorker("n2", "r1")
+		successor := old.Worker
+		successor.Born, successor.ID = 2, batch.WorkerID("n1", tc.successor, 2)
+		report := func(r batch.Report) batch.Orders {
+			r.Worker, r.Listed = successor, true
+			f.scheduler.ApplyReport(f.now, f.now, &r, 1)
+			f.scheduler.Plan(f.now, f.now)
+			f.storeProgress()
+			o, _ := f.scheduler.Orders(f.now, successor.ID, 1<<20)
+			return o
+		}
+		o = report(batch.Report{})
+		task := f.scheduler.jobs[id].task(0, 0, 0)
+		if got := len(o.Stops) == 1 && o.Stops[0] == run && task.Run == run.Run; got != tc.wantStop {
+			t.Errorf("%s: got stops %v and run %d after the successor's report, want a stop: %v", tc.name, o.Stops, task.Run, tc.wantStop)
+		}
+		if !tc.wantStop {
+			continue
+		}
+		report(batch.Report{Running: []batch.RunStatus{{RunID: run}}, Refused: []batch.Refusal{{RunID: run, Reason: batch.RefusedStopped}}})
+		if task.Run != run.Run {
+			t.Errorf("%s: the task was placed again while the successor lists its run", tc.name)
+		}
+		report(batch.Report{Ended: []batch.End{{Number: 1, RunID: run, Cause: batch.EndStopped}}})
+		if task.Run != run.Run+1 {
+			t.Errorf("%s: got run %d after the end, want %d", tc.name, task.Run, run.Run+1)
+		}
+	}
+}
--- a/core/batch/orders.go
+++ b/core/batch/orders.go
@@ -72,6 +72,9 @@
 	Percent int `cbor:"4,keyasint,omitempty"`
 	// Load is the tail latency of a long-running task in milliseconds, for other tasks the CPU in use in thousandths of a core.
 	Load float64 `cbor:"5,keyasint,omitempty"`
+	// Assumed means that the run is listed because its start was answered; the worker hasn't listed it itself yet. A later
+	// incarnation with the same name may have given the answer.
+	Assumed bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Cause is the reason for which a run ended.
--- a/io/runner/order.go
+++ b/io/runner/order.go
@@ -70,7 +70,8 @@
 		return OrderResult{}, 0, ctx.Err()
 	}
 	r.mu.Lock()
-	deadline, expired, draining := r.deadline(), !clock.Now().Before(r.leaseEnd), r.status.Worker.Readiness != batch.WorkerReady
+	deadline, expired := r.deadline(), !clock.Now().Before(r.leaseEnd)
+	draining := r.status.Worker.Readiness != batch.WorkerReady || r.succeeded
 	r.mu.Unlock()
 	switch {
 	case draining:
--- a/io/runner/poll.go
+++ b/io/runner/poll.go
@@ -28,7 +28,9 @@
 		}
 	}
 	r.list.Clock = workerClock
-	r.list.Running = append(r.list.Running[:len(r.list.Running):len(r.list.Running)], batch.RunStatus{RunID: s.RunID, Checkpoint: s.Checkpoint})
+	r.list.Running = append(r.list.Running[:len(r.list.Running):len(r.list.Running)], batch.RunStatus{
+		RunID: s.RunID, Checkpoint: s.Checkpoint, Assumed: true,
+	})
 	signal(r.reportNow)
 }
 
@@ -43,6 +45,10 @@
 	// listCurrent means that the last list belongs to the present owner, unacknowledgedEnds that it has ends which the
 	// owner hasn't acknowledged.
 	listCurrent, unacknowledgedEnds bool
+	// verify means that the poll has to find out first whether the worker is still the same incarnation.
+	verify bool
+	// outdated is closed when the poll may no longer be meant for the process that answers it.
+	outdated <-chan struct{}
 }
 
 // pollState returns the present state, and false if there is no worker to poll or no owner has sent orders yet.
@@ -51,11 +57,14 @@
 	defer r.mu.Unlock()
 	state := pollState{
 		target: Target{r.status.Instance, r.fence}, worker: r.status.Worker.ID, acknowledged: r.acknowledged,
-		deadline: r.deadline(), pendingRefusals: len(r.refusals),
+		deadline: r.deadline(), pendingRefusals: len(r.refusals), outdated: r.workerChanged,
+	}
+	if r.unverified {
+		state.verify, state.acknowledged, state.deadline = true, 0, 0
 	}
 	state.listCurrent = r.listFence == r.fence && !r.listAt.IsZero()
 	state.unacknowledgedEnds = len(r.list.Ended) > 0 && r.list.Ended[len(r.list.Ended)-1].Number > r.acknowledged
-	return state, state.worker != "" && state.target.Fence != 0 && r.status.Worker.Readiness != batch.WorkerDeparted
+	return state, state.worker != "" && state.target.Fence != 0 && r.status.Worker.Readiness != batch.WorkerDeparted && !r.succeeded
 }
 
 // pollLoop keeps a long poll at the worker until ctx ends: each poll extends the lease and waits until a run ends.
@@ -91,10 +100,21 @@
 	}
 }
 
-// poll extends the lease of the worker's runs, waits at most wait for a run to end and applies the list of the answer.
+// poll extends the lease of the worker's runs, waits at most wait for a run to end and applies the list of the answer. It ends when
+// another incarnation is the worker: an acknowledgement that the successor receives may remove ends of its own.
 func (r *Runner) poll(ctx context.Context, state pollState, wait time.Duration) {
+	if state.verify {
+		wait = 0
+	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	defer cancel()
+	go func() {
+		select {
+		case <-state.outdated:
+			cancel()
+		case <-callCtx.Done():
+		}
+	}()
 	list, err := r.Worker.ExtendLease(callCtx, state.target, state.acknowledged, state.deadline, wait)
 	if err != nil {
 		r.Log.Debug("poll of the worker failed; retrying", "worker", state.worker, "error", err)
@@ -113,6 +133,7 @@
 func (r *Runner) recordFailedPoll(state pollState, refused bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.unverified = r.unverified || r.status.Worker.ID == state.worker
 	switch {
 	case !refused || r.status.Worker.ID != state.worker:
 		r.refusingSince = time.Time{}
@@ -130,10 +151,15 @@
 func (r *Runner) applyList(state pollState, list RunList, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.status.Worker.ID == state.worker && list.Born > r.status.Worker.Born {
+		r.Log.Info("worker has started again under its name", "worker", state.worker, "born", list.Born)
+		r.succeeded = true
+		r.notifyWorkerChanged()
+	}
 	if r.status.Worker.ID != state.worker || list.Born != 0 && list.Born != r.status.Worker.Born || list.Clock < r.list.Clock {
 		return
 	}
-	r.refusingSince = time.Time{}
+	r.refusingSince, r.unverified = time.Time{}, false
 	r.syncClock(list.Clock, now)
 	changed := r.listFence != state.target.Fence || len(list.Ended) > 0 || !sameRuns(list.Running, r.list.Running) ||
 		state.pendingRefusals > 0
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -117,7 +117,13 @@
 	refusingSince time.Time
 	// candidates are the reported incarnations that the worker hasn't confirmed, by worker ID.
 	candidates map[string]candidate
-	// workerChanged is closed and replaced when another incarnation has become the worker.
+	// succeeded means that a later incarnation has answered under the worker's name, whose status report hasn't arrived yet. It must
+	// get neither starts nor acknowledgements that are meant for the worker.
+	succeeded bool
+	// unverified means that a poll has failed, so that the worker may have started again under its name. The next poll then
+	// neither acknowledges ends nor extends the lease, and doesn't wait.
+	unverified bool
+	// workerChanged is closed and replaced when another incarnation has become the worker or has answered in its place.
 	workerChanged chan struct{}
 	// orders are the pending orders.
 	orders map[batch.RunID]*order
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -218,6 +219,57 @@
 	}
 }
 
+// A worker may start again under its name long before its next status report. Starts that are meant for the last incarnation must
+// not reach it, nor acknowledgements of ends, whose numbers begin again.
+func TestNothingIsSentToASuccessorBeforeItsReport(t *testing.T) {
+	w := &fakeWorker{}
+	r := newRunner(w)
+	state, _ := r.pollState()
+	w.become("i-1", 2)
+	list, err := w.ExtendLease(context.Background(), state.target, 57, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.applyList(state, list, clock.Now())
+	if _, ok := r.pollState(); ok {
+		t.Error("the successor is polled as if it were the last incarnation")
+	}
+	r.applyOrders(context.Background(), &startOrders)
+	waitForOrders(t, r)
+	for _, call := range w.calls {
+		if strings.HasPrefix(call, "start") {
+			t.Errorf("got calls %v, want no start", w.calls)
+		}
+	}
+	r.UpdateStatus(StatusReport{Instance: "i-1", Worker: batch.Worker{Born: 2}})
+	r.confirmCandidates(context.Background())
+	if _, ok := r.pollState(); !ok {
+		t.Error("the successor isn't polled after its report")
+	}
+}
+
+// A poll that acknowledges the ends of the last incarnation makes its successor forget ends with the same numbers, whose tasks
+// then ran again. After a failed poll, the first one must not acknowledge any.
+func TestPollAfterAFailedOneAcknowledgesNothing(t *testing.T) {
+	w := &fakeWorker{}
+	r := newRunner(w)
+	r.acknowledged = 57
+	state, _ := r.pollState()
+	if state.acknowledged != 57 || state.deadline == 0 {
+		t.Errorf("got %+v, want an acknowledgement and a deadline", state)
+	}
+	r.recordFailedPoll(state, false, clock.Now())
+	state, _ = r.pollState()
+	if state.acknowledged != 0 || state.deadline != 0 || !state.verify {
+		t.Errorf("got %+v after a failed poll, want neither an acknowledgement nor a deadline", state)
+	}
+	r.poll(context.Background(), state, pollWait)
+	state, _ = r.pollState()
+	if state.acknowledged != 57 || state.deadline == 0 || state.verify {
+		t.Errorf("got %+v after the answer of the same incarnation, want an acknowledgement and a deadline", state)
+	}
+}
+
 // An agent refuses starts itself after its lease has ended, since the run would outlive the lease, and while its worker
 // drains.
 func TestStartIsRefusedWithoutALeaseOrByADrainingWorker(t *testing.T) {
--- a/io/runner/status.go
+++ b/io/runner/status.go
@@ -50,8 +50,7 @@
 	if old.ID != report.Worker.ID {
 		r.Log.Info("status report of a new worker incarnation", "worker", report.Worker.ID, "before", old.ID, "service", report.Worker.Service)
 		r.resetWorker()
-		close(r.workerChanged)
-		r.workerChanged = make(chan struct{})
+		r.notifyWorkerChanged()
 	}
 	if old.ID != report.Worker.ID || old.Readiness != report.Worker.Readiness || old.Capacity != report.Worker.Capacity {
 		signal(r.reportNow)
@@ -60,6 +59,12 @@
 	signal(r.pollNow)
 }
 
+// notifyWorkerChanged ends the polls of the last incarnation, and wakes those who wait for the confirmation of another one.
+func (r *Runner) notifyWorkerChanged() {
+	close(r.workerChanged)
+	r.workerChanged = make(chan struct{})
+}
+
 // AwaitConfirmation waits until an incarnation is the worker, and returns false if it isn't when ctx ends.
 func (r *Runner) AwaitConfirmation(ctx context.Context, instance string, born int64) bool {
 	r.init()
@@ -193,5 +198,6 @@
 		delete(r.orders, run)
 	}
 	r.refusals, r.list, r.listFence, r.listAt = nil, RunList{}, 0, time.Time{}
+	r.succeeded, r.unverified = false, false
 	r.acknowledged, r.workerClock, r.clockReadAt, r.refusingSince = 0, 0, time.Time{}, time.Time{}
 }
