--- a/io/runner/poll.go
+++ b/io/runner/poll.go
@@ -64,7 +64,7 @@
 	}
 	state.listCurrent = r.listFence == r.fence && !r.listAt.IsZero()
 	state.unacknowledgedEnds = len(r.list.Ended) > 0 && r.list.Ended[len(r.list.Ended)-1].Number > r.acknowledged
-	return state, state.worker != "" && state.target.Fence != 0 && r.status.Worker.Readiness != batch.WorkerDeparted && !r.succeeded
+	return state, state.worker != "" && state.target.Fence != 0 && r.status.Worker.Readiness != batch.WorkerDeparted && !r.hasSuccessor
 }
 
 // pollLoop keeps a long poll at the worker until ctx ends: each poll extends the lease and waits until a run ends.
@@ -153,7 +153,7 @@
 	defer r.mu.Unlock()
 	if r.status.Worker.ID == state.worker && list.Born > r.status.Worker.Born {
 		r.Log.Info("worker has started again under its name", "worker", state.worker, "born", list.Born)
-		r.succeeded = true
+		r.hasSuccessor = true
 		r.notifyWorkerChanged()
 	}
 	if r.status.Worker.ID != state.worker || list.Born != 0 && list.Born != r.status.Worker.Born || list.Clock < r.list.Clock {
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -117,9 +117,9 @@
 	refusingSince time.Time
 	// candidates are the reported incarnations that the worker hasn't confirmed, by worker ID.
 	candidates map[string]candidate
-	// succeeded means that a later incarnation has answered under the worker's name, whose status report hasn't arrived yet. It must
+	// hasSuccessor means that a later incarnation has answered under the worker's name, whose status report hasn't arrived yet. It must
 	// get neither starts nor acknowledgements that are meant for the worker.
-	succeeded bool
+	hasSuccessor bool
 	// unverified means that a poll has failed, so that the worker may have started again under its name. The next poll then
 	// neither acknowledges ends nor extends the lease, and doesn't wait.
 	unverified bool
--- a/io/runner/status.go
+++ b/io/runner/status.go
@@ -198,6 +198,6 @@
 		delete(r.orders, run)
 	}
 	r.refusals, r.list, r.listFence, r.listAt = nil, RunList{}, 0, time.Time{}
-	r.succeeded, r.unverified = false, false
+	r.hasSuccessor, r.unverified = false, false
 	r.acknowledged, r.workerClock, r.clockReadAt, r.refusingSince = 0, 0, time.Time{}, time.Time{}
 }
