Test what no test held: open polls, leases and answers around a successor

Cause: with each of these three lines taken out, the tests still passed: the end of open polls when another incarnation is the worker, the lease of a successor without lists, and the answer that is dropped with its worker. Change: tests only. Before (each line taken out on a copy): TestOpenPollEndsWithItsIncarnation ("the poll of the last incarnation is still open"), TestSuccessorWithoutListsKeepsItsRuns ("got phase 0"), TestAnswerIsDroppedWithItsWorker ("got report 1 to be answered") failed. After: io/runner, io/owner and core/alloc pass with -race. Left: no test holds that a link closes when its writing goroutine ends.

--- a/core/alloc/report_test.go
+++ b/core/alloc/report_test.go
@@ -129,3 +129,20 @@
 		}
 	}
 }
+
+// The runs that a successor may have must not count as ended before its lease, also if its first report has no lists.
+func TestSuccessorWithoutListsKeepsItsRuns(t *testing.T) {
+	f := newFixture(t)
+	f.now = f.now.Add(time.Hour)
+	old := f.addWorker("n1", "r1")
+	id := f.submit("p1", "a", gpuStep(1, 1))
+	f.scheduler.Plan(f.now, f.now)
+	f.storeProgress()
+	successor := old.Worker
+	successor.Born, successor.ID = 2, batch.WorkerID("n1", "w", 2)
+	f.scheduler.ApplyReport(f.now, f.now, &batch.Report{Worker: successor}, 1)
+	f.scheduler.ExpireLeases(f.now, f.now)
+	if got, want := f.scheduler.jobs[id].task(0, 0, 0).Phase, batch.TaskPlaced; got != want {
+		t.Errorf("got phase %d of a task that the successor may run, want %d", got, want)
+	}
+}
--- a/io/owner/overload_test.go
+++ b/io/owner/overload_test.go
@@ -200,3 +200,21 @@
 		t.Errorf("got run %d placed after the pause, want %d", got, want)
 	}
 }
+
+// A lease that answers the report of an earlier worker must not go to the agent once it has reported another one without lists.
+func TestAnswerIsDroppedWithItsWorker(t *testing.T) {
+	term, s := newIdleTerm(t, io.Discard)
+	term.owner.leaseEnd.Store(0)
+	term.deliver(agentEvent{s, listedReport(1), clock.Now()})
+	term.process(context.Background(), false)
+	if got, want := s.unanswered, uint64(1); got != want {
+		t.Errorf("got report %d to be answered, want %d", got, want)
+	}
+	next := listedReport(2)
+	next.Listed, next.Worker.Born, next.Worker.ID = false, 2, batch.WorkerID("n1", "w", 2)
+	term.deliver(agentEvent{s, next, clock.Now()})
+	term.process(context.Background(), false)
+	if got := s.unanswered; got != 0 {
+		t.Errorf("got report %d to be answered after another worker's, want none", got)
+	}
+}
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -25,6 +25,8 @@
 	// callTime is how long an order takes; underWay and mostCalls count the orders under way and the most at one time.
 	callTime            time.Duration
 	underWay, mostCalls int
+	// polls counts the polls that have arrived.
+	polls int
 }
 
 // beginOrder records a call and lets it take its time.
@@ -65,6 +67,7 @@
 func (w *fakeWorker) ExtendLease(ctx context.Context, t Target, _ uint64, _ int64, wait time.Duration) (RunList, error) {
 	w.mu.Lock()
 	instance, born := w.instance, w.born
+	w.polls++
 	w.mu.Unlock()
 	if t.Instance != instance {
 		return RunList{}, errors.New("another incarnation is meant")
@@ -460,3 +463,29 @@
 		t.Errorf("got readiness %d, want %d", got, batch.WorkerDeparted)
 	}
 }
+
+// A poll of the last incarnation that is still open would remove ends of its successor with the same numbers.
+func TestOpenPollEndsWithItsIncarnation(t *testing.T) {
+	w := &fakeWorker{}
+	r := newRunner(w)
+	state, _ := r.pollState()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.poll(context.Background(), state, time.Minute)
+	}()
+	for polls := 1; polls < 2; time.Sleep(time.Millisecond) {
+		// The first poll was the confirmation of the worker in newRunner.
+		w.mu.Lock()
+		polls = w.polls
+		w.mu.Unlock()
+	}
+	w.become("i-2", 2)
+	r.UpdateStatus(StatusReport{Instance: "i-2", Worker: batch.Worker{Born: 2}})
+	r.confirmCandidates(context.Background())
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Error("the poll of the last incarnation is still open")
+	}
+}
