--- a/io/proxy/store.go
+++ b/io/proxy/store.go
@@ -39,6 +39,9 @@
 	// hedgeDelay is how long a direct call may stay unanswered before it is forwarded as well: the store answers in 4 ms,
 	// from another region in 50 ms, and in about 300 ms when it is slow.
 	hedgeDelay = 350 * time.Millisecond
+	// freshAnswer is the age up to which the store's last answer shows that it answers. It is well above the time of a call
+	// and below the first second of an outage, in which most changes would otherwise be sent and not answered.
+	freshAnswer = 250 * time.Millisecond
 	// forwardTimeout bounds a call forwarded to one process, in addition to the wait of a watch.
 	forwardTimeout = 1200 * time.Millisecond
 	// maxPeers bounds the processes to which a call is forwarded, one after the other.
@@ -64,6 +67,8 @@
 	directRetryAt atomic.Int64
 	// directUnanswered means that the last direct call had no answer.
 	directUnanswered atomic.Bool
+	// answeredAt is when the store last answered a direct call, on the boot-time clock in nanoseconds; 0 means not yet.
+	answeredAt atomic.Int64
 
 	mu sync.Mutex
 	// directFailed is closed when a direct call fails, so that other calls that wait, such as watches, are forwarded.
@@ -219,11 +224,11 @@
 	return s.directFailed
 }
 
-// changesAllowed reports whether a change may be committed directly: after a direct call without an answer, the store has
-// to answer a read first. A change that is sent and not answered has an unknown outcome; one that isn't sent is known not
-// to have been applied, and can be retried.
+// changesAllowed reports whether a change may be committed directly: after a direct call without an answer, and after a time
+// without any answer, the store has to answer a read first. A change that is sent and not answered has an unknown outcome; one
+// that isn't sent is known not to have been applied, and can be retried.
 func (s *Store) changesAllowed(ctx context.Context) bool {
-	if !s.directUnanswered.Load() {
+	if !s.directUnanswered.Load() && s.answeredLately() {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, hedgeDelay)
@@ -231,12 +236,30 @@
 	if _, err := s.Direct.Get(ctx, probeKey); !answeredByStore(err) {
 		return false
 	}
+	s.recordAnswer()
 	s.directUnanswered.Store(false)
 	return true
 }
 
-// callDirect makes a call directly.
+// answeredLately reports whether the last answer of the store is fresh. Before the first one nothing speaks against the store.
+func (s *Store) answeredLately() bool {
+	at := s.answeredAt.Load()
+	return at == 0 || clock.Now().UnixNano()-at <= freshAnswer.Nanoseconds()
+}
+
+func (s *Store) recordAnswer() { s.answeredAt.Store(clock.Now().UnixNano()) }
+
+// callDirect makes a call directly, and notes when the store has answered.
 func (s *Store) callDirect(ctx context.Context, q *Request) (Reply, error) {
+	r, err := s.callStore(ctx, q)
+	if answeredByStore(err) {
+		s.recordAnswer()
+	}
+	return r, err
+}
+
+// callStore makes a call directly. A change is made only if the store seems to answer.
+func (s *Store) callStore(ctx context.Context, q *Request) (Reply, error) {
 	var r Reply
 	var err error
 	switch q.Op {
@@ -250,7 +273,7 @@
 		r.Items, r.Number, err = s.Direct.Watch(ctx, q.Key, q.After, q.Wait)
 	case OpCommit:
 		if !s.changesAllowed(ctx) {
-			return r, &store.RefusedError{Op: string(q.Op), Cause: fmt.Errorf("the store answered neither the last call nor a read")}
+			return r, &store.RefusedError{Op: string(q.Op), Cause: fmt.Errorf("the store doesn't answer reads")}
 		}
 		r.Number, err = s.Direct.Commit(ctx, q.Change)
 	case OpGrant:
--- a/io/proxy/store_test.go
+++ b/io/proxy/store_test.go
@@ -197,3 +197,38 @@
 		t.Errorf("got %d, %v after the store's return, want 11", revision, err)
 	}
 }
+
+// After a time without any answer, a change is sent only once the store has answered a read. Otherwise the first changes in an
+// outage of a silent store, in each process, end with an unknown outcome.
+func TestChangeAfterASilenceNeedsAnAnswer(t *testing.T) {
+	own := &fakeStore{}
+	s := newStoreWithPeer(t, own, &fakeStore{err: refused})
+	change := store.Change{Sets: []store.Set{{Key: "k"}}}
+	if _, err := s.Commit(context.Background(), change); err != nil {
+		t.Fatalf("got %v while the store answers", err)
+	}
+	s.answeredAt.Add(-2 * freshAnswer.Nanoseconds())
+	own.delay = time.Minute
+	if _, err := s.Commit(context.Background(), change); !store.HadNoEffect(err) {
+		t.Errorf("got %v while the store is silent, want an error that promises that nothing was changed", err)
+	}
+	if got := own.commits.Load(); got != 1 {
+		t.Errorf("got %d changes sent, want 1", got)
+	}
+}
+
+// A quiet system changes the store seldom; its changes are made after the read has been answered.
+func TestChangeAfterAQuietTime(t *testing.T) {
+	own := &fakeStore{}
+	s := newStoreWithPeer(t, own, &fakeStore{err: refused})
+	change := store.Change{Sets: []store.Set{{Key: "k"}}}
+	for range 2 {
+		if _, err := s.Commit(context.Background(), change); err != nil {
+			t.Fatal(err)
+		}
+		s.answeredAt.Add(-2 * freshAnswer.Nanoseconds())
+	}
+	if commits, calls := own.commits.Load(), own.calls.Load(); commits != 2 || calls != 3 {
+		t.Errorf("got %d changes and %d calls, want 2 and 3", commits, calls)
+	}
+}
