--- a/io/jobs/service.go
+++ b/io/jobs/service.go
@@ -8,7 +8,6 @@
 
 	"wagtailhoist/core/batch"
 	"wagtailhoist/core/model"
-	"wagtailhoist/io/clock"
 	"wagtailhoist/io/mirror"
 	"wagtailhoist/io/store"
 )
@@ -60,29 +59,11 @@
 	retryLimit = 300 * time.Millisecond
 	// retryPause is the pause between attempts at a call of the store.
 	retryPause = 50 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may retry: the platform notices within a
-	// second that an entry is ready again, and outages last seconds.
-	minRetryAfter = time.Second
-	maxRetryAfter = 4 * time.Second
+	// retryAfter is the time after which a refused caller may retry: outages last seconds, and the platform notices
+	// within a second that an entry is ready again.
+	retryAfter = time.Second
 )
 
-// retryAfter returns the time after which a caller may retry when the store has been silent for a time. It grows with the
-// silence, so that the four retries of a caller reach past the end of an outage of nine seconds, and a caller waits at most
-// two thirds longer than the outage.
-func retryAfter(silence time.Duration) time.Duration {
-	return max(minRetryAfter, min(maxRetryAfter, silence*2/3))
-}
-
-// notRun returns the error of a request that was certainly not stored.
-func (s *Service) notRun(now time.Time, cause error) error {
-	_, contacted, synced := s.Mirror.Status()
-	silence := time.Duration(0)
-	if synced {
-		silence = now.Sub(contacted)
-	}
-	return &NotRunError{retryAfter(silence), cause}
-}
-
 // Submit stores a job. If a job with the same id is stored already, it is the same job, and Submit succeeds.
 func (s *Service) Submit(ctx context.Context, job *batch.Job) error {
 	value, err := batch.Encode(job)
@@ -113,14 +94,14 @@
 		}
 		unknown = unknown || !store.HadNoEffect(err)
 		if !unknown && time.Since(begun) > retryLimit {
-			return s.notRun(clock.Now(), err)
+			return &NotRunError{retryAfter, err}
 		}
 		select {
 		case <-ctx.Done():
 			if unknown {
 				return &UnknownOutcomeError{err}
 			}
-			return s.notRun(clock.Now(), err)
+			return &NotRunError{retryAfter, err}
 		case <-time.After(retryPause):
 		}
 	}
