Hold the set of evacuated data centres

Cause: operators evacuate a data centre, and nothing may be started there. Answers of the store may overtake each other: a late one must neither withdraw a later request nor bring back one that was withdrawn. Ruled out: replacing the whole set at each answer. A listing and a watch may run beside each other, and the older one would win.

--- /dev/null
+++ b/core/evac/doc.go
@@ -0,0 +1,3 @@
+// Package evac holds the set of evacuated data centres, in which nothing may be started, as a listing and the changes of the
+// store lead to it.
+package evac
