Start nothing in an evacuated data centre

Cause: the scheduler knew nothing of data centres and placed tasks in those that operators had evacuated. Ruled out: stopping the runs there. It loses work and frees nothing that can be used. Also ruled out: waiting a second before a placement is taken back whose start was never sent, since nothing can have started. Change: SetEvacuated makes the workers there unusable: no placements, no starts, no reservations, no stops for others. EnforceEvacuation takes back placements that haven't begun: unsent ones at once, others by a stop once a worker that sends lists hasn't listed them for a second. Tasks don't wait for a data rack that is there. Guarantees that no longer fit, unknown data centres, the evacuation, its last run and the return to service are events. Warm workers come before cold ones, after the data's rack and failures in a row. The reference plan has the same rules in a form of its own; the random load and the simulation have evacuations, owners and agents that learn of them late, and cold workers. That owner and agents follow the requests is still to come.

--- a/core/alloc/doc.go
+++ b/core/alloc/doc.go
@@ -7,5 +7,8 @@
 // only after the record of its placement is stored, and its end is acknowledged only after the record of the end is
 // stored, so that a later owner knows both.
 //
+// The owner passes the evacuated data centres to SetEvacuated and calls EnforceEvacuation at short intervals. Nothing is placed or
+// ordered in them, and what runs there goes on.
+//
 // Two times are passed to most functions: now is a reading of the owner's boot-time clock, wall is the time of day.
 package alloc
--- a/core/alloc/equal_test.go
+++ b/core/alloc/equal_test.go
@@ -41,23 +41,38 @@
 	rng := rand.New(rand.NewSource(seed))
 	f := newFixture(t, batch.Team{Name: "a", Guarantee: int64(rng.Intn(40))})
 	var decisions []string
-	f.scheduler.Trace = func(e Event) { decisions = append(decisions, fmt.Sprint(e.Kind, e.Run, e.Worker, e.Detail)) }
+	f.scheduler.Trace = func(e Event) { decisions = append(decisions, fmt.Sprint(e.Kind, e.Run, e.Worker, e.Centre, e.Detail)) }
 	racks := 1 + rng.Intn(4)
+	evacuations := rng.Intn(2) == 0
 	for i := range 3 + rng.Intn(20) {
 		w := f.addWorker(fmt.Sprintf("n%02d", i), fmt.Sprintf("r%d", rng.Intn(racks)))
 		if rng.Intn(2) == 0 {
 			w.Labels[0] = "b"
 		}
+		if evacuations {
+			// A rack may have workers in two data centres.
+			w.Centre = fmt.Sprintf("c%d", rng.Intn(2)+rng.Intn(2))
+			f.report(w)
+		}
 	}
+	var evacuated []string
 	var plans []string
 	for range 40 {
 		f.now = f.now.Add(time.Duration(50+rng.Intn(400)) * time.Millisecond)
+		if evacuations && rng.Intn(6) == 0 {
+			evacuated = nil
+			for range rng.Intn(3) {
+				evacuated = append(evacuated, fmt.Sprintf("c%d", rng.Intn(4)))
+			}
+		}
 		for range rng.Intn(4) {
 			f.submit(fmt.Sprintf("p%d", rng.Intn(3)), "a", randomStep(rng, racks), batch.Step{
 				Count: 2, After: []int{0}, Need: batch.Amount{CPU: 1000, GPU: 1}, Estimate: time.Second,
 			})
 		}
 		decisions = nil
+		f.scheduler.SetEvacuated(f.now, evacuated)
+		f.scheduler.EnforceEvacuation(f.now, f.now)
 		f.scheduler.PreemptStalled(f.now)
 		plan(&f.scheduler, f.now, f.now)
 		slices.Sort(decisions)
@@ -66,6 +81,10 @@
 		f.executeOrders()
 		for _, id := range f.sortedWorkerIDs() {
 			w := f.workers[id]
+			w.ColdTime = 0
+			if evacuations && rng.Intn(5) == 0 {
+				w.ColdTime = time.Second
+			}
 			for _, status := range slices.Clone(w.running) {
 				if rng.Intn(8) == 0 {
 					w.end(status.RunID, []batch.Cause{batch.EndDone, batch.EndDone, batch.EndFailed}[rng.Intn(3)])
--- a/core/alloc/job.go
+++ b/core/alloc/job.go
@@ -39,6 +39,10 @@
 	placedGeneration uint64
 	// startSent reports whether the start was sent in the agent's current session, confirmed whether the worker lists the run.
 	startSent, confirmed bool
+	// sent reports whether the start may have been sent to any agent, so that the run may exist.
+	sent bool
+	// unconfirmedSince is since when the run has been missing from the lists of a worker in an evacuated data centre.
+	unconfirmedSince time.Time
 	// proven reports whether the worker itself has listed the run, so that it isn't on another incarnation.
 	proven bool
 	// mustStop reports whether the run has to end; stopSent is when a stop order was last sent.
@@ -91,8 +95,8 @@
 // resetRun clears the state of the current run that isn't stored, and its worker.
 func (t *task) resetRun() {
 	t.Worker = ""
-	t.startSent, t.confirmed, t.proven, t.mustStop = false, false, false, false
-	t.stopSent, t.startedAt, t.progressedAt = time.Time{}, time.Time{}, time.Time{}
+	t.startSent, t.confirmed, t.sent, t.proven, t.mustStop = false, false, false, false, false
+	t.stopSent, t.startedAt, t.progressedAt, t.unconfirmedSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	t.percent = 0
 }
 
--- a/core/alloc/orders.go
+++ b/core/alloc/orders.go
@@ -27,13 +27,15 @@
 			o.Stops = append(o.Stops, batch.RunID{Task: taskID, Run: t.Run})
 		case !w.listed:
 			// The run may already exist. A restarted agent gets no lease before it reports lists, and would refuse the start.
+		case w.evacuated:
+			// EnforceEvacuation withdraws the placement.
 		case !t.mustStop && !t.confirmed && !t.startSent && t.job.storedGeneration >= t.placedGeneration:
 			starts = append(starts, t)
 		}
 	}
 	slices.SortFunc(starts, func(a, b *task) int { return a.id(a.job).Compare(b.id(b.job)) })
 	for size := 0; len(starts) > 0 && size < maxBytes; starts = starts[1:] {
-		starts[0].startSent = true
+		starts[0].startSent, starts[0].sent = true, true
 		start := startOrder(starts[0], workerID)
 		size += start.Size()
 		o.Starts = append(o.Starts, start)
--- a/core/alloc/plan.go
+++ b/core/alloc/plan.go
@@ -37,6 +37,8 @@
 
 	// candidateLists caches the candidates of steps that don't depend on what else runs on a worker.
 	candidateLists map[candidateKey][]*worker
+	// evacuatedRacks caches rackEvacuated.
+	evacuatedRacks map[rackKey]bool
 	// expected caches the expected ends of each worker's runs, nil where they have to be determined.
 	expected [][]expectedEnd
 	// victimLists caches the runs that may be preempted, by service, as of victimPlacements placements.
@@ -162,11 +164,16 @@
 
 // allowsRemote reports whether a step may run outside of its data's rack, or a rack-local one on several racks. For
 // guaranteed jobs that is so after guaranteedLocalWait, for others once the job is older than twice the time that a task
-// loses by running there.
+// loses by running there. If the data's rack can't be used because of an evacuation, other racks are allowed at once.
 func (p *plan) allowsRemote(ps *pendingStep) bool {
 	if ps.step.DataRack == "" && !ps.step.RackLocal {
 		return true
 	}
+	return p.waitedForRack(ps) || p.rackEvacuated(ps.queue.Service, ps.step.DataRack)
+}
+
+// waitedForRack reports whether a step has waited as long as it should for a place in its data's rack, or in one rack.
+func (p *plan) waitedForRack(ps *pendingStep) bool {
 	age := p.now.Sub(ps.job.acceptedAt)
 	if ps.guaranteed {
 		return age > guaranteedLocalWait
@@ -181,6 +188,8 @@
 	if ps.step.DataRack == "" && !ps.step.RackLocal {
 		return [][]*worker{all}
 	}
+	// A rack-local step whose data's rack is evacuated goes to another rack at once, but not yet to several.
+	allowSpread := allowRemote && (!ps.step.RackLocal || p.waitedForRack(ps))
 	racks := map[string][]*worker{}
 	var names []string
 	for _, w := range all {
@@ -200,7 +209,7 @@
 			workerGroups = append(workerGroups, racks[name])
 		}
 	}
-	if allowRemote || !possible {
+	if allowSpread || !possible {
 		workerGroups = append(workerGroups, all)
 	}
 	return workerGroups
@@ -227,11 +236,12 @@
 	return list
 }
 
-// assignGang returns a worker for each task of a gang, or nil if they don't fit. It chooses the group of workers with the
-// fewest free accelerators.
+// assignGang returns a worker for each task of a gang, or nil if they don't fit. It chooses the group of workers on which the
+// fewest tasks are on cold workers, and among these the one with the fewest free accelerators.
 func (p *plan) assignGang(ps *pendingStep, free []batch.Amount) []*worker {
 	var best []*worker
 	var bestFree int64
+	bestCold := 0
 	workerGroups := p.workerGroups(ps)
 	for i, group := range workerGroups {
 		if best != nil && i > 0 && len(group) > len(workerGroups[0]) {
@@ -246,13 +256,24 @@
 		for _, w := range group {
 			freeGPUs += free[w.index].GPU
 		}
-		if best == nil || freeGPUs < bestFree {
-			best, bestFree = assigned, freeGPUs
+		if cold := countCold(p.now, assigned); best == nil || cold < bestCold || cold == bestCold && freeGPUs < bestFree {
+			best, bestFree, bestCold = assigned, freeGPUs, cold
 		}
 	}
 	return best
 }
 
+// countCold returns the number of cold workers among those assigned, with repetitions.
+func countCold(now time.Time, assigned []*worker) int {
+	n := 0
+	for _, w := range assigned {
+		if w.cold(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // fitsWhenIdle reports whether all tasks of a step would fit on the workers if they had no runs.
 func (p *plan) fitsWhenIdle(ps *pendingStep, workers []*worker) bool {
 	slots := 0
@@ -337,7 +358,7 @@
 }
 
 // better reports whether x is a better worker for the step than y: first one in the data's rack, then one with fewer
-// failures in a row, then the best fit, which is the one with the least free capacity.
+// failures in a row, then a warm one, then the best fit, which is the one with the least free capacity.
 func (p *plan) better(ps *pendingStep, x, y *openSlots) bool {
 	w, v := x.worker, y.worker
 	if ps.step.DataRack != "" && (w.rack() == ps.step.DataRack) != (v.rack() == ps.step.DataRack) {
@@ -346,6 +367,9 @@
 	if w.failureStreak != v.failureStreak {
 		return w.failureStreak < v.failureStreak
 	}
+	if cold := w.cold(p.now); cold != v.cold(p.now) {
+		return !cold
+	}
 	if x.left.GPU != y.left.GPU {
 		return x.left.GPU < y.left.GPU
 	}
--- a/core/alloc/prop_test.go
+++ b/core/alloc/prop_test.go
@@ -10,9 +10,11 @@
 )
 
 // No start may create two runs of a task, break the order of the steps, exceed a worker's capacity or the attempts, belong
-// to a cancelled job, or be sent to an agent without lists. Once the faults are over, all jobs have to end. The faults are
-// lost, late and repeated messages, owners that are replaced before they store, agents that restart, and workers that are
-// disconnected or replaced, in any order.
+// to a cancelled job, or be sent to an agent without lists. No owner may order a start in a data centre that it knows to be
+// evacuated, and no agent in touch with the store may start anything there from evacuationBound after the request. Once the faults
+// are over, all jobs have to end that fit outside of the evacuated data centres. The faults are lost, late and repeated messages,
+// owners that are replaced before they store, agents that restart, workers that are disconnected or replaced, and owners and
+// agents that learn of evacuations late, in any order.
 func TestRulesHoldUnderAnySchedule(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
@@ -62,6 +64,24 @@
 			"relink":  func(*rapid.T) { sim.session++ },
 			"replace": func(t *rapid.T) { sim.replaceWorker(rapid.IntRange(0, len(sim.workers)-1).Draw(t, "worker")) },
 			"owner":   func(*rapid.T) { sim.replaceOwner() },
+			"evacuate": func(t *rapid.T) {
+				centre := rapid.SampledFrom([]string{"c-n0", "c-n1", "c-n2", "c-none"}).Draw(t, "centre")
+				if _, evacuated := sim.evacuated[centre]; !evacuated {
+					sim.evacuated[centre] = sim.now
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				delete(sim.evacuated, rapid.SampledFrom([]string{"c-n0", "c-n1", "c-n2", "c-none"}).Draw(t, "centre"))
+			},
+			"learn": func(*rapid.T) { sim.readEvacuations() },
+			"agent learns": func(*rapid.T) {
+				if w := sim.pickWorker("worker"); !w.blind {
+					w.view = sim.readView()
+				}
+			},
+			"blind":   func(*rapid.T) { sim.pickWorker("worker").blind = true },
+			"see":     func(*rapid.T) { sim.see(sim.pickWorker("worker")) },
+			"enforce": func(*rapid.T) { sim.scheduler.EnforceEvacuation(sim.now, sim.now) },
 		})
 		sim.runWithoutFaults()
 	})
@@ -83,6 +103,7 @@
 	sim.session++
 	for _, w := range sim.workers {
 		w.linked = true
+		sim.see(w)
 	}
 	firstSeen := map[batch.RunID]time.Time{}
 	leasesExpired := sim.now.Add(sim.scheduler.leaseTimeout())
@@ -124,19 +145,30 @@
 	}
 }
 
-// fits reports whether each gang of a job fits on the workers when they are idle.
+// fits reports whether each gang of a job fits on the workers outside of the evacuated data centres when they are idle.
 func (sim *simulation) fits(j *batch.Job) bool {
+	inService := 0
+	for _, w := range sim.workers {
+		if _, evacuated := sim.evacuated[w.Centre]; !evacuated {
+			inService++
+		}
+	}
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		if s.Gang && s.Count > len(sim.workers)*int(8/s.Need.GPU) {
+		if s.Gang && s.Count > inService*int(8/s.Need.GPU) {
 			return false
 		}
 	}
-	return true
+	return inService > 0
 }
 
+// see lets an agent reach the store.
+func (sim *simulation) see(w *simWorker) { w.blind, w.view = false, sim.readView() }
+
 // replaceWorker lets a worker crash and restart as a later incarnation.
 func (sim *simulation) replaceWorker(index int) {
 	old := sim.workers[index]
 	sim.workers[index] = newSimWorker(old.node, old.Born+1, sim.now)
+	// The agent stays.
+	sim.workers[index].view, sim.workers[index].blind = old.view, old.blind
 }
--- a/core/alloc/reference_preempt_test.go
+++ b/core/alloc/reference_preempt_test.go
@@ -172,7 +172,13 @@
 		p.reserveForGang(ps, tasks)
 		return
 	}
-	limit := (len(p.workers) + singleReservationDivisor - 1) / singleReservationDivisor
+	inService := 0
+	for _, w := range p.workers {
+		if p.evacuated[w.Centre] == nil {
+			inService++
+		}
+	}
+	limit := (inService + singleReservationDivisor - 1) / singleReservationDivisor
 	if p.singleReservations == limit {
 		return
 	}
--- a/core/alloc/reference_test.go
+++ b/core/alloc/reference_test.go
@@ -8,7 +8,7 @@
 
 // referencePlan is the plan as it was before it kept slices by worker, cached candidates and known misfits: each step is
 // compared with all workers. Plan must take the same decisions. It shares only the methods of plan that use neither workers
-// nor caches: allowsRemote, needsPreemption, stopCost and tasksOnWorker.
+// nor caches: waitedForRack, needsPreemption, stopCost and tasksOnWorker.
 type referencePlan struct {
 	*plan
 	now, wall                            time.Time
@@ -67,6 +67,26 @@
 	}
 }
 
+// allowsRemote reports whether a step may run outside of its data's rack, or a rack-local one on several racks: once it has waited
+// for its rack, and at once if the rack is in an evacuated data centre and has no ready worker in another one.
+func (p *referencePlan) allowsRemote(ps *pendingStep) bool {
+	if ps.step.DataRack == "" {
+		return !ps.step.RackLocal || p.waitedForRack(ps)
+	}
+	if p.waitedForRack(ps) {
+		return true
+	}
+	evacuated, ready := p.evacuated[p.racks[ps.step.DataRack]] != nil, false
+	for _, w := range p.workers {
+		if w.rack() == ps.step.DataRack {
+			inService := p.evacuated[w.Centre] == nil
+			evacuated = evacuated || !inService
+			ready = ready || inService && w.ready(ps.queue.Service)
+		}
+	}
+	return evacuated && !ready
+}
+
 // workerGroups returns the sets of workers on which all tasks of a step may be placed together, the preferred ones first.
 func (p *referencePlan) workerGroups(ps *pendingStep) [][]*worker {
 	all := p.candidates(ps)
@@ -93,7 +113,7 @@
 			workerGroups = append(workerGroups, racks[name])
 		}
 	}
-	if allowRemote || !possible {
+	if allowRemote && (!ps.step.RackLocal || p.waitedForRack(ps)) || !possible {
 		workerGroups = append(workerGroups, all)
 	}
 	return workerGroups
@@ -110,11 +130,12 @@
 	return list
 }
 
-// assignGang returns a worker for each task of a gang, or nil if they don't fit. It chooses the group of workers with the
-// fewest free accelerators.
+// assignGang returns a worker for each task of a gang, or nil if they don't fit. It chooses the group of workers on which the
+// fewest tasks are on cold workers, and among these the one with the fewest free accelerators.
 func (p *referencePlan) assignGang(ps *pendingStep, free map[*worker]batch.Amount) []*worker {
 	var best []*worker
 	var bestFree int64
+	bestCold := 0
 	workerGroups := p.workerGroups(ps)
 	for i, group := range workerGroups {
 		if best != nil && i > 0 && len(group) > len(workerGroups[0]) {
@@ -129,8 +150,14 @@
 		for _, w := range group {
 			freeGPUs += free[w].GPU
 		}
-		if best == nil || freeGPUs < bestFree {
-			best, bestFree = assigned, freeGPUs
+		cold := 0
+		for _, w := range assigned {
+			if p.now.Before(w.coldUntil) {
+				cold++
+			}
+		}
+		if best == nil || cold < bestCold || cold == bestCold && freeGPUs < bestFree {
+			best, bestFree, bestCold = assigned, freeGPUs, cold
 		}
 	}
 	return best
@@ -193,7 +220,7 @@
 }
 
 // better reports whether w is a better worker for the step than v: first one in the data's rack, then one with fewer
-// failures in a row, then the best fit, which is the one with the least free capacity.
+// failures in a row, then a warm one, then the best fit, which is the one with the least free capacity.
 func (p *referencePlan) better(ps *pendingStep, w, v *worker, remaining map[*worker]batch.Amount) bool {
 	if ps.step.DataRack != "" && (w.rack() == ps.step.DataRack) != (v.rack() == ps.step.DataRack) {
 		return w.rack() == ps.step.DataRack
@@ -201,6 +228,9 @@
 	if w.failureStreak != v.failureStreak {
 		return w.failureStreak < v.failureStreak
 	}
+	if w, v := p.now.Before(w.coldUntil), p.now.Before(v.coldUntil); w != v {
+		return v
+	}
 	if remaining[w].GPU != remaining[v].GPU {
 		return remaining[w].GPU < remaining[v].GPU
 	}
--- a/core/alloc/report.go
+++ b/core/alloc/report.go
@@ -31,6 +31,8 @@
 	}
 	w.Worker = r.Worker
 	w.listed = r.Listed
+	w.coldUntil = now.Add(r.Worker.ColdTime)
+	s.updateCentre(w)
 	if w.session != session {
 		w.session = session
 		for _, t := range w.runs {
@@ -67,7 +69,7 @@
 		delete(w.runs, id)
 		successor.runs[id] = t
 		t.resetRun()
-		t.Worker, t.mustStop, t.partial = successorID, true, true
+		t.Worker, t.mustStop, t.partial, t.sent = successorID, true, true, true
 		t.job.markChanged()
 		s.trace("stop", batch.RunID{Task: id, Run: t.Run}, successorID, "it may have reached this worker instead of "+w.ID)
 	}
@@ -130,7 +132,7 @@
 	}
 	t.proven = t.proven || !r.Assumed
 	if !t.confirmed {
-		t.confirmed = true
+		t.confirmed, t.unconfirmedSince = true, time.Time{}
 		t.startedAt, t.progressedAt = now, now
 		if !t.job.started {
 			t.job.started = true
@@ -182,10 +184,14 @@
 	if t == nil || t.Run != r.Run || t.confirmed {
 		return
 	}
-	s.trace("refused", r.RunID, w.ID, r.Reason)
+	s.trace(KindRefused, r.RunID, w.ID, r.Reason)
 	if r.Reason == batch.RefusedTicket {
 		t.job.advice[t.stepKey()].discardTicket(w.ID)
 	}
+	if r.Reason == batch.RefusedEvacuated {
+		// The agent has learned of the evacuation first. Until this owner does, the same worker would refuse again.
+		w.refusedUntil = now.Add(evacuationRefusalPause)
+	}
 	if r.Reason == batch.RefusedUnhealthy || r.Reason == batch.RefusedNoCapacity || r.Reason == batch.RefusedInvalid {
 		w.quarantine(now, firstQuarantine)
 	}
--- a/core/alloc/reserve.go
+++ b/core/alloc/reserve.go
@@ -15,7 +15,7 @@
 		p.reserveForGang(ps, tasks)
 		return
 	}
-	limit := (len(p.workers) + singleReservationDivisor - 1) / singleReservationDivisor
+	limit := (p.workersInService() + singleReservationDivisor - 1) / singleReservationDivisor
 	if p.singleReservations == limit {
 		return
 	}
--- a/core/alloc/scheduler.go
+++ b/core/alloc/scheduler.go
@@ -58,9 +58,18 @@
 	needsPlan bool
 	// adviceQueries are the queries for tickets that the last plan lacked, the most urgent step first.
 	adviceQueries []AdviceQuery
+	// evacuated holds the evacuated data centres, racks the data centre in which each rack was last reported.
+	evacuated map[string]*evacuation
+	racks     map[string]string
+	// shortTeams are the teams whose guarantees don't fit outside of the evacuated data centres.
+	shortTeams map[model.Team]bool
 }
 
-// Event is a decision or an observation about a run, or about a job if Queue is set.
+// KindRefused is the kind of an event that reports a run which an agent or a worker has refused to start; Detail is the reason.
+const KindRefused = "refused"
+
+// Event is a decision or an observation about a run, about a job if Queue is set, or about evacuated data centres if Centre is
+// set.
 type Event struct {
 	// Kind is both a log message and a metric label.
 	Kind string
@@ -69,10 +78,13 @@
 	Worker string
 	// Detail is the reason or the cause. For an event of a job it is the final state, empty at the job's start.
 	Detail string
-	// Team and Queue are set for events of jobs only.
+	// Team and Queue are set for events of jobs. Team is also set if an evacuation concerns its guarantee.
 	Team  model.Team
 	Queue string
-	// Since is the time from the job's acceptance. It is set for events of jobs only.
+	// Centre is set for events of evacuated data centres only; Runs is the number of runs that are left there.
+	Centre string
+	Runs   int
+	// Since is the time from the job's acceptance, or from when the scheduler learned of the evacuation.
 	Since time.Duration
 }
 
@@ -117,6 +129,7 @@
 	s.workers, s.byNode = map[string]*worker{}, map[string][]*worker{}
 	s.sorted, s.touched, s.updates, s.runTimes = nil, nil, updateQueue{}, runTimes{}
 	s.termStart = now
+	s.evacuated, s.racks, s.shortTeams = nil, map[string]string{}, nil
 	for id := range cache.Jobs {
 		s.UpdateJob(now, wall, id, cache.Jobs[id])
 	}
@@ -166,7 +179,8 @@
 		}
 		w := s.worker(t.Worker)
 		w.runs[t.id(j)] = t
-		t.job, t.partial = j, true
+		// The earlier owner may have sent the start.
+		t.job, t.partial, t.sent = j, true, true
 	}
 }
 
--- a/core/alloc/simulation_test.go
+++ b/core/alloc/simulation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -32,6 +34,39 @@
 	failures, lastStart map[batch.TaskID]int
 	eventCount          int
 	delayedStarts       []delayedStart
+	// evacuated holds the data centres with a request in the store, and since when. ownerView is what the owner has read of it.
+	evacuated map[string]time.Time
+	ownerView view
+}
+
+// view is what a process has read of the evacuated data centres, and when.
+type view struct {
+	centres []string
+	readAt  time.Time
+}
+
+const (
+	// evacuationBound is the time from a request to evacuate a data centre after which nothing may be started there.
+	evacuationBound = 5 * time.Second
+	// viewMaxAge is the age of a view from which a process that is in touch with the store reads again.
+	viewMaxAge = 4500 * time.Millisecond
+)
+
+// readView returns the present requests.
+func (sim *simulation) readView() view {
+	return view{slices.Sorted(maps.Keys(sim.evacuated)), sim.now}
+}
+
+// readEvacuations lets the owner read the requests.
+func (sim *simulation) readEvacuations() {
+	sim.ownerView = sim.readView()
+	sim.scheduler.SetEvacuated(sim.now, sim.ownerView.centres)
+}
+
+// evacuatedFor returns since how long nothing may be started in a data centre, and whether that is so.
+func (sim *simulation) evacuatedFor(centre string) (time.Duration, bool) {
+	since, ok := sim.evacuated[centre]
+	return sim.now.Sub(since), ok
 }
 
 // simWorker is a worker with its lease and its agent's link.
@@ -53,6 +88,9 @@
 	refused []batch.Refusal
 	// restarted reports whether the agent has restarted and has no lists yet.
 	restarted bool
+	// view is what the agent has read of the evacuated data centres. An agent that is blind can't reach the store.
+	view  view
+	blind bool
 }
 
 // delayedStart is a start order that is delivered late.
@@ -74,9 +112,21 @@
 // startRun carries out a start as the platform's contract requires, and checks the scheduling rules.
 func (sim *simulation) startRun(w *simWorker, s *batch.StartOrder) {
 	task := s.Task
+	if slices.Contains(w.view.centres, w.Centre) {
+		// The agent refuses the start, and stops the run before it reports that.
+		if w.running[s.RunID] {
+			sim.endRun(w, s.RunID, batch.EndStopped)
+		}
+		w.highestEndedRun[task] = max(w.highestEndedRun[task], s.Run)
+		w.refused = append(w.refused, batch.Refusal{RunID: s.RunID, Reason: batch.RefusedEvacuated})
+		return
+	}
 	if w.running[s.RunID] {
 		return
 	}
+	if age, evacuated := sim.evacuatedFor(w.Centre); evacuated && age > evacuationBound && !w.blind {
+		sim.Fatalf("EVACUATED: %v started on %s by an agent in touch with the store, %v after the request for %s", s.RunID, w.ID, age, w.Centre)
+	}
 	if s.Run <= w.highestEndedRun[task] {
 		w.refused = append(w.refused, batch.Refusal{RunID: s.RunID, Reason: batch.RefusedStaleRun})
 		return
@@ -242,6 +292,12 @@
 		return
 	}
 	w.refused, w.restarted = nil, true
+	if !w.blind {
+		w.view = sim.readView()
+	} else {
+		// Until its first listing, the agent relies on the owner.
+		w.view = view{}
+	}
 	sim.session++
 	sim.scheduler.ApplyReport(sim.now, sim.now, &batch.Report{Worker: w.Worker}, sim.session)
 }
@@ -260,6 +316,9 @@
 		if sim.cache.Jobs[orders.Starts[i].Task.Job].Cancelled {
 			sim.Fatalf("UNASKED: start of %v sent to %s after its job was cancelled", orders.Starts[i].RunID, w.ID)
 		}
+		if slices.Contains(sim.ownerView.centres, w.Centre) {
+			sim.Fatalf("EVACUATED: start of %v sent to %s after the owner learned of the request for %s", orders.Starts[i].RunID, w.ID, w.Centre)
+		}
 		if delay {
 			sim.delayedStarts = append(sim.delayedStarts, delayedStart{w.ID, &orders.Starts[i]})
 			continue
@@ -304,6 +363,7 @@
 func newSimulation(t *rapid.T) *simulation {
 	sim := &simulation{T: t, now: startTime, session: 1, done: map[batch.TaskID]bool{}}
 	sim.acknowledgedDone, sim.failures, sim.lastStart = map[batch.TaskID]int{}, map[batch.TaskID]int{}, map[batch.TaskID]int{}
+	sim.evacuated = map[string]time.Time{}
 	for i := range 3 {
 		sim.workers = append(sim.workers, newSimWorker(fmt.Sprintf("n%d", i), 1, sim.now))
 	}
@@ -315,6 +375,7 @@
 	return &simWorker{
 		Worker: batch.Worker{
 			ID: batch.WorkerID(node, "w", born), Node: node, Service: "svc", Labels: []string{"a", "r-" + node}, Born: born,
+			Centre:   "c-" + node,
 			Capacity: batch.Amount{CPU: 8000, Memory: 8000, GPU: 8},
 		},
 		node: node, linked: true, leaseEnd: now, running: map[batch.RunID]bool{}, highestEndedRun: map[batch.TaskID]int{},
@@ -326,6 +387,7 @@
 	sim.scheduler = Scheduler{}
 	sim.scheduler.StartTerm(sim.now, sim.now, &sim.cache)
 	sim.scheduler.SetPolicy(batch.Policy{Teams: map[model.Team]batch.Team{"a": {Name: "a", Guarantee: 8}}})
+	sim.readEvacuations()
 	sim.session++
 	// Workers refuse the last owner's orders because of its lower fencing token.
 	sim.delayedStarts = nil
@@ -363,6 +425,15 @@
 			}
 		}
 	}
+	if sim.now.Sub(sim.ownerView.readAt) > viewMaxAge {
+		sim.readEvacuations()
+	}
+	for _, w := range sim.workers {
+		if !w.blind && sim.now.Sub(w.view.readAt) > viewMaxAge {
+			w.view = sim.readView()
+		}
+	}
+	sim.scheduler.EnforceEvacuation(sim.now, sim.now)
 	sim.scheduler.ExpireLeases(sim.now, sim.now)
 	sim.scheduler.PreemptStalled(sim.now)
 }
--- a/core/alloc/worker.go
+++ b/core/alloc/worker.go
@@ -43,6 +43,13 @@
 	quarantinedUntil time.Time
 	failureStreak    int
 
+	// evacuated reports whether the worker's data centre is evacuated. refusedUntil is the time before which the worker gets no
+	// tasks because its agent knows of an evacuation of which the scheduler doesn't.
+	evacuated    bool
+	refusedUntil time.Time
+	// coldUntil is when the worker, which has started recently, is no longer slow.
+	coldUntil time.Time
+
 	// touched reports whether the worker is in the scheduler's list of workers for which orders may be due.
 	touched bool
 	// index is the worker's position in Scheduler.sorted.
@@ -108,9 +115,17 @@
 
 // usable reports whether the worker may get tasks of a service.
 func (w *worker) usable(now time.Time, service string) bool {
-	return w.listed && w.Readiness == batch.WorkerReady && w.Service == service && w.session != 0 && !now.Before(w.quarantinedUntil)
+	return w.ready(service) && !w.evacuated && !now.Before(w.quarantinedUntil) && !now.Before(w.refusedUntil)
+}
+
+// ready reports whether the worker has said that it accepts runs of a service.
+func (w *worker) ready(service string) bool {
+	return w.listed && w.Readiness == batch.WorkerReady && w.Service == service && w.session != 0
 }
 
+// cold reports whether the worker is slow because it has started recently.
+func (w *worker) cold(now time.Time) bool { return now.Before(w.coldUntil) }
+
 // freeCapacity returns the capacity that no run uses. Runs that are being stopped still use theirs.
 func (w *worker) freeCapacity() batch.Amount {
 	free := w.Capacity
--- a/core/batch/orders.go
+++ b/core/batch/orders.go
@@ -37,6 +37,8 @@
 	MinTimeLeft time.Duration `cbor:"8,keyasint,omitempty"`
 	// Born is when the incarnation started, in milliseconds since 1970. It orders the incarnations of a node.
 	Born int64 `cbor:"9,keyasint,omitempty"`
+	// ColdTime is how much longer the worker is slow because it has started recently.
+	ColdTime time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // WorkerID returns the ID of an incarnation: NODE/NAME@BORN. It contains the node and the start time, so that an owner
@@ -124,6 +126,8 @@
 	RefusedTicket = "ticket"
 	// RefusedDraining means that the worker accepts no new runs.
 	RefusedDraining = "draining"
+	// RefusedEvacuated means that the worker's data centre is evacuated.
+	RefusedEvacuated = "evacuated"
 	// RefusedUnhealthy means that the worker is unhealthy.
 	RefusedUnhealthy = "busy"
 	// RefusedStopped confirms a stop order for a run that did not start.
