Compare cold workers by a slice of the plan

Cause: the comparison of two times for each pair of workers may slow the plan where no worker is cold. Change: the plan marks cold workers once, and compares nothing if there are none.

--- a/core/alloc/plan.go
+++ b/core/alloc/plan.go
@@ -28,6 +28,8 @@
 	// reserved holds the time from which each worker is reserved, zero for the others. Only runs that end before that time
 	// are placed there.
 	reserved []time.Time
+	// cold marks the cold workers; it is nil if there are none.
+	cold []bool
 	// gangReservations counts the gangs with reserved workers, singleReservations the workers reserved for single tasks.
 	gangReservations, singleReservations int
 	// guaranteedJobs are the jobs that fit into their team's guarantee.
@@ -110,6 +112,12 @@
 	for i, w := range p.workers {
 		p.free[i] = w.freeCapacity()
 		p.freeAfterStops[i] = p.free[i]
+		if w.cold(now) {
+			if p.cold == nil {
+				p.cold = make([]bool, n)
+			}
+			p.cold[i] = true
+		}
 		for _, t := range w.runs {
 			if t.mustStop {
 				p.freeAfterStops[i] = p.freeAfterStops[i].Add(t.job.job.Steps[t.Step].Allocation())
@@ -256,7 +264,7 @@
 		for _, w := range group {
 			freeGPUs += free[w.index].GPU
 		}
-		if cold := countCold(p.now, assigned); best == nil || cold < bestCold || cold == bestCold && freeGPUs < bestFree {
+		if cold := p.countCold(assigned); best == nil || cold < bestCold || cold == bestCold && freeGPUs < bestFree {
 			best, bestFree, bestCold = assigned, freeGPUs, cold
 		}
 	}
@@ -264,11 +272,13 @@
 }
 
 // countCold returns the number of cold workers among those assigned, with repetitions.
-func countCold(now time.Time, assigned []*worker) int {
+func (p *plan) countCold(assigned []*worker) int {
 	n := 0
-	for _, w := range assigned {
-		if w.cold(now) {
-			n++
+	if p.cold != nil {
+		for _, w := range assigned {
+			if p.cold[w.index] {
+				n++
+			}
 		}
 	}
 	return n
@@ -367,8 +377,8 @@
 	if w.failureStreak != v.failureStreak {
 		return w.failureStreak < v.failureStreak
 	}
-	if cold := w.cold(p.now); cold != v.cold(p.now) {
-		return !cold
+	if p.cold != nil && p.cold[w.index] != p.cold[v.index] {
+		return p.cold[v.index]
 	}
 	if x.left.GPU != y.left.GPU {
 		return x.left.GPU < y.left.GPU
