Let owner and agents follow the evacuations

Cause: the scheduler's rule has no effect until the owner passes the requests to it, and a start that is under way when the owner learns of a request would still be carried out. Ruled out: only one of the two. An owner that is replaced can't call back a start; an agent that can't reach the store doesn't know. Change: the owner passes the set at each tick and at the start of a term. It places nothing and sends no starts before the first listing, or while the set is older than 4.5 s. The agent asks right before each call that starts a run, after the wait for a slot, and lists the requests before if its set is older than 3.5 s; it refuses with the reason "evacuated" after it has stopped the run. A worker without a data centre is in that of its agent, so that both judge by the same one. The agent counts the time until a worker is warm down between status reports. Log lines, a gauge of evacuated data centres, a counter of refused starts by reason.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -20,6 +20,7 @@
 	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
 	"wagtailhoist/core/model"
+	"wagtailhoist/io/evac"
 	"wagtailhoist/io/jobs"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
@@ -33,6 +34,9 @@
 	// storeWatchTimeout is how long a long poll of the store waits for a change. It also bounds how long a dead
 	// connection goes unnoticed.
 	storeWatchTimeout = 2 * time.Second
+	// evacuationWatchTimeout is how long a long poll of an entry for evacuated data centres waits for a change. It is shorter than
+	// that of other keys: the owner places nothing by a set that may be older than 4.5 s, which a lost answer must not exceed.
+	evacuationWatchTimeout = time.Second
 	// deskMemoryLimit is the soft memory limit of the Go runtime in bytes; the smallest VM of an entry has 184 MB.
 	deskMemoryLimit = 120 << 20
 	// leaseMargin is subtracted from the longest lease to leave time for an extension to reach the worker.
@@ -92,7 +96,7 @@
 func (c *deskCmd) Run(s streams) error {
 	return serveBounded(s, c.Level, c.ID,
 		fx.Supply(c),
-		fx.Provide(newDeskStore, newWatcher, newOwner, newNotifier, newJobService, newDeskMeter),
+		fx.Provide(newDeskStore, newWatcher, newDeskEvacuations, newOwner, newNotifier, newJobService, newDeskMeter),
 		fx.Invoke(startDesk),
 	)
 }
@@ -118,13 +122,26 @@
 	return &platform.Watcher{Store: s, Wait: storeWatchTimeout, Log: log}
 }
 
-func newOwner(c *deskCmd, s *proxy.Store, m *mirror.Mirror, w *platform.Watcher, metrics *meter.Meter, log *slog.Logger) *owner.Owner {
+func newDeskEvacuations(s *proxy.Store, metrics *meter.Meter, log *slog.Logger) *evac.Watcher {
+	w := newEvacuations(s, evacuationWatchTimeout, log)
+	w.Changed = metrics.EvacuatedCentres
+	return w
+}
+
+// newEvacuations returns a watcher of the operator's requests to evacuate data centres.
+func newEvacuations(s mirror.Store, wait time.Duration, log *slog.Logger) *evac.Watcher {
+	return &evac.Watcher{Store: s, Prefix: platform.EvacuationPrefix, Centre: platform.EvacuatedCentre, Wait: wait, Log: log}
+}
+
+func newOwner(
+	c *deskCmd, s *proxy.Store, m *mirror.Mirror, w *platform.Watcher, e *evac.Watcher, metrics *meter.Meter, log *slog.Logger,
+) *owner.Owner {
 	var advisor owner.Advisor
 	if c.Advice != "" {
 		advisor = &platform.Advisor{Address: c.Advice, HTTP: platform.NewHTTP()}
 	}
 	return &owner.Owner{
-		Advisor: advisor, Store: s, Mirror: m, Self: mirror.EntryInfo{ID: c.ID, Address: c.Link, Share: c.Share}, Log: log, Meter: metrics,
+		Advisor: advisor, Evacuations: e, Store: s, Mirror: m, Self: mirror.EntryInfo{ID: c.ID, Address: c.Link, Share: c.Share}, Log: log, Meter: metrics,
 		Settings: alloc.Settings{
 			Lease: c.Hold - leaseMargin, EarlyStart: c.Early / 2, RemoteSlowdown: c.Remote, Retention: c.Keep + c.Keep/2,
 		},
@@ -173,13 +190,14 @@
 type deskParts struct {
 	fx.In
 
-	Watcher  *platform.Watcher
-	Mirror   *mirror.Mirror
-	Store    *proxy.Store
-	Owner    *owner.Owner
-	Notifier *jobs.Notifier
-	Jobs     *jobs.Service
-	Meter    *meter.Meter
+	Watcher     *platform.Watcher
+	Evacuations *evac.Watcher
+	Mirror      *mirror.Mirror
+	Store       *proxy.Store
+	Owner       *owner.Owner
+	Notifier    *jobs.Notifier
+	Jobs        *jobs.Service
+	Meter       *meter.Meter
 }
 
 // startDesk runs the components and listeners of an entry. At the stop it first gives up scheduling and reports not
@@ -213,6 +231,7 @@
 				go serveHTTP(s, open[i], log)
 			}
 			loops.Go(func() { p.Watcher.Run(ctx) })
+			loops.Go(func() { p.Evacuations.Run(ctx) })
 			loops.Go(func() { p.Mirror.Run(ctx) })
 			loops.Go(func() { p.Owner.Run(ownerCtx) })
 			loops.Go(func() { p.Owner.Register(ctx) })
--- a/cmds/runner.go
+++ b/cmds/runner.go
@@ -13,8 +13,10 @@
 	"go.uber.org/fx"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/io/evac"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/mirror"
+	"wagtailhoist/io/proxy"
 	"wagtailhoist/io/runner"
 	"wagtailhoist/platform"
 )
@@ -23,6 +25,10 @@
 	// ownerWatchTimeout is how long a long poll for the owner waits for a change. It also bounds how long a dead
 	// connection goes unnoticed.
 	ownerWatchTimeout = 4 * time.Second
+	// runnerEvacuationWatchTimeout is how long a long poll of an agent for evacuated data centres waits for a change. With the
+	// second after which a call without an answer fails, a silent watch is repeated within the 5 s from which nothing may start in
+	// an evacuated data centre.
+	runnerEvacuationWatchTimeout = 3 * time.Second
 	// runnerMemoryLimit is the soft memory limit of the Go runtime in bytes; the VM of an agent has 152 MB.
 	runnerMemoryLimit = 90 << 20
 )
@@ -47,32 +53,42 @@
 func (c *runnerCmd) Run(s streams) error {
 	return serveBounded(s, c.Level, c.ID,
 		fx.Supply(c),
-		fx.Provide(newOwnerMirror, newRunner),
+		fx.Provide(newOwnerMirror, newRunnerEvacuations, newRunner),
 		fx.Invoke(startRunner),
 	)
 }
 
 // newOwnerMirror returns a mirror of the keys from which the agent learns the current owner.
-func newOwnerMirror(c *runnerCmd, log *slog.Logger) *mirror.Mirror {
-	_, m := newProxiedStore(c.Store, c.Token, &mirror.Mirror{Prefix: mirror.LeadPrefix, Wait: ownerWatchTimeout, Log: log}, "", log)
-	return m
+func newOwnerMirror(c *runnerCmd, log *slog.Logger) (*proxy.Store, *mirror.Mirror) {
+	return newProxiedStore(c.Store, c.Token, &mirror.Mirror{Prefix: mirror.LeadPrefix, Wait: ownerWatchTimeout, Log: log}, "", log)
 }
 
-func newRunner(c *runnerCmd, ownerMirror *mirror.Mirror, log *slog.Logger) *runner.Runner {
+func newRunnerEvacuations(s *proxy.Store, log *slog.Logger) *evac.Watcher {
+	return newEvacuations(s, runnerEvacuationWatchTimeout, log)
+}
+
+func newRunner(c *runnerCmd, ownerMirror *mirror.Mirror, evacuations *evac.Watcher, log *slog.Logger) *runner.Runner {
 	self := link.Hello{
 		Node: model.NodeID(c.ID), Incarnation: model.NewIncarnation(time.Now()), Role: link.RoleAgent,
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: c.Listen,
 	}
-	return &runner.Runner{
+	r := &runner.Runner{
 		Worker:   &platform.Minion{Address: c.Worker, HTTP: platform.NewHTTP(), Log: log},
 		Node:     c.ID,
 		Settings: link.Settings{Self: self, Token: c.Token, SilenceTimeout: linkSilenceTimeout},
 		Owner:    ownerMirror.Owner, OwnerChanged: ownerMirror.Wake(),
 		Log: log,
 	}
+	r.Evacuated = func() bool {
+		evacuations.Refresh(context.Background())
+		return evacuations.Contains(r.Centre())
+	}
+	return r
 }
 
-func startRunner(life fx.Lifecycle, c *runnerCmd, ownerMirror *mirror.Mirror, r *runner.Runner, log *slog.Logger) {
+func startRunner(
+	life fx.Lifecycle, c *runnerCmd, ownerMirror *mirror.Mirror, evacuations *evac.Watcher, r *runner.Runner, log *slog.Logger,
+) {
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(runnerMemoryLimit)
 	}
@@ -89,6 +105,7 @@
 			log.Info("listening", "listen", c.Listen, "worker", c.Worker, "store", c.Store)
 			go serveHTTP(server, l, log)
 			loops.Go(func() { ownerMirror.Run(ctx) })
+			loops.Go(func() { evacuations.Run(ctx) })
 			loops.Go(func() { r.Run(ctx) })
 			go ignoreSIGHUP(ctx, log)
 			return nil
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -14,6 +14,7 @@
 	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
 	"wagtailhoist/core/elect"
+	"wagtailhoist/core/evac"
 	"wagtailhoist/io/clock"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
@@ -35,6 +36,16 @@
 	Advise(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
 }
 
+// Evacuations follows the operators' requests to evacuate data centres.
+type Evacuations interface {
+	// Synced reports whether the requests have been listed.
+	Synced() bool
+	// Snapshot returns the evacuated data centres and the store's revision that they were read at.
+	Snapshot() (evac.Set, uint64)
+	// AsOf returns a time at which the set was that of the store, on the boot-time clock.
+	AsOf() time.Time
+}
+
 const (
 	// leaseTTL is the duration of the owner's lease: once it has run out, a killed owner can be replaced. It tolerates a lost
 	// renewal, or a store that takes 400 ms to answer.
@@ -60,7 +71,9 @@
 	Settings alloc.Settings
 	// Advisor is nil where there is no advice service; steps that need a ticket then wait.
 	Advisor Advisor
-	Log     *slog.Logger
+	// Evacuations is nil where no data centre is ever evacuated.
+	Evacuations Evacuations
+	Log         *slog.Logger
 	// Meter counts decisions and measures times; nil disables it.
 	Meter *meter.Meter
 	// Policy returns the declared queues and teams, and their revision, which is 0 until a declaration has been read.
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -36,6 +36,9 @@
 	lagLogLimit = 500 * time.Millisecond
 	// adviceRetryPause is the pause after a failed call to the advice service.
 	adviceRetryPause = 300 * time.Millisecond
+	// evacuationMaxAge bounds the age of the evacuated data centres by which tasks are placed and started. Together with the way
+	// of a start to the worker it is within the 5 s from which nothing may start in an evacuated data centre.
+	evacuationMaxAge = 4500 * time.Millisecond
 	// jobDeletionInterval is the interval at which ended jobs are deleted.
 	jobDeletionInterval = 5 * time.Second
 )
@@ -113,9 +116,16 @@
 	maxLag   time.Duration
 	// pausedAt is since when the lease has not been renewed in time, zero while it is; pausedReports counts the reports that were
 	// applied since.
-	pausedAt       time.Time
-	pausedReports  int
-	lagLoggedAt    time.Time
+	pausedAt      time.Time
+	pausedReports int
+	lagLoggedAt   time.Time
+	// evacuationsKnown is true once the evacuated data centres have been passed to the scheduler. They are those of the store as of
+	// evacuatedAsOf, read at evacuationRevision.
+	evacuationsKnown   bool
+	evacuatedAsOf      time.Time
+	evacuationRevision uint64
+	// heldAt is since when nothing is placed because the evacuated data centres aren't known, zero while they are.
+	heldAt         time.Time
 	deletedAt      time.Time
 	policyRevision uint64
 }
@@ -135,6 +145,14 @@
 func (t *term) traceDecision(e alloc.Event) {
 	log, meter := t.owner.Log, t.owner.Meter
 	meter.Count("decisions", "kind", e.Kind, 1)
+	if e.Kind == alloc.KindRefused && e.Detail != batch.RefusedStopped {
+		meter.Count("refused_starts", "reason", e.Detail, 1)
+	}
+	if e.Centre != "" || e.Queue == "" && e.Team != "" {
+		log.Info(e.Kind, "centre", e.Centre, "team", string(e.Team), "runs", e.Runs, "since", e.Since.Milliseconds(), "detail", e.Detail,
+			"fence", t.fence)
+		return
+	}
 	if e.Queue == "" {
 		log.Info(e.Kind, "task", e.Run.Task.String(), "run", e.Run.Run, "worker", e.Worker, "detail", e.Detail, "fence", t.fence)
 		return
@@ -159,6 +177,7 @@
 		t.updatePolicy()
 		t.scheduler.StartTerm(now, wall, cache)
 	})
+	t.applyEvacuations(now)
 	t.checkedAt = now
 	t.polledAt = now
 	ticker := time.NewTicker(pollInterval)
@@ -217,11 +236,43 @@
 	t.recordLag(now, now.Sub(t.polledAt)-pollInterval)
 	t.polledAt = now
 	t.applyStoreChanges()
+	t.applyEvacuations(now)
+	t.scheduler.EnforceEvacuation(now, wall)
 	t.scheduler.ExpireLeases(now, wall)
 	t.scheduler.PreemptStalled(now)
 	t.scheduler.Evacuate(now)
 }
 
+// applyEvacuations passes the evacuated data centres to the scheduler if they may have changed.
+func (t *term) applyEvacuations(now time.Time) {
+	e := t.owner.Evacuations
+	if e == nil {
+		return
+	}
+	// The time is read first, since a later set may be read with it but not an earlier one.
+	asOf := e.AsOf()
+	if e.Synced() {
+		set, revision := e.Snapshot()
+		if !t.evacuationsKnown || revision != t.evacuationRevision {
+			t.scheduler.SetEvacuated(now, set.Centres())
+		}
+		t.evacuationsKnown, t.evacuationRevision, t.evacuatedAsOf = true, revision, asOf
+	}
+	switch held := !t.mayPlace(now); {
+	case held && t.heldAt.IsZero():
+		t.heldAt = now
+		t.owner.Log.Warn("placements held: the evacuated data centres aren't known", "listed", t.evacuationsKnown, "fence", t.fence)
+	case !held && !t.heldAt.IsZero():
+		t.owner.Log.Info("placements resumed: the evacuated data centres are known", "held", now.Sub(t.heldAt).Milliseconds(), "fence", t.fence)
+		t.heldAt = time.Time{}
+	}
+}
+
+// mayPlace reports whether the evacuated data centres are known well enough to place and start tasks.
+func (t *term) mayPlace(now time.Time) bool {
+	return t.owner.Evacuations == nil || t.evacuationsKnown && now.Sub(t.evacuatedAsOf) <= evacuationMaxAge
+}
+
 // recordPause logs when the owner stops deciding because its lease wasn't renewed in time, and when it goes on.
 func (t *term) recordPause(now time.Time) {
 	paused := !t.owner.IsOwner(now)
@@ -258,7 +309,7 @@
 // planWait returns how long to wait for the next plan.
 func (t *term) planWait() time.Duration {
 	now := clock.Now()
-	return t.plans.Wait(now, t.scheduler.NeedsPlan() && t.owner.IsOwner(now))
+	return t.plans.Wait(now, t.scheduler.NeedsPlan() && t.owner.IsOwner(now) && t.mayPlace(now))
 }
 
 // handleQueuedEvents handles the events that have arrived meanwhile, so that one plan covers them all.
@@ -349,7 +400,7 @@
 		return
 	}
 	t.sendOrders(now, resend)
-	if t.plans.Due(now, t.scheduler.NeedsPlan()) {
+	if t.plans.Due(now, t.scheduler.NeedsPlan()) && t.mayPlace(now) {
 		t.scheduler.Plan(now, time.Now())
 		end := clock.Now()
 		t.plans.Record(now, end)
@@ -383,7 +434,7 @@
 func (t *term) sendWorkerOrders(now time.Time, worker string, s *session) {
 	for {
 		maxBytes := maxStartBytes
-		if len(s.queued) >= maxQueuedStarts {
+		if len(s.queued) >= maxQueuedStarts || !t.mayPlace(now) {
 			maxBytes = 0
 		}
 		orders, due := t.scheduler.Orders(now, worker, maxBytes)
--- a/io/runner/order.go
+++ b/io/runner/order.go
@@ -61,7 +61,8 @@
 }
 
 // tryStart makes one attempt to start a run once few enough others are under way, and returns the end of the lease that it was
-// started with. Without a lease, or while the worker drains, the start is refused without a call, and the deadline is 0.
+// started with. Without a lease, while the worker drains or in an evacuated data centre, the start is refused without a call, and
+// the deadline is 0.
 func (r *Runner) tryStart(ctx context.Context, t Target, s batch.StartOrder) (OrderResult, int64, error) {
 	select {
 	case r.startSlots <- struct{}{}:
@@ -78,6 +79,9 @@
 		return OrderResult{Reason: batch.RefusedDraining}, 0, nil
 	case deadline == 0 || expired:
 		return OrderResult{Reason: batch.RefusedLate}, 0, nil
+	case r.Evacuated != nil && r.Evacuated():
+		// This is the last condition, since it may take a read of the store. The worker itself checks the lease.
+		return OrderResult{Reason: batch.RefusedEvacuated}, 0, nil
 	}
 	result, err := r.callWorker(ctx, func(ctx context.Context) (OrderResult, error) { return r.Worker.Start(ctx, t, s, deadline) })
 	return result, deadline, err
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -16,6 +16,8 @@
 	// Instance is the name that calls of the worker address it by. The agent fills in the worker's ID and Node.
 	Instance string
 	Worker   batch.Worker
+	// warmAt is when the worker is no longer slow after its start, on the boot-time clock. UpdateStatus fills it in.
+	warmAt time.Time
 }
 
 // Target is the incarnation of the worker that a call is addressed to, and the fencing token of the owner.
@@ -94,7 +96,10 @@
 	Owner func() string
 	// OwnerChanged receives a value when another process may have become the owner; nil means that Owner is only polled.
 	OwnerChanged <-chan struct{}
-	Log          *slog.Logger
+	// Evacuated reports whether the worker's data centre is evacuated. It is called right before each call that starts a run; nil
+	// means that it never is.
+	Evacuated func() bool
+	Log       *slog.Logger
 
 	mu sync.Mutex
 	// status is the worker's last status report, with the readiness that this agent found out.
@@ -317,6 +322,8 @@
 	r.sequence++
 	r.sendTimes[r.sequence] = now
 	p := batch.Report{Sequence: r.sequence, Worker: r.status.Worker}
+	// The status may be a while old.
+	p.Worker.ColdTime = max(0, r.status.warmAt.Sub(now))
 	if r.listFence == r.fence && r.fence != 0 && now.Sub(r.listAt) < listMaxAge && r.list.Born == r.status.Worker.Born {
 		p.Listed, p.Running, p.Ended, p.MoreEnds = true, r.list.Running, r.list.Ended, r.list.MoreEnds
 		if !p.MoreEnds {
--- a/io/runner/status.go
+++ b/io/runner/status.go
@@ -32,6 +32,11 @@
 	defer r.mu.Unlock()
 	report.Worker.Node = r.Node
 	report.Worker.ID = batch.WorkerID(r.Node, report.Instance, report.Worker.Born)
+	report.warmAt = clock.Now().Add(report.Worker.ColdTime)
+	if report.Worker.Centre == "" {
+		// The agent is on the same VM.
+		report.Worker.Centre = string(r.Settings.Self.Centre)
+	}
 	old := r.status.Worker
 	switch {
 	case old.ID == report.Worker.ID:
@@ -44,6 +49,13 @@
 	return true
 }
 
+// Centre returns the data centre of the worker, as it is reported to the owner.
+func (r *Runner) Centre() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.status.Worker.Centre
+}
+
 // setStatus replaces the status of the worker, and discards all that concerns the last incarnation if it is another one.
 func (r *Runner) setStatus(report StatusReport) {
 	old := r.status.Worker
