--- a/core/alloc/plan.go
+++ b/core/alloc/plan.go
@@ -28,6 +28,8 @@
 	// reserved holds the time from which each worker is reserved, zero for the others. Only runs that end before that time
 	// are placed there.
 	reserved []time.Time
+	// cold marks the cold workers; it is nil if there are none.
+	cold []bool
 	// gangReservations counts the gangs with reserved workers, singleReservations the workers reserved for single tasks.
 	gangReservations, singleReservations int
 	// guaranteedJobs are the jobs that fit into their team's guarantee.
@@ -37,6 +39,8 @@
 
 	// candidateLists caches the candidates of steps that don't depend on what else runs on a worker.
 	candidateLists map[candidateKey][]*worker
+	// evacuatedRacks caches rackEvacuated.
+	evacuatedRacks map[rackKey]bool
 	// expected caches the expected ends of each worker's runs, nil where they have to be determined.
 	expected [][]expectedEnd
 	// victimLists caches the runs that may be preempted, by service, as of victimPlacements placements.
@@ -108,6 +112,12 @@
 	for i, w := range p.workers {
 		p.free[i] = w.freeCapacity()
 		p.freeAfterStops[i] = p.free[i]
+		if w.cold(now) {
+			if p.cold == nil {
+				p.cold = make([]bool, n)
+			}
+			p.cold[i] = true
+		}
 		for _, t := range w.runs {
 			if t.mustStop {
 				p.freeAfterStops[i] = p.freeAfterStops[i].Add(t.job.job.Steps[t.Step].Allocation())
@@ -162,11 +172,16 @@
 
 // allowsRemote reports whether a step may run outside of its data's rack, or a rack-local one on several racks. For
 // guaranteed jobs that is so after guaranteedLocalWait, for others once the job is older than twice the time that a task
-// loses by running there.
+// loses by running there. If the data's rack can't be used because of an evacuation, other racks are allowed at once.
 func (p *plan) allowsRemote(ps *pendingStep) bool {
 	if ps.step.DataRack == "" && !ps.step.RackLocal {
 		return true
 	}
+	return p.waitedForRack(ps) || p.rackEvacuated(ps.queue.Service, ps.step.DataRack)
+}
+
+// waitedForRack reports whether a step has waited as long as it should for a place in its data's rack, or in one rack.
+func (p *plan) waitedForRack(ps *pendingStep) bool {
 	age := p.now.Sub(ps.job.acceptedAt)
 	if ps.guaranteed {
 		return age > guaranteedLocalWait
@@ -181,6 +196,8 @@
 	if ps.step.DataRack == "" && !ps.step.RackLocal {
 		return [][]*worker{all}
 	}
+	// A rack-local step whose data's rack is evacuated goes to another rack at once, but not yet to several.
+	allowSpread := allowRemote && (!ps.step.RackLocal || p.waitedForRack(ps))
 	racks := map[string][]*worker{}
 	var names []string
 	for _, w := range all {
@@ -200,7 +217,7 @@
 			workerGroups = append(workerGroups, racks[name])
 		}
 	}
-	if allowRemote || !possible {
+	if allowSpread || !possible {
 		workerGroups = append(workerGroups, all)
 	}
 	return workerGroups
@@ -227,11 +244,12 @@
 	return list
 }
 
-// assignGang returns a worker for each task of a gang, or nil if they don't fit. It chooses the group of workers with the
-// fewest free accelerators.
+// assignGang returns a worker for each task of a gang, or nil if they don't fit. It chooses the group of workers on which the
+// fewest tasks are on cold workers, and among these the one with the fewest free accelerators.
 func (p *plan) assignGang(ps *pendingStep, free []batch.Amount) []*worker {
 	var best []*worker
 	var bestFree int64
+	bestCold := 0
 	workerGroups := p.workerGroups(ps)
 	for i, group := range workerGroups {
 		if best != nil && i > 0 && len(group) > len(workerGroups[0]) {
@@ -246,13 +264,26 @@
 		for _, w := range group {
 			freeGPUs += free[w.index].GPU
 		}
-		if best == nil || freeGPUs < bestFree {
-			best, bestFree = assigned, freeGPUs
+		if cold := p.countCold(assigned); best == nil || cold < bestCold || cold == bestCold && freeGPUs < bestFree {
+			best, bestFree, bestCold = assigned, freeGPUs, cold
 		}
 	}
 	return best
 }
 
+// countCold returns the number of cold workers among those assigned, with repetitions.
+func (p *plan) countCold(assigned []*worker) int {
+	n := 0
+	if p.cold != nil {
+		for _, w := range assigned {
+			if p.cold[w.index] {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // fitsWhenIdle reports whether all tasks of a step would fit on the workers if they had no runs.
 func (p *plan) fitsWhenIdle(ps *pendingStep, workers []*worker) bool {
 	slots := 0
@@ -337,7 +368,7 @@
 }
 
 // better reports whether x is a better worker for the step than y: first one in the data's rack, then one with fewer
-// failures in a row, then the best fit, which is the one with the least free capacity.
+// failures in a row, then a warm one, then the best fit, which is the one with the least free capacity.
 func (p *plan) better(ps *pendingStep, x, y *openSlots) bool {
 	w, v := x.worker, y.worker
 	if ps.step.DataRack != "" && (w.rack() == ps.step.DataRack) != (v.rack() == ps.step.DataRack) {
@@ -346,6 +377,9 @@
 	if w.failureStreak != v.failureStreak {
 		return w.failureStreak < v.failureStreak
 	}
+	if p.cold != nil && p.cold[w.index] != p.cold[v.index] {
+		return p.cold[v.index]
+	}
 	if x.left.GPU != y.left.GPU {
 		return x.left.GPU < y.left.GPU
 	}
