--- a/cmds/admin.go
+++ b/cmds/admin.go
@@ -15,6 +15,7 @@
 	"wagtailhoist/core/query"
 	"wagtailhoist/io/admin"
 	"wagtailhoist/io/conf"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
 	"wagtailhoist/io/peers"
@@ -187,7 +188,7 @@
 	}
 	server := &http.Server{
 		Handler: api.Handler(), ReadTimeout: adminIOTimeout, WriteTimeout: adminIOTimeout,
-		MaxHeaderBytes: admin.MaxHeaderBytes, ConnState: link.TrackConnState, ConnContext: link.WithConn,
+		MaxHeaderBytes: admin.MaxHeaderBytes, ConnState: intake.TrackConnState, ConnContext: intake.WithConn,
 	}
 	runUntilStop(life, func(ctx context.Context) {
 		runPeriodically(ctx, processScanInterval, func(now time.Time) { f.processesAt(now) })
--- a/cmds/agent.go
+++ b/cmds/agent.go
@@ -17,6 +17,7 @@
 	"wagtailhoist/core/model"
 	"wagtailhoist/io/agent"
 	"wagtailhoist/io/conf"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/link"
 )
 
@@ -178,6 +179,6 @@
 	})
 	return &http.Server{
 		Handler: r, ReadTimeout: linkIOTimeout, WriteTimeout: linkIOTimeout,
-		MaxHeaderBytes: link.MaxHeaderBytes, ConnState: link.TrackHeaders,
+		MaxHeaderBytes: link.MaxHeaderBytes, ConnState: intake.TrackHeaders,
 	}
 }
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -14,6 +14,7 @@
 	"wagtailhoist/io/claims"
 	"wagtailhoist/io/conf"
 	"wagtailhoist/io/front"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
 	"wagtailhoist/io/peers"
@@ -70,7 +71,7 @@
 	settings              link.Settings
 	// callerConns and adminConns count connections that were closed before they had sent a whole request, at the
 	// callers' and the operators' listener.
-	callerConns, adminConns link.UnauthenticatedCounters
+	callerConns, adminConns intake.ListenerCounters
 }
 
 func newEntrySelf(c *entryCmd) (*entrySelf, error) {
@@ -149,9 +150,9 @@
 		MaxHeaderBytes:    front.MaxHeaderBytes,
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			parting.TrackConnState(conn, state)
-			link.TrackConnState(conn, state)
+			intake.TrackConnState(conn, state)
 		},
-		ConnContext: link.WithConn,
+		ConnContext: intake.WithConn,
 	}
 	links := linkServer(self.settings, e.Peers.Serve, func() bool {
 		return !e.DrainState.draining.Load() && e.Conf.Ready() && e.Peers.HasInitialRecords(time.Now())
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -19,7 +19,7 @@
 	"wagtailhoist/core/plan"
 	"wagtailhoist/core/query"
 	"wagtailhoist/io/conf"
-	"wagtailhoist/io/link"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/store"
 )
 
@@ -101,7 +101,7 @@
 			s.Log.Warn("operator's call denied", "path", r.URL.Path, "remote", r.RemoteAddr)
 			writeFailure(w, &Failure{Kind: KindDenied, Text: "the token is missing or wrong"})
 		default:
-			link.MarkAuthenticated(r.Context())
+			intake.MarkAuthenticated(r.Context())
 			r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 			next.ServeHTTP(w, r)
 		}
--- a/io/front/http.go
+++ b/io/front/http.go
@@ -13,6 +13,7 @@
 
 	"wagtailhoist/core/model"
 	"wagtailhoist/core/retry"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/link"
 )
 
@@ -116,7 +117,7 @@
 	call, code, err := s.readCall(now, r)
 	_ = control.SetReadDeadline(time.Time{})
 	// Until the end of the response, the connection is not closed in favour of newer ones.
-	link.MarkAuthenticated(r.Context())
+	intake.MarkAuthenticated(r.Context())
 	if err != nil {
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		reply := notRunReply(err.Error())
--- /dev/null
+++ b/io/intake/listener.go
@@ -0,0 +1,265 @@
+package intake
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+)
+
+// ListenerCounters counts connections of a listener that were closed before they had sent a whole request.
+type ListenerCounters struct {
+	// Evicted counts connections closed in favour of newer ones, Unfinished those that ended before a complete request header.
+	Evicted, Unfinished atomic.Uint64
+}
+
+// Listener is a listener with bounds on its connections. At a bound it closes the connection that has waited the longest: one that
+// has sent no request header, or is idle between two requests. Which connections wait is told by an http.Server's ConnState hook:
+//
+//   - TrackRequests: a connection waits unless a request is in progress.
+//   - TrackConnState: a connection waits unless a request is in progress that MarkAuthenticated was called for.
+//   - TrackHeaders: a connection waits until it is authenticated by MarkAuthenticated or MarkConnAuthenticated.
+//
+// The fields are set before the first use.
+type Listener struct {
+	net.Listener
+	// MaxConns bounds all connections, and MaxWaiting those that wait. 0 means no bound.
+	MaxConns, MaxWaiting int
+	// MaxHeaderBytes bounds the bytes that the waiting connections have sent together, and closes the one that has sent the most.
+	// net/http takes up to 20 times as much for a header of very short lines. 0 means no bound.
+	MaxHeaderBytes int64
+	// MakeRoom makes a connection with a request in progress end early, and returns false if there is none. It is called at
+	// MaxConns if only few connections wait: those are new ones, which would close each other before they could send a request.
+	// May be nil.
+	MakeRoom func() bool
+	// Report and Counters are told of closed connections; both may be nil.
+	Report   *Reporter
+	Counters *ListenerCounters
+
+	mu      sync.Mutex
+	changed sync.Cond // of mu; told when a connection has ended or waits
+	waiting list.List // of *trackedConn, the one that has waited the longest first
+	// headerBytes is the sum of trackedConn.received.
+	headerBytes int64
+	open        int
+	closed      bool
+}
+
+// Accept returns the next connection, which waits for its first request.
+func (l *Listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &trackedConn{Conn: inner, listener: l}
+	if !l.add(c) {
+		_ = inner.Close()
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+// waitingShare is the part of MaxConns that is left to waiting connections before requests in progress are ended early.
+const waitingShare = 8
+
+// add counts a new connection once there is room for it. It returns false if the listener was closed.
+func (l *Listener) add(c *trackedConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changed.L = &l.mu
+	askedForRoom, roomExpected := l.MakeRoom == nil, false
+	for l.MaxConns > 0 && l.open >= l.MaxConns && !l.closed {
+		switch {
+		case l.waiting.Len() > l.MaxConns/waitingShare, l.waiting.Len() > 0 && askedForRoom && !roomExpected:
+			l.evictLocked(l.waiting.Front().Value.(*trackedConn))
+		case !askedForRoom:
+			askedForRoom = true
+			// The connection whose request ends needs the lock.
+			l.mu.Unlock()
+			roomExpected = l.MakeRoom()
+			l.mu.Lock()
+		default:
+			l.changed.Wait()
+		}
+	}
+	if l.closed {
+		return false
+	}
+	l.open++
+	l.startWaitingLocked(c)
+	return true
+}
+
+// evictLocked closes a waiting connection.
+func (l *Listener) evictLocked(c *trackedConn) {
+	c.evicted = true
+	c.endLocked()
+	if l.Counters != nil {
+		l.Counters.Evicted.Add(1)
+	}
+	reason := ReasonNoHeader
+	if c.sentHeader {
+		reason = ReasonIdle
+	}
+	l.Report.Closed(reason, c.RemoteAddr().String())
+	// Closing a TCP connection doesn't block.
+	_ = c.Conn.Close()
+}
+
+// startWaitingLocked notes that a connection waits for a request.
+func (l *Listener) startWaitingLocked(c *trackedConn) {
+	if c.element != nil || c.ended {
+		return
+	}
+	c.element = l.waiting.PushBack(c)
+	if l.MaxWaiting > 0 && l.waiting.Len() > l.MaxWaiting {
+		l.evictLocked(l.waiting.Front().Value.(*trackedConn))
+	}
+	l.changed.Broadcast()
+}
+
+// Close closes the listener and ends an Accept that waits for room.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	l.changed.Broadcast()
+	l.mu.Unlock()
+	return l.Listener.Close()
+}
+
+// TrackHeaders is an http.Server's ConnState hook that marks connections whose request header is complete.
+func TrackHeaders(c net.Conn, state http.ConnState) {
+	if t, ok := c.(*trackedConn); ok && state == http.StateActive {
+		t.listener.mu.Lock()
+		t.sentHeader = true
+		t.listener.mu.Unlock()
+	}
+}
+
+// TrackConnState is an http.Server's ConnState hook for listeners whose connections wait until their request is authenticated.
+func TrackConnState(c net.Conn, state http.ConnState) {
+	TrackHeaders(c, state)
+	if t, ok := c.(*trackedConn); ok && state == http.StateIdle {
+		t.listener.mu.Lock()
+		t.listener.startWaitingLocked(t)
+		t.listener.mu.Unlock()
+	}
+}
+
+// TrackRequests is an http.Server's ConnState hook for listeners whose connections wait until their request header is complete.
+func TrackRequests(c net.Conn, state http.ConnState) {
+	TrackConnState(c, state)
+	if state == http.StateActive {
+		MarkConnAuthenticated(c)
+	}
+}
+
+// connKey is the context key under which WithConn stores the connection of a request.
+type connKey struct{}
+
+// WithConn is an http.Server's ConnContext hook that lets MarkAuthenticated find the connection of a request.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// MarkAuthenticated notes that the connection of a request doesn't wait until the request is answered.
+func MarkAuthenticated(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(net.Conn); ok {
+		MarkConnAuthenticated(c)
+	}
+}
+
+// MarkConnAuthenticated notes that a connection doesn't wait, so that it is not closed in favour of others.
+func MarkConnAuthenticated(c net.Conn) {
+	if t, ok := c.(*trackedConn); ok {
+		t.listener.mu.Lock()
+		defer t.listener.mu.Unlock()
+		t.stopWaitingLocked()
+	}
+}
+
+// trackedConn is a connection of a Listener, whose lock guards the fields.
+type trackedConn struct {
+	net.Conn
+	listener *Listener
+	// element is the connection's position in listener.waiting, nil while it doesn't wait.
+	element *list.Element
+	// received is the number of bytes received since it waits.
+	received                   int64
+	sentHeader, evicted, ended bool
+}
+
+// Read reads from the connection and counts what is received while it waits.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.listener.MaxHeaderBytes > 0 {
+		c.listener.countHeader(c, int64(n))
+	}
+	return n, err
+}
+
+// countHeader counts bytes of a waiting connection. Beyond the bound it closes the one that has sent the most.
+func (l *Listener) countHeader(c *trackedConn, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.element == nil {
+		return
+	}
+	c.received += n
+	l.headerBytes += n
+	for l.headerBytes > l.MaxHeaderBytes {
+		most := c
+		for e := l.waiting.Front(); e != nil; e = e.Next() {
+			if other := e.Value.(*trackedConn); other.received > most.received {
+				most = other
+			}
+		}
+		l.evictLocked(most)
+	}
+}
+
+// NetConn returns the underlying connection.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite ends the sending direction: net/http does so before it closes a connection with unread bytes, whose reset could reach
+// the client before the answer.
+func (c *trackedConn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
+// stopWaitingLocked removes the connection from the waiting ones.
+func (c *trackedConn) stopWaitingLocked() {
+	if c.element != nil {
+		c.listener.waiting.Remove(c.element)
+		c.element = nil
+		c.listener.headerBytes -= c.received
+		c.received = 0
+	}
+}
+
+// endLocked notes that the connection has ended.
+func (c *trackedConn) endLocked() {
+	c.stopWaitingLocked()
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.listener.open--
+	c.listener.changed.Broadcast()
+}
+
+// Close closes the connection and counts it as unfinished if the peer closed it before a complete request header.
+func (c *trackedConn) Close() error {
+	c.listener.mu.Lock()
+	if !c.ended && !c.sentHeader && c.listener.Counters != nil {
+		c.listener.Counters.Unfinished.Add(1)
+	}
+	c.endLocked()
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/io/link/flood_test.go
+++ b/io/link/flood_test.go
@@ -8,6 +8,8 @@
 	"runtime"
 	"testing"
 	"time"
+
+	"wagtailhoist/io/intake"
 )
 
 // BenchmarkForgedAnnouncements measures the memory that a listener holds while senders without the token
@@ -32,7 +34,7 @@
 		b.Fatal(err)
 	}
 	s := Settings{Token: "t", Counters: new(Counters)}
-	server := &http.Server{ConnState: TrackHeaders, MaxHeaderBytes: MaxHeaderBytes, ReadTimeout: time.Minute, Handler: http.HandlerFunc(
+	server := &http.Server{ConnState: intake.TrackHeaders, MaxHeaderBytes: MaxHeaderBytes, ReadTimeout: time.Minute, Handler: http.HandlerFunc(
 		func(w http.ResponseWriter, r *http.Request) { _, _ = Accept(w, r, s) },
 	)}
 	go func() { _ = server.Serve(Listen(inner, MaxUnauthenticatedConns, &s.Counters.UnauthenticatedConns)) }()
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/websocket"
+
+	"wagtailhoist/io/intake"
 )
 
 const (
@@ -50,7 +52,7 @@
 	// WithoutHello counts links with the token that ended before a valid Hello, UnauthenticatedConns closed connections that
 	// had not authenticated.
 	WithoutHello         atomic.Uint64
-	UnauthenticatedConns UnauthenticatedCounters
+	UnauthenticatedConns intake.ListenerCounters
 	// Sent and Received count the bytes of frames, without WebSocket and TCP headers.
 	Sent, Received atomic.Uint64
 }
@@ -163,9 +165,7 @@
 	l.peer = hello
 	l.lastReceived.Store(time.Now().UnixNano())
 	l.ws.SetReadLimit(maxFrameBytes)
-	if c, ok := l.ws.NetConn().(*trackedConn); ok {
-		c.markAuthenticated()
-	}
+	intake.MarkConnAuthenticated(l.ws.NetConn())
 	go l.heartbeat()
 	return nil
 }
