Bound the bodies and connections of an entry's callers and operators

Cause: an entry let all bodies of callers take 256 MiB, more than its VM has, and held a body that stopped short for 30 s. Operators' calls were bounded by rate only. The callers' listener had no bound on connections with a request in progress.

Ruled out: the team as the holder of a caller's memory, because nothing authenticates the header that names it, and one caller could pass for many teams. One budget for callers and operators: callers could keep operators out.

Change: io/front and io/admin read bodies with io/intake. What the header already rules out is refused before the body is read. The callers' listener is bounded, and so are the headers in progress. TestBodiesAreBounded keeps its checks with the new budget, whose unit is larger because headers count.

Answers are not bounded yet.

--- a/cmds/admin.go
+++ b/cmds/admin.go
@@ -182,7 +182,10 @@
 	life fx.Lifecycle, c *entryCmd, self *entrySelf, f *fleet, m *conf.Manager, metrics *meter.Meter,
 	s *sched.Sched, log *slog.Logger,
 ) {
-	api := &admin.Server{ID: f.self.Node, Token: c.Token, Config: m, Fleet: f, Meter: metrics, Log: log}
+	api := &admin.Server{
+		ID: f.self.Node, Token: c.Token, Config: m, Fleet: f, Meter: metrics, Log: log,
+		Bodies: &intake.Bodies{Limit: c.AdminBudget, Report: &intake.Reporter{Log: log, Meter: metrics}},
+	}
 	if s != nil {
 		api.Jobs = jobControl{sched: s, conf: m}
 	}
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -6,11 +6,14 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/fx"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/io/admin"
 	"wagtailhoist/io/claims"
 	"wagtailhoist/io/conf"
 	"wagtailhoist/io/front"
@@ -32,6 +35,10 @@
 	Works     string        `help:"URL of the platform's worker service. Without it, the entry schedules nothing."`
 	Cells     string        `default:"region" enum:"region,centre" help:"Layout of the cells that the first entry stores: one for each region, or for each data centre where a region has more than 2,000 workers."`
 	Drain     time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
+
+	BodyBudget     int64 `default:"25165824" help:"Bytes for all bodies of callers' requests in progress. A body may take three quarters of it."`
+	AdminBudget    int64 `default:"8388608" help:"Bytes for all bodies of operators' calls in progress."`
+	MaxConnections int   `default:"3072" help:"Connections of the callers' listener."`
 }
 
 func (c *entryCmd) validate(k *validator) {
@@ -53,8 +60,25 @@
 		}
 	}
 	k.duration("drain", c.Drain, 0, 10*time.Minute)
+	k.count("body-budget", int(c.BodyBudget), minBodyBudget, maxBodyBudget)
+	k.count("admin-budget", int(c.AdminBudget), admin.MinBodyBudget, maxBodyBudget)
+	k.count("max-connections", c.MaxConnections, minConnections, maxConnections)
 }
 
+const (
+	// minBodyBudget and maxBodyBudget bound the budget for bodies of an entry, in bytes.
+	minBodyBudget, maxBodyBudget = 4 << 20, 1 << 30
+	// minConnections and maxConnections bound the setting of the callers' connections.
+	minConnections, maxConnections = 16, 1 << 20
+	// headerAllowance is the part of the budget for bodies that is left to the header of the largest body.
+	headerAllowance = 1 << 20
+	// maxWaitingHeaderBytes bounds what connections without a complete request header have sent together. Such headers have
+	// about 1 KiB and arrive at once.
+	maxWaitingHeaderBytes = 2 << 20
+	// entryMemoryLimit is the soft memory limit of the Go runtime in bytes, as for a desk.
+	entryMemoryLimit = 120 << 20
+)
+
 // Run runs the entry until SIGTERM, SIGINT or a drain command.
 func (c *entryCmd) Run(s streams) error {
 	return serve(s, c.Level,
@@ -135,6 +159,9 @@
 // drain time until the balancer has noticed, refuses further requests as not run, waits for those in progress, and
 // then closes the claims writer and the links.
 func startEntry(life fx.Lifecycle, c *entryCmd, e entryParts, log *slog.Logger) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(entryMemoryLimit)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	self, d := e.Self, e.Dispatch
 	handle := front.Chain(
@@ -143,14 +170,19 @@
 		front.WithAdmission(timedAdmission{e.Gate, e.Meter}), timeService(e.Meter),
 	)
 	parting := &front.GracefulListener{Listener: self.callers}
+	report := &intake.Reporter{Log: log, Meter: e.Meter}
+	bodies := &intake.Bodies{Limit: c.BodyBudget, Report: report}
 	callers := &http.Server{
-		Handler:           &front.Server{Handle: handle, MaxBodyBytes: link.MaxBodyBytes, AskToClose: e.DrainState.draining.Load},
+		Handler: &front.Server{
+			Handle: handle, MaxBodyBytes: min(link.MaxBodyBytes, bodies.MaxBytes()-headerAllowance), AskToClose: e.DrainState.draining.Load,
+			Bodies: bodies,
+		},
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    front.MaxHeaderBytes,
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			parting.TrackConnState(conn, state)
-			intake.TrackConnState(conn, state)
+			intake.TrackRequests(conn, state)
 		},
 		ConnContext: intake.WithConn,
 	}
@@ -162,7 +194,10 @@
 		OnStart: func(context.Context) error {
 			log.Info("listening", "listen", self.callers.Addr().String(), "link", self.links.Addr().String(),
 				"admin", self.admin.Addr().String())
-			go serveHTTP(callers, link.Listen(parting, front.MaxIdleConns, &self.callerConns), log)
+			go serveHTTP(callers, &intake.Listener{
+				Listener: parting, MaxConns: c.MaxConnections, MaxWaiting: front.MaxIdleConns, MaxHeaderBytes: maxWaitingHeaderBytes,
+				MakeRoom: bodies.Evict, Report: report, Counters: &self.callerConns,
+			}, log)
 			go serveHTTP(links, link.Listen(self.links, link.MaxUnauthenticatedConns, &self.settings.Counters.UnauthenticatedConns), log)
 			go runPeriodically(ctx, metricsInterval, addLinkCounts(e.Meter, self, d.Pool, e.Claims))
 			go runPeriodically(ctx, sweepInterval, d.Pool.Sweep)
--- a/io/admin/handle.go
+++ b/io/admin/handle.go
@@ -45,11 +45,11 @@
 // apply serves POST /config.
 func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
 	var req ApplyRequest
-	if err := decodeBody(r, &req); err != nil {
-		writeFailure(w, err)
-		return
-	}
-	d, err := decl.Parse([]byte(req.Document))
+	var d model.Declaration
+	err := s.decodeBody(w, r, &req, func() (err error) {
+		d, err = decl.Parse([]byte(req.Document))
+		return err
+	})
 	if err != nil {
 		writeFailure(w, err)
 		return
@@ -106,11 +106,11 @@
 // query serves POST /query.
 func (s *Server) query(w http.ResponseWriter, r *http.Request) {
 	var req QueryRequest
-	if err := decodeBody(r, &req); err != nil {
-		writeFailure(w, err)
-		return
-	}
-	statement, err := query.Parse(req.Text)
+	var statement *query.Statement
+	err := s.decodeBody(w, r, &req, func() (err error) {
+		statement, err = query.Parse(req.Text)
+		return err
+	})
 	if err != nil {
 		writeFailure(w, err)
 		return
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -1,6 +1,8 @@
 package admin
 
 import (
+	"bytes"
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
@@ -40,6 +42,12 @@
 	MaxIdleConns = 64
 	// MaxHeaderBytes bounds the header of a call, in bytes.
 	MaxHeaderBytes = 16 << 10
+	// DefaultBodyBudget and MinBodyBudget are the default and the least limit of Server.Bodies, in bytes. The largest body may take
+	// three quarters of it.
+	DefaultBodyBudget = 8 << 20
+	MinBodyBudget     = 2 << 20
+	// bodyTimeout bounds the arrival of a body and the wait for its decoding.
+	bodyTimeout = 15 * time.Second
 	// changeTimeout bounds a change. A healthy store answers in milliseconds.
 	changeTimeout = 5 * time.Second
 )
@@ -57,6 +65,11 @@
 	Meter Meter
 	// Log receives the log messages; nil discards them.
 	Log *slog.Logger
+	// Bodies reads the request bodies within a memory budget; nil means one with the limit DefaultBodyBudget.
+	Bodies *intake.Bodies
+
+	// decoding bounds the bodies that are decoded at the same time: a document takes several times its size while it is parsed.
+	decoding intake.Gate
 
 	// callLimit and deniedLimit limit the calls with and without the token.
 	callLimit, deniedLimit *tokenBucket
@@ -68,6 +81,9 @@
 	if s.Log == nil {
 		s.Log = slog.New(slog.DiscardHandler)
 	}
+	if s.Bodies == nil {
+		s.Bodies = &intake.Bodies{Limit: DefaultBodyBudget}
+	}
 	r := mux.NewRouter()
 	r.Use(s.authenticate)
 	r.HandleFunc("/status", s.status).Methods(http.MethodGet)
@@ -94,15 +110,16 @@
 		switch {
 		case !limit.allow(time.Now()):
 			s.countRefusal("too many")
+			intake.DropBody(w, r)
 			w.Header().Set("Retry-After", "1")
 			writeFailure(w, &Failure{Kind: KindTooMany, Text: "too many calls; try again in a second"})
 		case !allowed:
 			s.countRefusal("denied")
+			intake.DropBody(w, r)
 			s.Log.Warn("operator's call denied", "path", r.URL.Path, "remote", r.RemoteAddr)
 			writeFailure(w, &Failure{Kind: KindDenied, Text: "the token is missing or wrong"})
 		default:
 			intake.MarkAuthenticated(r.Context())
-			r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 			next.ServeHTTP(w, r)
 		}
 	})
@@ -115,22 +132,42 @@
 	}
 }
 
-// decodeBody decodes the JSON body of a request and refuses unknown fields and trailing data.
-func decodeBody(r *http.Request, into any) error {
-	decoder := json.NewDecoder(r.Body)
+// decodeBody reads the JSON body of a request, decodes it and then calls parse, which parses the text in it. It refuses unknown
+// fields and trailing data.
+func (s *Server) decodeBody(w http.ResponseWriter, r *http.Request, into any, parse func() error) error {
+	deadline := time.Now().Add(bodyTimeout)
+	body, err := s.Bodies.Read(w, r, "operators", maxBodyBytes, deadline)
+	if err != nil {
+		return bodyFailure(err)
+	}
+	defer body.Release()
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	if err := s.decoding.Enter(ctx); err != nil {
+		return bodyFailure(err)
+	}
+	defer s.decoding.Leave()
+	decoder := json.NewDecoder(bytes.NewReader(body.Bytes()))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(into)
+	err = decoder.Decode(into)
 	if err == nil {
 		if _, err = decoder.Token(); err == io.EOF {
-			return nil
+			return parse()
 		}
 		err = errors.New("data after the end of the JSON value")
 	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	return &Failure{Kind: KindInvalid, Text: "the request is not valid JSON of the expected form: " + err.Error()}
+}
+
+// bodyFailure describes a body that wasn't received or decoded. The call had no effect.
+func bodyFailure(err error) *Failure {
+	switch intake.StatusCode(err) {
+	case http.StatusRequestEntityTooLarge:
 		return &Failure{Kind: KindTooLarge, Text: "the request is larger than the limit"}
+	case http.StatusServiceUnavailable:
+		return &Failure{Kind: KindTooMany, Text: "too many calls at once; try again in a second: " + err.Error()}
 	}
-	return &Failure{Kind: KindInvalid, Text: "the request is not valid JSON of the expected form: " + err.Error()}
+	return &Failure{Kind: KindInvalid, Text: err.Error()}
 }
 
 // writeJSON answers with a value.
--- a/io/front/http.go
+++ b/io/front/http.go
@@ -2,13 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"wagtailhoist/core/model"
@@ -35,8 +33,6 @@
 	defaultTimeout = 30 * time.Second
 	// maxTimeout is below the retention time of claims, so that no attempt outlives its claim.
 	maxTimeout = 10 * time.Minute
-	// readTimeout is how long a caller may take to send its body.
-	readTimeout = 30 * time.Second
 	// writeTimeout is how long a caller may take to read the response: 16 MiB at 2.2 Mbit/s.
 	writeTimeout = time.Minute
 	// retryAfter is the Retry-After of refusals, in seconds.
@@ -57,49 +53,18 @@
 	MaxBodyBytes int64
 	// AskToClose reports whether responses ask callers to close their connections; nil means never.
 	AskToClose func() bool
-	// MaxBufferedBytes limits the total size of the request bodies in memory; 0 means DefaultMaxBufferedBytes.
-	MaxBufferedBytes int64
+	// Bodies reads the request bodies within a memory budget; nil means one with the default limit.
+	Bodies *intake.Bodies
 
-	bufferedBytes atomic.Int64
+	defaultBodies intake.Bodies
 }
 
-// DefaultMaxBufferedBytes is the default of Server.MaxBufferedBytes.
-const DefaultMaxBufferedBytes = 256 << 20
-
-// reserve adds n bytes to the buffered bodies, or returns false at the limit. Bodies are read before requests are admitted
-// to a queue, so the queue limits do not bound their size.
-func (s *Server) reserve(n int64) bool {
-	limit := s.MaxBufferedBytes
-	if limit == 0 {
-		limit = DefaultMaxBufferedBytes
-	}
-	if s.bufferedBytes.Add(n) > limit {
-		s.bufferedBytes.Add(-n)
-		return false
-	}
-	return true
-}
-
-var errBufferFull = errors.New("entry has no room for the body")
-
-// bufferedBody reserves buffer space for a body as its bytes arrive: space reserved for the declared length would be
-// taken up by callers that send none of the body.
-type bufferedBody struct {
-	io.ReadCloser
-	server *Server
-	size   int64
-}
-
-// Read reserves space for the bytes that it reads, or returns errBufferFull.
-func (b *bufferedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		if !b.server.reserve(int64(n)) {
-			return 0, errBufferFull
-		}
-		b.size += int64(n)
+// bodies returns the reader of request bodies.
+func (s *Server) bodies() *intake.Bodies {
+	if s.Bodies != nil {
+		return s.Bodies
 	}
-	return n, err
+	return &s.defaultBodies
 }
 
 // ServeHTTP runs the request and writes the minion's response or an outcome.
@@ -108,14 +73,14 @@
 	if s.AskToClose != nil && s.AskToClose() {
 		w.Header().Set("Connection", "close")
 	}
-	body := &bufferedBody{ReadCloser: http.MaxBytesReader(w, r.Body, s.MaxBodyBytes), server: s}
-	r.Body = body
-	defer func() { s.bufferedBytes.Add(-body.size) }()
-	// The deadlines keep a caller that stops sending or reading from delaying a graceful shutdown.
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(now.Add(readTimeout))
-	call, code, err := s.readCall(now, r)
-	_ = control.SetReadDeadline(time.Time{})
+	call, code, err := readHeader(now, r)
+	var body *intake.Body
+	if err != nil {
+		intake.DropBody(w, r)
+	} else if body, err = s.bodies().Read(w, r, holder(r), s.MaxBodyBytes, call.Deadline); err != nil {
+		code = intake.StatusCode(err)
+	}
 	// Until the end of the response, the connection is not closed in favour of newer ones.
 	intake.MarkAuthenticated(r.Context())
 	if err != nil {
@@ -125,6 +90,8 @@
 		writeOutcome(w, r, reply)
 		return
 	}
+	defer body.Release()
+	call.Body = body.Bytes()
 	reply := s.Handle(r.Context(), call)
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if reply.Outcome == retry.OutcomeAnswered {
@@ -134,8 +101,17 @@
 	writeOutcome(w, r, reply)
 }
 
-// readCall parses r and reads its body, or returns an error and the HTTP status for it.
-func (s *Server) readCall(now time.Time, r *http.Request) (Call, int, error) {
+// holder returns the holder of a request's memory: the client's address, because the team in the header isn't authenticated.
+func holder(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// readHeader parses the header of r, or returns an error and the HTTP status for it.
+func readHeader(now time.Time, r *http.Request) (Call, int, error) {
 	// Absolute and opaque targets, * and CONNECT have no path that a minion could serve.
 	path := r.URL.RequestURI()
 	if !strings.HasPrefix(path, "/") || r.Method == http.MethodConnect {
@@ -149,17 +125,6 @@
 		}
 		timeout = time.Duration(ms) * time.Millisecond
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return Call{}, http.StatusRequestEntityTooLarge, fmt.Errorf("body exceeds %d bytes", tooLarge.Limit)
-		}
-		if errors.Is(err, errBufferFull) {
-			return Call{}, http.StatusServiceUnavailable, err
-		}
-		return Call{}, http.StatusBadRequest, fmt.Errorf("read body: %w", err)
-	}
 	keys := r.Header.Values(HeaderKey)
 	if len(keys) > 1 || len(keys) == 1 && (keys[0] == "" || len(keys[0]) > 256) {
 		return Call{}, http.StatusBadRequest, fmt.Errorf("%s must be one value of 1 to 256 bytes", HeaderKey)
@@ -179,7 +144,6 @@
 		Path:       path,
 		Host:       r.Host,
 		Header:     forwardedHeaders(r.Header),
-		Body:       body,
 	}, 0, nil
 }
 
--- a/io/front/http_test.go
+++ b/io/front/http_test.go
@@ -18,6 +18,7 @@
 	"wagtailhoist/core/claim"
 	"wagtailhoist/core/model"
 	"wagtailhoist/core/retry"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/link"
 )
 
@@ -75,7 +76,9 @@
 // body and send none of it must not use up the limit.
 func TestBodiesAreBounded(t *testing.T) {
 	started, release := make(chan struct{}, 4), make(chan struct{})
-	s := &Server{MaxBodyBytes: 100, MaxBufferedBytes: 150, Handle: func(context.Context, Call) Reply {
+	const size = 64 << 10
+	// One body fits, with its header, and two don't.
+	s := &Server{MaxBodyBytes: size, Bodies: &intake.Bodies{Limit: 100 << 10}, Handle: func(context.Context, Call) Reply {
 		started <- struct{}{}
 		<-release
 		return Reply{Outcome: retry.OutcomeAnswered, Status: 200}
@@ -83,7 +86,7 @@
 	server := httptest.NewServer(s)
 	defer server.Close()
 	post := func() int {
-		resp, err := http.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("x", 100)))
+		resp, err := http.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("x", size)))
 		if err != nil {
 			t.Error(err)
 			return 0
@@ -97,7 +100,7 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n")
+		_, _ = io.WriteString(c, fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", size))
 	}
 	time.Sleep(100 * time.Millisecond) // the server reads the headers
 	first := make(chan int, 1)
@@ -119,6 +122,37 @@
 	}
 }
 
+// A request must be served while bodies that stop short of their end fill the memory budget: these give way.
+func TestStalledBodiesGiveWay(t *testing.T) {
+	const size = 64 << 10
+	s := &Server{MaxBodyBytes: size, Bodies: &intake.Bodies{Limit: 256 << 10}, Handle: func(context.Context, Call) Reply {
+		return Reply{Outcome: retry.OutcomeAnswered, Status: 200}
+	}}
+	server := httptest.NewServer(s)
+	defer server.Close()
+	for range 16 {
+		c, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size-16))
+	}
+	for end := time.Now().Add(10 * time.Second); s.Bodies.Held() < 128<<10; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("bytes held by stalled bodies: got %d, want at least %d", s.Bodies.Held(), 128<<10)
+		}
+	}
+	resp, err := http.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("x", size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if got, want := resp.StatusCode, http.StatusOK; got != want {
+		t.Errorf("whole body beside stalled ones: got status %d, want %d", got, want)
+	}
+}
+
 // Request targets without a path must be refused: at a minion they could name another host.
 func TestTargetsWithoutPathAreRefused(t *testing.T) {
 	server := httptest.NewServer(&Server{MaxBodyBytes: 100, Handle: func(_ context.Context, c Call) Reply {
