Bound the memory of minions' answers in an entry

Cause: an entry held each answer, up to 16 MiB, until its caller had read it or a minute had passed, and allocated the announced length at the first part.

Ruled out: waiting for room, because the frames of all attempts of an agent come over one link, which a wait would block. Refusing the request beforehand, because the size of the answer isn't known then.

Change: front.Answers decides by core/budget. A caller's address holds the answer from its first byte until it is written. While the budget is full, the answer without progress (a byte from the minion, or 64 KiB taken by the caller) gives way. If it isn't being written yet, the outcome is unknown, 504, since the request has run; it isn't sent again, and the agent is told to free its copy. A body on a link grows by what has arrived.

The tests of io/front, io/link, io/agent and cmds pass with -race.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -37,6 +37,7 @@
 	Drain     time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
 
 	BodyBudget     int64 `default:"25165824" help:"Bytes for all bodies of callers' requests in progress. A body may take three quarters of it."`
+	AnswerBudget   int64 `default:"33554432" help:"Bytes for all answers of minions that are not passed on yet."`
 	AdminBudget    int64 `default:"8388608" help:"Bytes for all bodies of operators' calls in progress."`
 	MaxConnections int   `default:"3072" help:"Connections of the callers' listener."`
 }
@@ -61,6 +62,7 @@
 	}
 	k.duration("drain", c.Drain, 0, 10*time.Minute)
 	k.count("body-budget", int(c.BodyBudget), minBodyBudget, maxBodyBudget)
+	k.count("answer-budget", int(c.AnswerBudget), front.MinAnswerBudget, maxBodyBudget)
 	k.count("admin-budget", int(c.AdminBudget), admin.MinBodyBudget, maxBodyBudget)
 	k.count("max-connections", c.MaxConnections, minConnections, maxConnections)
 }
@@ -175,7 +177,7 @@
 	callers := &http.Server{
 		Handler: &front.Server{
 			Handle: handle, MaxBodyBytes: min(link.MaxBodyBytes, bodies.MaxBytes()-headerAllowance), AskToClose: e.DrainState.draining.Load,
-			Bodies: bodies,
+			Bodies: bodies, Answers: &front.Answers{Limit: c.AnswerBudget, Report: report},
 		},
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       callerIdleTimeout,
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -34,6 +34,8 @@
 	record model.Record
 	begin  link.Begin
 	body   []byte
+	// room is the memory of the answer.
+	room *answerRoom
 	// fenceUntilDeadline makes recovery try to fence the attempt until its deadline, not only for otherAgentAfter.
 	fenceUntilDeadline bool
 	// reportStall is called when the agent cannot be dialled or does not respond in time.
@@ -59,6 +61,8 @@
 	sequence uint64
 	// unreachable is set if no link to the agent could be opened.
 	unreachable bool
+	// noRoom is set if the answer was given up because the entry has no memory for it.
+	noRoom bool
 }
 
 // routeResult returns the result that the router records for the agent. If the caller disconnected, or its deadline
@@ -72,6 +76,8 @@
 		r.Outcome, r.Bytes = route.Answered, len(res.answer.body)
 	case res.failed && ctx.Err() != nil && (errors.Is(ctx.Err(), context.Canceled) || elapsed < acceptTimeout):
 		r.Outcome = route.Cancelled
+	case res.noRoom:
+		r.Outcome = route.Cancelled
 	case res.unreachable:
 		r.Outcome = route.Stalled
 	case res.failed:
@@ -110,7 +116,7 @@
 // listenOn receives the attempt's frames from conn, and no longer from an earlier link.
 func (t *agentAttempt) listenOn(conn *agentLink) {
 	t.stopListening()
-	t.agentLink, t.collector = conn, newFrameCollector(t.begin.Attempt)
+	t.agentLink, t.collector = conn, newFrameCollector(t.begin.Attempt, t.room)
 	conn.addCollector(t.collector)
 }
 
@@ -146,6 +152,9 @@
 			}
 		case <-timer.C:
 		case <-t.agentLink.Done():
+		case <-t.room.lostRoom():
+			_ = t.agentLink.Send(link.Done{Attempt: t.begin.Attempt})
+			return attemptResult{result: retry.Unknown, reason: reasonAnswerRoom, noRoom: true}
 		}
 		timer.Stop()
 		if res, ok := t.queuedResult(); ok {
--- a/io/front/collector.go
+++ b/io/front/collector.go
@@ -26,6 +26,8 @@
 type frameCollector struct {
 	attempt model.Attempt
 	events  chan any
+	// room is the memory of the answer.
+	room *answerRoom
 
 	answer link.Answer
 	body   *link.Body
@@ -34,8 +36,8 @@
 // maxCollectorEvents exceeds the events of an attempt on one link: accepted, a fence answer and one final event.
 const maxCollectorEvents = 8
 
-func newFrameCollector(a model.Attempt) *frameCollector {
-	return &frameCollector{attempt: a, events: make(chan any, maxCollectorEvents)}
+func newFrameCollector(a model.Attempt, room *answerRoom) *frameCollector {
+	return &frameCollector{attempt: a, events: make(chan any, maxCollectorEvents), room: room}
 }
 
 func (c *frameCollector) handleFrame(f link.Frame) {
@@ -49,14 +51,22 @@
 	case link.Fenced:
 		c.emit(fenceAnswer{ledger.State(f.State)})
 	case link.Answer:
+		if !c.room.resize(int64(len(f.Body))) {
+			return // the attempt learns of it from the room
+		}
 		c.answer = f
 		var err error
 		c.body, err = link.NewBody(f.Attempt, f.Length, f.Sum, f.Body)
 		c.reportIfComplete(err)
 	case link.Data:
-		if c.body != nil && !c.body.Complete() {
-			c.reportIfComplete(c.body.Add(f))
+		if c.body == nil || c.body.Complete() {
+			return
+		}
+		if !c.room.resize(int64(c.body.CapacityWith(len(f.Bytes)))) {
+			c.body = nil
+			return
 		}
+		c.reportIfComplete(c.body.Add(f))
 	}
 }
 
--- a/io/front/dispatch.go
+++ b/io/front/dispatch.go
@@ -26,6 +26,9 @@
 	Host   string
 	Header map[string][]string
 	Body   []byte
+
+	// room is the memory of the answer.
+	room *answerRoom
 }
 
 // Reply is the outcome of a call. Status, Header and Body are set if the outcome is answered.
@@ -76,7 +79,7 @@
 			break
 		}
 		request.Tried = append(request.Tried, agent.ID)
-		t := agentAttempt{pool: d.Pool, record: agent, body: c.Body, fenceUntilDeadline: !c.Idempotent, reportStall: func() {
+		t := agentAttempt{pool: d.Pool, record: agent, body: c.Body, room: c.room, fenceUntilDeadline: !c.Idempotent, reportStall: func() {
 			d.Router.Suspect(time.Now(), agent.ID)
 		}, begin: link.Begin{
 			Attempt: attempt, Deadline: c.Deadline, Team: c.Team, Key: c.Key, Method: c.Method, Path: c.Path,
@@ -88,6 +91,10 @@
 		d.logEnd(ctx, start, &t, result)
 		d.Router.Report(time.Now(), agent.ID, result.routeResult(ctx, time.Since(start)))
 		reply.Attempt, reply.Reason = attempt, result.reason
+		if result.noRoom {
+			// A repeated request would need the same room.
+			break
+		}
 		if result.answer != nil {
 			reply.Status, reply.Header, reply.Body = result.answer.frame.Status, result.answer.frame.Header, result.answer.body
 		}
--- a/io/front/http.go
+++ b/io/front/http.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -55,8 +56,11 @@
 	AskToClose func() bool
 	// Bodies reads the request bodies within a memory budget; nil means one with the default limit.
 	Bodies *intake.Bodies
+	// Answers bounds the memory of the answers; nil means a bound with the default limit.
+	Answers *Answers
 
-	defaultBodies intake.Bodies
+	defaultBodies  intake.Bodies
+	defaultAnswers Answers
 }
 
 // bodies returns the reader of request bodies.
@@ -67,6 +71,14 @@
 	return &s.defaultBodies
 }
 
+// answers returns the bound on the memory of answers.
+func (s *Server) answers() *Answers {
+	if s.Answers != nil {
+		return s.Answers
+	}
+	return &s.defaultAnswers
+}
+
 // ServeHTTP runs the request and writes the minion's response or an outcome.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
@@ -92,12 +104,18 @@
 	}
 	defer body.Release()
 	call.Body = body.Bytes()
+	call.room = s.answers().newRoom(holder(r))
+	defer call.room.release()
 	reply := s.Handle(r.Context(), call)
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	deadline := time.Now().Add(writeTimeout)
 	if reply.Outcome == retry.OutcomeAnswered {
-		writeAnswer(w, r, reply)
-		return
+		if call.room.startWriting(control, deadline) {
+			writeAnswer(w, r, reply, call.room)
+			return
+		}
+		reply = Reply{Outcome: retry.OutcomeUnknown, Reason: reasonAnswerRoom, Attempt: reply.Attempt}
 	}
+	_ = control.SetWriteDeadline(deadline)
 	writeOutcome(w, r, reply)
 }
 
@@ -179,7 +197,7 @@
 	return out
 }
 
-func writeAnswer(w http.ResponseWriter, r *http.Request, reply Reply) {
+func writeAnswer(w http.ResponseWriter, r *http.Request, reply Reply, room *answerRoom) {
 	h := w.Header()
 	for k, v := range forwardedHeaders(reply.Header) {
 		h[k] = v
@@ -198,7 +216,12 @@
 		h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	}
 	w.WriteHeader(reply.Status)
-	_, _ = w.Write(reply.Body)
+	for part := range slices.Chunk(reply.Body, writePart) {
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+		room.noteProgress()
+	}
 }
 
 // outcomeBody is the body of responses that an entry writes when there is no response of a minion.
--- a/io/link/body.go
+++ b/io/link/body.go
@@ -49,13 +49,23 @@
 	if d.Offset != len(b.bytes) || len(d.Bytes) == 0 || len(d.Bytes) > b.length-len(b.bytes) {
 		return &BodyError{b.attempt, fmt.Sprintf("got %d bytes at %d, want offset %d of %d", len(d.Bytes), d.Offset, len(b.bytes), b.length)}
 	}
-	if b.bytes == nil {
-		b.bytes = make([]byte, 0, b.length)
+	if capacity := b.CapacityWith(len(d.Bytes)); capacity > cap(b.bytes) {
+		b.bytes = append(make([]byte, 0, capacity), b.bytes...)
 	}
 	b.bytes = append(b.bytes, d.Bytes...)
 	return b.verifyChecksum()
 }
 
+// CapacityWith returns the memory that the body takes once n more bytes have been added. It grows by what has arrived, because the
+// announced length is only a claim of the sender.
+func (b *Body) CapacityWith(n int) int {
+	need := min(b.length, len(b.bytes)+n)
+	if need <= cap(b.bytes) {
+		return cap(b.bytes)
+	}
+	return min(b.length, max(need, 2*cap(b.bytes)))
+}
+
 // Complete reports whether all announced bytes have arrived.
 func (b *Body) Complete() bool { return len(b.bytes) == b.length }
 
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -316,6 +316,23 @@
 	}
 }
 
+// A sender that announces a long body and sends little of it must not make the receiver hold the whole length.
+func TestBodyTakesWhatHasArrived(t *testing.T) {
+	b, err := NewBody(model.Attempt{Sequence: 1}, MaxBodyBytes, 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const part, parts = 10_000, 10
+	for i := range parts {
+		if err := b.Add(Data{Offset: i * part, Bytes: make([]byte, part)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := cap(b.Bytes()), 2*part*parts; got > want {
+		t.Errorf("memory of the body: got %d bytes, want at most %d", got, want)
+	}
+}
+
 // Decode must return a frame or a *MalformedError for any bytes, because the sender may be faulty.
 func FuzzDecode(f *testing.F) {
 	var buf bytes.Buffer
