Bound the memory of calls between processes at the link listener

Cause: each forwarded call of the store, up to 16 MiB, and each job notification, up to 1 MiB, was read whole into a growing buffer, however many arrived at once and however slowly, within 5 s.

Ruled out: the budget of callers' bodies, because callers could then keep the processes from reaching the store through each other.

Change: io/proxy and io/jobs read the bodies with io/intake, after the token was checked, within budgets of their own. A refused call was not carried out, which is what its sender takes any status but 200 for; a refused notification reaches the owner by its watch. intake.Address replaces the function of io/front.

No crowd test covers this listener.

Conclusion: the defaults apply; flags for them need the command desk.

--- a/io/front/http.go
+++ b/io/front/http.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -86,11 +85,13 @@
 		w.Header().Set("Connection", "close")
 	}
 	control := http.NewResponseController(w)
+	// The client's address holds the memory of its requests, because the team in the header isn't authenticated.
+	holder := intake.Address(r)
 	call, code, err := readHeader(now, r)
 	var body *intake.Body
 	if err != nil {
 		intake.DropBody(w, r)
-	} else if body, err = s.bodies().Read(w, r, holder(r), s.MaxBodyBytes, call.Deadline); err != nil {
+	} else if body, err = s.bodies().Read(w, r, holder, s.MaxBodyBytes, call.Deadline); err != nil {
 		code = intake.StatusCode(err)
 	}
 	// Until the end of the response, the connection is not closed in favour of newer ones.
@@ -104,7 +105,7 @@
 	}
 	defer body.Release()
 	call.Body = body.Bytes()
-	call.room = s.answers().newRoom(holder(r))
+	call.room = s.answers().newRoom(holder)
 	defer call.room.release()
 	reply := s.Handle(r.Context(), call)
 	deadline := time.Now().Add(writeTimeout)
@@ -119,15 +120,6 @@
 	writeOutcome(w, r, reply)
 }
 
-// holder returns the holder of a request's memory: the client's address, because the team in the header isn't authenticated.
-func holder(r *http.Request) string {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
-}
-
 // readHeader parses the header of r, or returns an error and the HTTP status for it.
 func readHeader(now time.Time, r *http.Request) (Call, int, error) {
 	// Absolute and opaque targets, * and CONNECT have no path that a minion could serve.
--- a/io/jobs/notifier.go
+++ b/io/jobs/notifier.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/mirror"
 	"wagtailhoist/io/store"
 )
@@ -33,6 +33,10 @@
 	Token string
 	HTTP  *http.Client
 	Log   *slog.Logger
+	// Bodies reads received notifications within a memory budget; nil means one with the default limit of intake.Bodies.
+	Bodies *intake.Bodies
+
+	defaultBodies intake.Bodies
 }
 
 // Notify sends an item to the owner in the background. It does nothing if this process is the owner or no owner is known.
@@ -71,15 +75,22 @@
 // ServeHTTP receives an item from another entry and merges it into the mirror.
 func (n *Notifier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Authorization") != "Bearer "+n.Token {
+		intake.DropBody(w, r)
 		http.Error(w, "token refused", http.StatusUnauthorized)
 		return
 	}
-	var item store.Item
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxNotificationBytes))
-	if err == nil {
-		err = cbor.Unmarshal(data, &item)
+	bodies := n.Bodies
+	if bodies == nil {
+		bodies = &n.defaultBodies
+	}
+	body, err := bodies.Read(w, r, intake.Address(r), maxNotificationBytes, time.Now().Add(notifyTimeout))
+	if err != nil {
+		http.Error(w, err.Error(), intake.StatusCode(err))
+		return
 	}
-	if err != nil || item.Version == 0 {
+	defer body.Release()
+	var item store.Item
+	if err := cbor.Unmarshal(body.Bytes(), &item); err != nil || item.Version == 0 {
 		http.Error(w, "item can't be decoded or has no version", http.StatusBadRequest)
 		return
 	}
--- a/io/proxy/store.go
+++ b/io/proxy/store.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -17,6 +16,7 @@
 
 	"wagtailhoist/io/call"
 	"wagtailhoist/io/clock"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/store"
 )
 
@@ -47,6 +47,10 @@
 	probeKey = "wh/probe"
 	// maxBodyBytes bounds a forwarded call and its reply: a change has at most 32 records of a job's progress.
 	maxBodyBytes = 16 << 20
+	// DefaultBudget is the memory budget of a Store that sets none, in bytes: the largest call may take three quarters of it.
+	DefaultBudget = 24 << 20
+	// bodyTimeout bounds the arrival of a forwarded call, which its sender gives up after forwardTimeout.
+	bodyTimeout = 2 * forwardTimeout
 )
 
 // Store calls the store directly while it answers, and through other processes while it doesn't. As an http.Handler it
@@ -59,6 +63,11 @@
 	Token string
 	HTTP  *http.Client
 	Log   *slog.Logger
+	// Bodies reads forwarded calls within a memory budget; nil means one with the limit DefaultBudget.
+	Bodies *intake.Bodies
+
+	defaultBodies    intake.Bodies
+	setDefaultBodies sync.Once
 
 	// directRetryAt is when direct calls may be made again after a failure, on the boot-time clock in nanoseconds.
 	directRetryAt atomic.Int64
@@ -314,17 +323,31 @@
 	return reply, reply.err(q)
 }
 
+// bodies returns the reader of forwarded calls.
+func (s *Store) bodies() *intake.Bodies {
+	if s.Bodies != nil {
+		return s.Bodies
+	}
+	s.setDefaultBodies.Do(func() { s.defaultBodies.Limit = DefaultBudget })
+	return &s.defaultBodies
+}
+
 // ServeHTTP makes a call that another process forwards. It is made directly or not at all, never forwarded again.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Authorization") != "Bearer "+s.Token {
+		intake.DropBody(w, r)
 		http.Error(w, "token refused", http.StatusUnauthorized)
 		return
 	}
-	var q Request
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	if err == nil {
-		err = cbor.Unmarshal(data, &q)
+	body, err := s.bodies().Read(w, r, intake.Address(r), maxBodyBytes, time.Now().Add(bodyTimeout))
+	if err != nil {
+		http.Error(w, err.Error(), intake.StatusCode(err))
+		return
 	}
+	var q Request
+	err = cbor.Unmarshal(body.Bytes(), &q)
+	// The decoded call has copies of its parts. A watch lasts for seconds, and needs no body meanwhile.
+	body.Release()
 	if err != nil {
 		http.Error(w, "forwarded call can't be decoded", http.StatusBadRequest)
 		return
--- a/io/proxy/store_test.go
+++ b/io/proxy/store_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/store"
 )
 
@@ -175,6 +179,37 @@
 	}
 }
 
+// Forwarded calls that stop short of their end must give way to a whole one while they fill the memory budget.
+func TestStalledCallsGiveWay(t *testing.T) {
+	const size = 64 << 10
+	bodies := &intake.Bodies{Limit: 256 << 10}
+	log := slog.New(slog.DiscardHandler)
+	server := httptest.NewServer(&Store{Direct: &fakeStore{}, Token: "t", Log: log, Bodies: bodies})
+	t.Cleanup(server.Close)
+	for range 16 {
+		c, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer t\r\nContent-Length: %d\r\n\r\n%s",
+			Path, size, strings.Repeat("x", size-16))
+	}
+	for end := time.Now().Add(10 * time.Second); bodies.Held() < 128<<10; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("bytes held by stalled calls: got %d, want at least %d", bodies.Held(), 128<<10)
+		}
+	}
+	s := &Store{
+		Direct: &fakeStore{err: refused}, Peers: func() []string { return []string{server.Listener.Addr().String()} },
+		Token: "t", HTTP: http.DefaultClient, Log: log,
+	}
+	change := store.Change{Sets: []store.Set{{Key: "k", Value: make([]byte, size)}}}
+	if _, err := s.Commit(context.Background(), change); err != nil {
+		t.Errorf("whole call beside stalled ones: got %v, want no error", err)
+	}
+}
+
 // After a call without an answer, a change is sent only once the store has answered a read. Otherwise each retry of a caller
 // would end with an unknown outcome again.
 func TestChangeIsNotSentToASilentStore(t *testing.T) {
