Bound the memory of frames that links receive at the same time

Cause: a frame may have 4 MiB, and each link held what had arrived of its frame for as long as a byte came within the silence timeout. A thousand links could hold 4 GiB.

Ruled out: counting all frames. A thousand agents may each send a part of a body, 64 KiB, at the same time, and closing their links would end attempts. Waiting for room: the sender's own write deadline would close the link.

Change: link.FrameBudget decides by core/budget over buffers larger than 128 KiB. The link without progress is closed, first among those of the peer that holds the most. A frame has to arrive within 30 s.

No crowd test covers links.

Conclusion: frames are bounded in entry and agent. The links of desk and runner have no such budget yet.

--- a/cmds/agent.go
+++ b/cmds/agent.go
@@ -30,6 +30,7 @@
 	Service     string `default:"default" help:"Service that the minion provides."`
 	Slots       int    `default:"8" help:"Requests that the minion serves at a time."`
 	Connections int    `default:"64" help:"Connections that the minion accepts."`
+	FrameBudget int64  `default:"33554432" help:"Bytes for all frames over 128 KiB that are received over links at the same time."`
 }
 
 func (c *agentCmd) validate(k *validator) {
@@ -42,6 +43,7 @@
 	k.name("service", c.Service)
 	k.count("slots", c.Slots, 1, 10000)
 	k.count("connections", c.Connections, 1, 10000)
+	k.count("frame-budget", int(c.FrameBudget), link.MinFrameBudget, maxBodyBudget)
 	if c.Slots > c.Connections {
 		k.failFlag("slots", strconv.Itoa(c.Slots), "at most the number of --connections, because each request takes one")
 	}
@@ -83,7 +85,10 @@
 	hello := link.Hello{
 		Node: rec.ID, Incarnation: rec.Incarnation, Role: link.RoleAgent, Region: rec.Region, Centre: rec.Centre, Address: address,
 	}
-	return agentSelf{l, rec, link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}}, nil
+	settings := link.Settings{
+		Self: hello, Token: c.Token, Counters: new(link.Counters), Frames: &link.FrameBudget{Limit: c.FrameBudget},
+	}
+	return agentSelf{l, rec, settings}, nil
 }
 
 func newAgentMinion(c *agentCmd) (*agent.Minion, error) {
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -39,6 +39,7 @@
 	BodyBudget     int64 `default:"25165824" help:"Bytes for all bodies of callers' requests in progress. A body may take three quarters of it."`
 	AnswerBudget   int64 `default:"33554432" help:"Bytes for all answers of minions that are not passed on yet."`
 	AdminBudget    int64 `default:"8388608" help:"Bytes for all bodies of operators' calls in progress."`
+	FrameBudget    int64 `default:"33554432" help:"Bytes for all frames over 128 KiB that are received over links at the same time."`
 	MaxConnections int   `default:"3072" help:"Connections of the callers' listener."`
 }
 
@@ -63,6 +64,7 @@
 	k.duration("drain", c.Drain, 0, 10*time.Minute)
 	k.count("body-budget", int(c.BodyBudget), minBodyBudget, maxBodyBudget)
 	k.count("answer-budget", int(c.AnswerBudget), front.MinAnswerBudget, maxBodyBudget)
+	k.count("frame-budget", int(c.FrameBudget), link.MinFrameBudget, maxBodyBudget)
 	k.count("admin-budget", int(c.AdminBudget), admin.MinBodyBudget, maxBodyBudget)
 	k.count("max-connections", c.MaxConnections, minConnections, maxConnections)
 }
@@ -114,7 +116,9 @@
 		Node: model.NodeID(c.ID), Incarnation: entryIncarnation(time.Now()), Role: link.RoleEntry,
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: address,
 	}
-	settings := link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}
+	settings := link.Settings{
+		Self: hello, Token: c.Token, Counters: new(link.Counters), Frames: &link.FrameBudget{Limit: c.FrameBudget},
+	}
 	return &entrySelf{callers: callers, links: links, admin: admin, settings: settings}, nil
 }
 
--- a/cmds/metrics.go
+++ b/cmds/metrics.go
@@ -139,6 +139,8 @@
 		{counter: &links.Received, name: "link_bytes", label: "direction", value: "received"},
 		{counter: &links.Malformed, name: "broken_links", label: "cause", value: "malformed"},
 		{counter: &links.Silent, name: "broken_links", label: "cause", value: "silent"},
+		{counter: &links.NoRoom, name: "broken_links", label: "cause", value: "no room"},
+		{counter: &links.Late, name: "broken_links", label: "cause", value: "late frame"},
 		{counter: &links.Denied, name: "broken_links", label: "cause", value: "denied"},
 		{counter: &links.WithoutHello, name: "broken_links", label: "cause", value: "no hello"},
 		{counter: &links.RefusedRecords, name: "refused_records", label: "kind", value: "record"},
--- a/cmds/settings_test.go
+++ b/cmds/settings_test.go
@@ -117,12 +117,12 @@
 
 // Budgets that no body fits into, and bounds that leave no connection, must be refused at the start.
 func TestLimitsOfAnEntryAreChecked(t *testing.T) {
-	args := []string{"entry", "--id=e1", "--region=r", "--centre=c", "--token=t", "--body-budget=1", "--admin-budget=1", "--answer-budget=1", "--max-connections=0"}
+	args := []string{"entry", "--id=e1", "--region=r", "--centre=c", "--token=t", "--body-budget=1", "--admin-budget=1", "--answer-budget=1", "--frame-budget=1", "--max-connections=0"}
 	var stderr strings.Builder
 	if got := Main(args, io.Discard, &stderr); got != exitUsage {
 		t.Errorf("exit code: got %d, want %d", got, exitUsage)
 	}
-	for _, flag := range []string{"--body-budget", "--admin-budget", "--answer-budget", "--max-connections"} {
+	for _, flag := range []string{"--body-budget", "--admin-budget", "--answer-budget", "--frame-budget", "--max-connections"} {
 		if !strings.Contains(stderr.String(), flag+" is ") {
 			t.Errorf("problems: got %q, want one of %s", stderr.String(), flag)
 		}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/websocket"
 
+	"wagtailhoist/core/budget"
 	"wagtailhoist/io/intake"
 )
 
@@ -46,6 +47,8 @@
 	// Malformed counts frames that could not be decoded, Silent links closed because nothing was received in
 	// time.
 	Malformed, Silent atomic.Uint64
+	// NoRoom counts links closed because there was no memory for their frame, Late those whose frame took too long.
+	NoRoom, Late atomic.Uint64
 	// Denied counts requests for a link without the token, RefusedRecords the records that were refused as invalid or
 	// because the sender may not announce them.
 	Denied, RefusedRecords atomic.Uint64
@@ -65,6 +68,8 @@
 	Counters *Counters
 	// SilenceTimeout replaces the default silence timeout if it is not 0.
 	SilenceTimeout time.Duration
+	// Frames bounds the memory of received frames; the links of a process share it. It may be nil.
+	Frames *FrameBudget
 }
 
 // Link is a connection to another process. Send may be called by several goroutines at once, Receive by
@@ -74,6 +79,9 @@
 	peer           Hello
 	counters       *Counters
 	silenceTimeout time.Duration
+	frames         *FrameBudget
+	// frame is the memory of the frame that is being received. Only Receive uses it.
+	frame *budget.Body
 
 	writeMu sync.Mutex
 	buffer  bytes.Buffer
@@ -133,7 +141,7 @@
 // newLink wraps a WebSocket connection whose Hello has not been exchanged, so the read limit is that of a
 // Hello.
 func newLink(ws *websocket.Conn, s Settings) *Link {
-	l := &Link{ws: ws, counters: s.Counters, silenceTimeout: s.SilenceTimeout, done: make(chan struct{})}
+	l := &Link{ws: ws, counters: s.Counters, silenceTimeout: s.SilenceTimeout, frames: s.Frames, done: make(chan struct{})}
 	if l.counters == nil {
 		l.counters = new(Counters)
 	}
@@ -228,6 +236,8 @@
 
 // receiveFrame reads and decodes the next frame, and counts silent peers and malformed frames.
 func (l *Link) receiveFrame(maxSilence time.Duration) (Frame, error) {
+	// The buffer is in memory until the frame is decoded.
+	defer l.frames.release(l)
 	b, err := l.readMessage(maxSilence)
 	if err != nil {
 		var timeout net.Error
@@ -259,6 +269,7 @@
 		l.counters.Malformed.Add(1)
 		return nil, &MalformedError{Cause: fmt.Errorf("message is text, not binary")}
 	}
+	begun := time.Now()
 	var buf bytes.Buffer
 	for {
 		_, err := io.CopyN(&buf, r, 16<<10)
@@ -269,7 +280,15 @@
 		if err != nil {
 			return nil, err
 		}
-		_ = l.ws.SetReadDeadline(time.Now().Add(maxSilence))
+		if err := l.frames.hold(l, int64(buf.Cap())); err != nil {
+			return nil, err
+		}
+		now := time.Now()
+		if now.Sub(begun) > maxFrameTime {
+			l.counters.Late.Add(1)
+			return nil, errFrameLate
+		}
+		_ = l.ws.SetReadDeadline(now.Add(maxSilence))
 	}
 }
 
