Bound what clients can take of desk and runner

Cause: submitJob read each body whole into a buffer that grows by doubling, without a bound over all requests, a time limit on arrival or a bound on connections; a body of 256 KiB of empty steps allocated 155 MB in total while it was decoded. A status report whose body broke off was acknowledged with 200. Ruled out: a fixed ReadTimeout alone (bounds the time, not the memory), charging only while a body arrives (jobs stay in memory while the store is slow). Change: platform/front.go and Registry read bodies through intake.Bodies, charge a decoded job until its answer, decode behind a gate and check the number of steps before they are decoded. Requests that are decided by their header don't wait for a body. All listeners of desk and runner are bounded; answers have a write deadline. Measured: platform, cmds, io/intake pass with -race, the scripts pass. With one line taken out each time, on a copy, the tests fail: the shared budget, the charge of a decoded job, the number of steps (154,876,192 bytes allocated, at most 4,194,304 wanted), DropBody (no answer in 20 s), the answer of the registry (200 instead of 503). Conclusion: the bounds hold in the handlers' tests. The memory of processes under load is not measured here.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -20,6 +20,7 @@
 	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
 	"wagtailhoist/core/model"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/jobs"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
@@ -39,6 +40,28 @@
 	leaseMargin = 500 * time.Millisecond
 	// shutdownTimeout bounds the wait for requests in progress after the drain time.
 	shutdownTimeout = 3 * time.Second
+	// minBodyBudget leaves room for one body of the largest published size, which may take five times that when it is decoded;
+	// maxBodyBudget is the memory of the smallest VM that an idle process and its connections leave.
+	minBodyBudget, maxBodyBudget = 4 << 20, 64 << 20
+	// minConnections is below any useful number. maxDeskConnections leaves 400 of a VM's 3,900 descriptors without files for links,
+	// the store and agents.
+	minConnections, maxDeskConnections = 8, 3500
+	// maxLinkConns bounds the connections of the link listener: links of agents and calls of other entries. maxProbeConns bounds
+	// those of the readiness and the metrics listener each.
+	maxLinkConns, maxProbeConns = 1500, 32
+	// probeTimeout bounds reading a probe and writing its answer.
+	probeTimeout = 5 * time.Second
+	// callerHeaderTimeout bounds the time in which a request header arrives; the platform publishes 3 s.
+	callerHeaderTimeout = 5 * time.Second
+	// maxCallerHeaderBytes is the largest header of a caller's request; the platform publishes it.
+	maxCallerHeaderBytes = 16 << 10
+	// maxHeadersInProgress bounds the bytes of all unfinished request headers of a listener. Ordinary headers have 300 bytes, so
+	// that this is reached by 3,500 of them, or by 64 of the largest size.
+	maxHeadersInProgress = 1 << 20
+	// answerTimeout bounds writing an answer, also one that net/http gives itself.
+	answerTimeout = 10 * time.Second
+	// gaugeInterval is how often the gauge of bytes in progress is set.
+	gaugeInterval = time.Second
 	// maxShare bounds the share of processor time, in cores.
 	maxShare = 1024
 	// linkSilenceTimeout is the time without a received byte after which a link is closed.
@@ -61,6 +84,9 @@
 	Keep    time.Duration `default:"2m" help:"How long the state of an ended job can be read."`
 	Share   float64       `default:"0" help:"Share of processor time of this VM in cores; entries with a large share are elected first. 0 means unknown."`
 	Drain   time.Duration `default:"2200ms" help:"Time that the balancer needs to see that the entry is not ready."`
+
+	BodyBudget     int `default:"12582912" help:"Bytes of memory for all callers' bodies in progress."`
+	MaxConnections int `default:"2048" help:"Largest number of callers' connections."`
 }
 
 func (c *deskCmd) validate(k *validator) {
@@ -80,6 +106,8 @@
 	k.duration("early", c.Early, 0, time.Minute)
 	k.duration("keep", c.Keep, time.Second, 24*time.Hour)
 	k.duration("drain", c.Drain, 0, time.Minute)
+	k.count("body-budget", c.BodyBudget, minBodyBudget, maxBodyBudget)
+	k.count("max-connections", c.MaxConnections, minConnections, maxDeskConnections)
 	if c.Remote < 1 {
 		k.failFlag("remote", "", "a number of at least 1")
 	}
@@ -166,7 +194,15 @@
 	}
 	r := mux.NewRouter()
 	r.Handle("/metrics", m.Handler())
-	serveHTTP(&http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}, l, log)
+	serveHTTP(probeServer(r), &intake.Listener{Listener: l, MaxConns: maxProbeConns}, log)
+}
+
+// probeServer returns a server for short requests without a body.
+func probeServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadTimeout: probeTimeout, WriteTimeout: probeTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: maxCallerHeaderBytes, ConnState: intake.TrackRequests,
+	}
 }
 
 // deskParts are the components that startDesk runs.
@@ -192,14 +228,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ownerCtx, stopOwner := context.WithCancel(ctx)
 	var stopping atomic.Bool
-	front := &platform.JobHandler{Jobs: p.Jobs, Desired: p.Watcher.Desired, Refresh: p.Watcher.Refresh, Log: log, Meter: p.Meter}
-	callers := &http.Server{
-		Handler: front, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: 16 << 10,
-	}
-	ready := &http.Server{Handler: readinessHandler(func() bool {
+	report := &intake.Reporter{Log: log, Meter: p.Meter}
+	front := &platform.JobHandler{Jobs: p.Jobs, Desired: p.Watcher.Desired, Refresh: p.Watcher.Refresh, Log: log, Meter: p.Meter, Report: report}
+	front.Bodies.Limit, front.Bodies.Report = int64(c.BodyBudget), report
+	callers := callerServer(front)
+	ready := probeServer(readinessHandler(func() bool {
 		_, _, synced := p.Mirror.Status()
 		return synced && p.Watcher.Desired() != nil && !stopping.Load()
-	}), ReadHeaderTimeout: 5 * time.Second}
+	}))
 	links := newDeskLinkServer(c, p)
 	var loops sync.WaitGroup
 	life.Append(fx.Hook{
@@ -209,9 +245,15 @@
 				return err
 			}
 			log.Info("listening", "listen", c.Listen, "ready", c.Ready, "link", c.Link, "store", c.Store, "hold", c.Hold)
-			for i, s := range []*http.Server{callers, ready, links} {
-				go serveHTTP(s, open[i], log)
-			}
+			go serveHTTP(callers, &intake.Listener{
+				Listener: open[0], MaxConns: c.MaxConnections, MaxHeaderBytes: maxHeadersInProgress,
+				MakeRoom: front.Bodies.Evict, Report: report,
+			}, log)
+			go serveHTTP(ready, &intake.Listener{Listener: open[1], MaxConns: maxProbeConns, Report: report}, log)
+			go serveHTTP(links, &intake.Listener{Listener: open[2], MaxConns: maxLinkConns, Report: report}, log)
+			go runPeriodically(ctx, gaugeInterval, func(time.Time) {
+				p.Meter.Gauge("body_bytes", float64(front.Bodies.Held()))
+			})
 			loops.Go(func() { p.Watcher.Run(ctx) })
 			loops.Go(func() { p.Mirror.Run(ctx) })
 			loops.Go(func() { p.Owner.Run(ownerCtx) })
@@ -238,6 +280,14 @@
 	})
 }
 
+// callerServer returns a server for callers nobody controls. Its handler sets shorter limits for a body and its answer.
+func callerServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: callerHeaderTimeout, ReadTimeout: intake.MaxArrival, WriteTimeout: answerTimeout,
+		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes, ConnState: intake.TrackRequests,
+	}
+}
+
 // newDeskLinkServer returns the server of the link listener, which accepts links of agents, store calls that this
 // entry proxies for other processes, and job notifications from other entries.
 func newDeskLinkServer(c *deskCmd, p deskParts) *http.Server {
@@ -247,6 +297,7 @@
 	}
 	s := link.Settings{Self: self, Token: c.Token, SilenceTimeout: linkSilenceTimeout}
 	server := linkServer(s, p.Owner.ServeAgent, func() bool { return true })
+	server.ConnState = intake.TrackRequests
 	router := mux.NewRouter()
 	router.Handle(proxy.Path, p.Store)
 	router.Handle(jobs.NotifyPath, p.Notifier)
--- a/cmds/runner.go
+++ b/cmds/runner.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -13,6 +12,7 @@
 	"go.uber.org/fx"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/mirror"
 	"wagtailhoist/io/runner"
@@ -25,6 +25,10 @@
 	ownerWatchTimeout = 4 * time.Second
 	// runnerMemoryLimit is the soft memory limit of the Go runtime in bytes; the VM of an agent has 152 MB.
 	runnerMemoryLimit = 90 << 20
+	// minReportBudget leaves room for one status report of the largest published size, 4 MiB.
+	minReportBudget = 6 << 20
+	// maxRunnerConnections keeps connections of 30 KB within a third of the VM's memory.
+	maxRunnerConnections = 1500
 )
 
 // runnerCmd runs the agent of a worker of the users' platform: it takes the worker's status reports, reports to the
@@ -34,6 +38,9 @@
 	Listen string `required:"" help:"Address at which the worker reports."`
 	Worker string `required:"" help:"IP:port of the worker."`
 	Store  string `required:"" help:"IP:port of the platform's store."`
+
+	BodyBudget     int `default:"8388608" help:"Bytes of memory for all status reports in progress."`
+	MaxConnections int `default:"512" help:"Largest number of connections of the worker."`
 }
 
 func (c *runnerCmd) validate(k *validator) {
@@ -41,6 +48,8 @@
 	k.listen("listen", c.Listen)
 	k.join("worker", []string{c.Worker})
 	k.join("store", []string{c.Store})
+	k.count("body-budget", c.BodyBudget, minReportBudget, maxBodyBudget)
+	k.count("max-connections", c.MaxConnections, minConnections, maxRunnerConnections)
 }
 
 // Run runs the agent until SIGTERM or SIGINT.
@@ -77,8 +86,12 @@
 		debug.SetMemoryLimit(runnerMemoryLimit)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	registry := &platform.Registry{Agent: r, Log: log}
-	server := &http.Server{Handler: registry.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	report := &intake.Reporter{Log: log}
+	registry := &platform.Registry{Agent: r, Log: log, Report: report}
+	registry.Bodies.Limit, registry.Bodies.Report = int64(c.BodyBudget), report
+	// A decoded report may take five times the memory of its text, so that only one at a time fits into the VM.
+	registry.Decoding.Width = 1
+	server := callerServer(registry.Handler())
 	var loops sync.WaitGroup
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -87,7 +100,10 @@
 				return err
 			}
 			log.Info("listening", "listen", c.Listen, "worker", c.Worker, "store", c.Store)
-			go serveHTTP(server, l, log)
+			go serveHTTP(server, &intake.Listener{
+				Listener: l, MaxConns: c.MaxConnections, MaxHeaderBytes: maxHeadersInProgress,
+				MakeRoom: registry.Bodies.Evict, Report: report,
+			}, log)
 			loops.Go(func() { ownerMirror.Run(ctx) })
 			loops.Go(func() { r.Run(ctx) })
 			go ignoreSIGHUP(ctx, log)
--- a/core/batch/check.go
+++ b/core/batch/check.go
@@ -5,8 +5,8 @@
 const (
 	// maxTasks limits the tasks of all occurrences of a job, so that its progress fits into a value of the store (1 MB).
 	maxTasks = 8000
-	// maxSteps limits the steps of a job.
-	maxSteps = 256
+	// MaxSteps limits the steps of a job.
+	MaxSteps = 256
 )
 
 // InvalidError reports the field for which a job is rejected.
@@ -17,8 +17,8 @@
 
 // Check returns an InvalidError if a field of the job is invalid.
 func (j *Job) Check() error {
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return &InvalidError{"steps", fmt.Sprintf("got %d, allowed 1 to %d", len(j.Steps), maxSteps)}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return &InvalidError{"steps", fmt.Sprintf("got %d, allowed 1 to %d", len(j.Steps), MaxSteps)}
 	}
 	if j.Repeats < 0 || j.Interval < 0 || j.Start < 0 {
 		return &InvalidError{"repeats", "repeats, start and interval must not be negative"}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -153,6 +153,14 @@
 	m.scope.Tagged(map[string]string{"cell": name}).Gauge("fragmentation").Update(value)
 }
 
+// Gauge sets a gauge without labels.
+func (m *Meter) Gauge(name string, value float64) {
+	if m == nil {
+		return
+	}
+	m.scope.Gauge(name).Update(value)
+}
+
 // timing records d once by team and once by class, in separate metrics: a series for each pair would multiply the 380
 // teams by the number of classes.
 func (m *Meter) timing(name string, team model.Team, class string, d time.Duration) {
