Settle the names of limits that entry and desk share, and add gauges

Change: the bounds of an entry's settings have names of their own. An entry exports body_bytes, answer_bytes and frame_bytes.

--- a/cmds/agent.go
+++ b/cmds/agent.go
@@ -43,7 +43,7 @@
 	k.name("service", c.Service)
 	k.count("slots", c.Slots, 1, 10000)
 	k.count("connections", c.Connections, 1, 10000)
-	k.count("frame-budget", int(c.FrameBudget), link.MinFrameBudget, maxBodyBudget)
+	k.count("frame-budget", int(c.FrameBudget), link.MinFrameBudget, maxEntryBudget)
 	if c.Slots > c.Connections {
 		k.failFlag("slots", strconv.Itoa(c.Slots), "at most the number of --connections, because each request takes one")
 	}
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -62,18 +62,18 @@
 		}
 	}
 	k.duration("drain", c.Drain, 0, 10*time.Minute)
-	k.count("body-budget", int(c.BodyBudget), minBodyBudget, maxBodyBudget)
-	k.count("answer-budget", int(c.AnswerBudget), front.MinAnswerBudget, maxBodyBudget)
-	k.count("frame-budget", int(c.FrameBudget), link.MinFrameBudget, maxBodyBudget)
-	k.count("admin-budget", int(c.AdminBudget), admin.MinBodyBudget, maxBodyBudget)
-	k.count("max-connections", c.MaxConnections, minConnections, maxConnections)
+	k.count("body-budget", int(c.BodyBudget), minBodyBudget, maxEntryBudget)
+	k.count("answer-budget", int(c.AnswerBudget), front.MinAnswerBudget, maxEntryBudget)
+	k.count("frame-budget", int(c.FrameBudget), link.MinFrameBudget, maxEntryBudget)
+	k.count("admin-budget", int(c.AdminBudget), admin.MinBodyBudget, maxEntryBudget)
+	k.count("max-connections", c.MaxConnections, minConnections, maxEntryConnections)
 }
 
 const (
-	// minBodyBudget and maxBodyBudget bound the budget for bodies of an entry, in bytes.
-	minBodyBudget, maxBodyBudget = 4 << 20, 1 << 30
-	// minConnections and maxConnections bound the setting of the callers' connections.
-	minConnections, maxConnections = 16, 1 << 20
+	// maxEntryBudget bounds each memory budget of an entry or an agent, whose VMs differ in size, in bytes.
+	maxEntryBudget = 1 << 30
+	// maxEntryConnections bounds the setting of the callers' connections.
+	maxEntryConnections = 1 << 20
 	// headerAllowance is the part of the budget for bodies that is left to the header of the largest body.
 	headerAllowance = 1 << 20
 	// maxWaitingHeaderBytes bounds what connections without a complete request header have sent together. Such headers have
@@ -178,10 +178,11 @@
 	parting := &front.GracefulListener{Listener: self.callers}
 	report := &intake.Reporter{Log: log, Meter: e.Meter}
 	bodies := &intake.Bodies{Limit: c.BodyBudget, Report: report}
+	answers := &front.Answers{Limit: c.AnswerBudget, Report: report}
 	callers := &http.Server{
 		Handler: &front.Server{
 			Handle: handle, MaxBodyBytes: min(link.MaxBodyBytes, bodies.MaxBytes()-headerAllowance), AskToClose: e.DrainState.draining.Load,
-			Bodies: bodies, Answers: &front.Answers{Limit: c.AnswerBudget, Report: report},
+			Bodies: bodies, Answers: answers,
 		},
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       callerIdleTimeout,
@@ -206,6 +207,11 @@
 			}, log)
 			go serveHTTP(links, link.Listen(self.links, link.MaxUnauthenticatedConns, &self.settings.Counters.UnauthenticatedConns), log)
 			go runPeriodically(ctx, metricsInterval, addLinkCounts(e.Meter, self, d.Pool, e.Claims))
+			go runPeriodically(ctx, gaugeInterval, func(time.Time) {
+				e.Meter.Gauge("body_bytes", float64(bodies.Held()))
+				e.Meter.Gauge("answer_bytes", float64(answers.Held()))
+				e.Meter.Gauge("frame_bytes", float64(self.settings.Frames.Held()))
+			})
 			go runPeriodically(ctx, sweepInterval, d.Pool.Sweep)
 			go runPeriodically(ctx, resizeInterval, func(now time.Time) {
 				e.Gate.Resize(concurrencyLimit(now, e.Members, e.Peers))
