Give up unread answers when the connections of an entry are used up

Cause: at the bound on callers' connections an entry gave up bodies in progress only. Callers that don't read their answers could hold all connections for the minute that writing an answer may take.

Ruled out: a shorter time for writing, which a caller on a slow network needs.

Change: Answers.Evict gives up the answer that comes first in the order of eviction; the listener calls it when there is no body to give up.

Conclusion: an answer that makes progress is given up only when none is stalled and all connections are in use.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -203,7 +203,7 @@
 				"admin", self.admin.Addr().String())
 			go serveHTTP(callers, &intake.Listener{
 				Listener: parting, MaxConns: c.MaxConnections, MaxWaiting: front.MaxIdleConns, MaxHeaderBytes: maxWaitingHeaderBytes,
-				MakeRoom: bodies.Evict, Report: report, Counters: &self.callerConns,
+				MakeRoom: func() bool { return bodies.Evict() || answers.Evict() }, Report: report, Counters: &self.callerConns,
 			}, log)
 			go serveHTTP(links, link.Listen(self.links, link.MaxUnauthenticatedConns, &self.settings.Counters.UnauthenticatedConns), log)
 			go runPeriodically(ctx, metricsInterval, addLinkCounts(e.Meter, self, d.Pool, e.Claims))
--- a/io/front/answers.go
+++ b/io/front/answers.go
@@ -43,6 +43,19 @@
 	return a.budget.Held()
 }
 
+// Evict gives up the answer that comes first in the order of eviction, so that its connection gets free. It returns false if there is
+// none.
+func (a *Answers) Evict() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	claim := a.budget.Evict()
+	if claim == nil {
+		return false
+	}
+	claim.Tag.(*answerRoom).loseLocked()
+	return true
+}
+
 // answerRoom is the memory of the answer to one request. A nil answerRoom is not bounded.
 type answerRoom struct {
 	answers *Answers
--- a/io/front/answers_test.go
+++ b/io/front/answers_test.go
@@ -51,9 +51,16 @@
 	if got, want := a.Held(), int64(700); got != want {
 		t.Errorf("bytes held: got %d, want %d", got, want)
 	}
+	// Of equal progress, the answer of the caller that holds the most goes first.
+	if !a.Evict() || !read.resize(300) || ordinary.resize(400) {
+		t.Error("answer given up for a connection: got another one, want that of the caller with the most bytes")
+	}
 	for _, r := range []*answerRoom{stalled, read, ordinary} {
 		r.release()
 	}
+	if a.Evict() {
+		t.Error("answer given up while there is none: got true, want false")
+	}
 	if got := a.Held(); got != 0 {
 		t.Errorf("bytes held after the release: got %d, want 0", got)
 	}
