--- a/cmds/admin.go
+++ b/cmds/admin.go
@@ -15,6 +15,7 @@
 	"wagtailhoist/core/query"
 	"wagtailhoist/io/admin"
 	"wagtailhoist/io/conf"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
 	"wagtailhoist/io/peers"
@@ -181,13 +182,16 @@
 	life fx.Lifecycle, c *entryCmd, self *entrySelf, f *fleet, m *conf.Manager, metrics *meter.Meter,
 	s *sched.Sched, log *slog.Logger,
 ) {
-	api := &admin.Server{ID: f.self.Node, Token: c.Token, Config: m, Fleet: f, Meter: metrics, Log: log}
+	api := &admin.Server{
+		ID: f.self.Node, Token: c.Token, Config: m, Fleet: f, Meter: metrics, Log: log,
+		Bodies: &intake.Bodies{Limit: c.AdminBudget, Report: &intake.Reporter{Log: log, Meter: metrics}},
+	}
 	if s != nil {
 		api.Jobs = jobControl{sched: s, conf: m}
 	}
 	server := &http.Server{
 		Handler: api.Handler(), ReadTimeout: adminIOTimeout, WriteTimeout: adminIOTimeout,
-		MaxHeaderBytes: admin.MaxHeaderBytes, ConnState: link.TrackConnState, ConnContext: link.WithConn,
+		MaxHeaderBytes: admin.MaxHeaderBytes, ConnState: intake.TrackConnState, ConnContext: intake.WithConn,
 	}
 	runUntilStop(life, func(ctx context.Context) {
 		runPeriodically(ctx, processScanInterval, func(now time.Time) { f.processesAt(now) })
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -6,14 +6,18 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/fx"
 
 	"wagtailhoist/core/model"
+	"wagtailhoist/io/admin"
 	"wagtailhoist/io/claims"
 	"wagtailhoist/io/conf"
 	"wagtailhoist/io/front"
+	"wagtailhoist/io/intake"
 	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
 	"wagtailhoist/io/peers"
@@ -31,6 +35,12 @@
 	Works     string        `help:"URL of the platform's worker service. Without it, the entry schedules nothing."`
 	Cells     string        `default:"region" enum:"region,centre" help:"Layout of the cells that the first entry stores: one for each region, or for each data centre where a region has more than 2,000 workers."`
 	Drain     time.Duration `default:"2s" help:"Time that the balancer needs to see that the entry is not ready."`
+
+	BodyBudget     int64 `default:"25165824" help:"Bytes for all bodies of callers' requests in progress. A body may take three quarters of it."`
+	AnswerBudget   int64 `default:"33554432" help:"Bytes for all answers of minions that are not passed on yet."`
+	AdminBudget    int64 `default:"8388608" help:"Bytes for all bodies of operators' calls in progress."`
+	FrameBudget    int64 `default:"33554432" help:"Bytes for all frames over 128 KiB that are received over links at the same time."`
+	MaxConnections int   `default:"3072" help:"Connections of the callers' listener."`
 }
 
 func (c *entryCmd) validate(k *validator) {
@@ -52,8 +62,27 @@
 		}
 	}
 	k.duration("drain", c.Drain, 0, 10*time.Minute)
+	k.count("body-budget", int(c.BodyBudget), minBodyBudget, maxEntryBudget)
+	k.count("answer-budget", int(c.AnswerBudget), front.MinAnswerBudget, maxEntryBudget)
+	k.count("frame-budget", int(c.FrameBudget), link.MinFrameBudget, maxEntryBudget)
+	k.count("admin-budget", int(c.AdminBudget), admin.MinBodyBudget, maxEntryBudget)
+	k.count("max-connections", c.MaxConnections, minConnections, maxEntryConnections)
 }
 
+const (
+	// maxEntryBudget bounds each memory budget of an entry or an agent, whose VMs differ in size, in bytes.
+	maxEntryBudget = 1 << 30
+	// maxEntryConnections bounds the setting of the callers' connections.
+	maxEntryConnections = 1 << 20
+	// headerAllowance is the part of the budget for bodies that is left to the header of the largest body.
+	headerAllowance = 1 << 20
+	// maxWaitingHeaderBytes bounds what connections without a complete request header have sent together. Such headers have
+	// about 1 KiB and arrive at once.
+	maxWaitingHeaderBytes = 2 << 20
+	// entryMemoryLimit is the soft memory limit of the Go runtime in bytes, as for a desk.
+	entryMemoryLimit = 120 << 20
+)
+
 // Run runs the entry until SIGTERM, SIGINT or a drain command.
 func (c *entryCmd) Run(s streams) error {
 	return serve(s, c.Level,
@@ -70,7 +99,7 @@
 	settings              link.Settings
 	// callerConns and adminConns count connections that were closed before they had sent a whole request, at the
 	// callers' and the operators' listener.
-	callerConns, adminConns link.UnauthenticatedCounters
+	callerConns, adminConns intake.ListenerCounters
 }
 
 func newEntrySelf(c *entryCmd) (*entrySelf, error) {
@@ -87,7 +116,9 @@
 		Node: model.NodeID(c.ID), Incarnation: entryIncarnation(time.Now()), Role: link.RoleEntry,
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: address,
 	}
-	settings := link.Settings{Self: hello, Token: c.Token, Counters: new(link.Counters)}
+	settings := link.Settings{
+		Self: hello, Token: c.Token, Counters: new(link.Counters), Frames: &link.FrameBudget{Limit: c.FrameBudget},
+	}
 	return &entrySelf{callers: callers, links: links, admin: admin, settings: settings}, nil
 }
 
@@ -134,6 +165,9 @@
 // drain time until the balancer has noticed, refuses further requests as not run, waits for those in progress, and
 // then closes the claims writer and the links.
 func startEntry(life fx.Lifecycle, c *entryCmd, e entryParts, log *slog.Logger) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(entryMemoryLimit)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	self, d := e.Self, e.Dispatch
 	handle := front.Chain(
@@ -142,16 +176,22 @@
 		front.WithAdmission(timedAdmission{e.Gate, e.Meter}), timeService(e.Meter),
 	)
 	parting := &front.GracefulListener{Listener: self.callers}
+	report := &intake.Reporter{Log: log, Meter: e.Meter}
+	bodies := &intake.Bodies{Limit: c.BodyBudget, Report: report}
+	answers := &front.Answers{Limit: c.AnswerBudget, Report: report}
 	callers := &http.Server{
-		Handler:           &front.Server{Handle: handle, MaxBodyBytes: link.MaxBodyBytes, AskToClose: e.DrainState.draining.Load},
+		Handler: &front.Server{
+			Handle: handle, MaxBodyBytes: min(link.MaxBodyBytes, bodies.MaxBytes()-headerAllowance), AskToClose: e.DrainState.draining.Load,
+			Bodies: bodies, Answers: answers,
+		},
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    front.MaxHeaderBytes,
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			parting.TrackConnState(conn, state)
-			link.TrackConnState(conn, state)
+			intake.TrackRequests(conn, state)
 		},
-		ConnContext: link.WithConn,
+		ConnContext: intake.WithConn,
 	}
 	links := linkServer(self.settings, e.Peers.Serve, func() bool {
 		return !e.DrainState.draining.Load() && e.Conf.Ready() && e.Peers.HasInitialRecords(time.Now())
@@ -161,9 +201,17 @@
 		OnStart: func(context.Context) error {
 			log.Info("listening", "listen", self.callers.Addr().String(), "link", self.links.Addr().String(),
 				"admin", self.admin.Addr().String())
-			go serveHTTP(callers, link.Listen(parting, front.MaxIdleConns, &self.callerConns), log)
+			go serveHTTP(callers, &intake.Listener{
+				Listener: parting, MaxConns: c.MaxConnections, MaxWaiting: front.MaxIdleConns, MaxHeaderBytes: maxWaitingHeaderBytes,
+				MakeRoom: func() bool { return bodies.Evict() || answers.Evict() }, Report: report, Counters: &self.callerConns,
+			}, log)
 			go serveHTTP(links, link.Listen(self.links, link.MaxUnauthenticatedConns, &self.settings.Counters.UnauthenticatedConns), log)
 			go runPeriodically(ctx, metricsInterval, addLinkCounts(e.Meter, self, d.Pool, e.Claims))
+			go runPeriodically(ctx, gaugeInterval, func(time.Time) {
+				e.Meter.Gauge("body_bytes", float64(bodies.Held()))
+				e.Meter.Gauge("answer_bytes", float64(answers.Held()))
+				e.Meter.Gauge("frame_bytes", float64(self.settings.Frames.Held()))
+			})
 			go runPeriodically(ctx, sweepInterval, d.Pool.Sweep)
 			go runPeriodically(ctx, resizeInterval, func(now time.Time) {
 				e.Gate.Resize(concurrencyLimit(now, e.Members, e.Peers))
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -154,10 +154,14 @@
 }
 
 // EvacuatedCentres sets the number of evacuated data centres.
-func (m *Meter) EvacuatedCentres(n int) {
-	if m != nil {
-		m.scope.Gauge("evacuated_centres").Update(float64(n))
+func (m *Meter) EvacuatedCentres(n int) { m.Gauge("evacuated_centres", float64(n)) }
+
+// Gauge sets a gauge without labels.
+func (m *Meter) Gauge(name string, value float64) {
+	if m == nil {
+		return
 	}
+	m.scope.Gauge(name).Update(value)
 }
 
 // timing records d once by team and once by class, in separate metrics: a series for each pair would multiply the 380
