Add the list of evacuated data centres to the declaration

Cause: operators could not say that nothing more is to be started in a data centre.

Ruled out: a command beside the declaration. It would need a store key, a distribution and a bound of its own; a list in the declaration has those of a configuration, and is reviewed with it.

Change: evacuate, a list of data centres, is parsed, checked, compared and formatted. Its CBOR key is added, so that older processes ignore it. One that is listed twice counts once; an empty or malformed name is refused with its position.

Without the change the parser refuses the key as unknown.

Conclusion: a declaration can carry evacuations; nothing follows them yet.

--- a/core/decl/check.go
+++ b/core/decl/check.go
@@ -18,11 +18,12 @@
 	maxMemoryGB   = 1 << 14 // gigabytes
 	maxWeight     = 1000
 	maxQuota      = 1 << 20
+	maxEvacuated  = 1000
 	minGrace      = 100 * time.Millisecond // covers several control intervals
 	maxGrace      = time.Hour
 )
 
-// namePattern matches the names of teams, guarantees and jobs. The query language and metric labels accept these
+// namePattern matches the names of teams, guarantees, jobs and data centres. The query language and metric labels accept these
 // characters without quotes.
 var namePattern = regexp.MustCompile(`^[a-z]([a-z0-9_-]{0,46}[a-z0-9])?$`)
 
@@ -51,6 +52,7 @@
 		}
 		c.team(path, team)
 	}
+	c.evacuate(d.Evacuate)
 	return c.problems
 }
 
@@ -124,6 +126,16 @@
 	}
 }
 
+// evacuate checks the evacuated data centres. One that is listed twice is no problem, because the list is a set.
+func (c *checker) evacuate(centres []model.Centre) {
+	if len(centres) > maxEvacuated {
+		c.add("evacuate", "%d data centres; expected at most %d", len(centres), maxEvacuated)
+	}
+	for i, centre := range centres {
+		c.name(fmt.Sprintf("evacuate[%d]", i), string(centre))
+	}
+}
+
 func (c *checker) guarantee(path string, g model.Guarantee) {
 	c.name(path+".name", g.Name)
 	if g.Centre != "" {
--- a/core/decl/decl_test.go
+++ b/core/decl/decl_test.go
@@ -27,6 +27,7 @@
         shape: {tasks: 3, gpus: 8, adjacent: rack}
   - name: "cycling"
     weight: 1
+evacuate: [lausanne, chur]
 `
 
 func TestParse(t *testing.T) {
@@ -40,7 +41,7 @@
 			Shape: model.Shape{Tasks: 3, GPUs: 8, Adjacent: model.SameRack},
 		}}},
 		{Name: "cycling", Weight: 1},
-	}}
+	}, Evacuate: []model.Centre{"lausanne", "chur"}}
 	if fmt.Sprint(got) != fmt.Sprint(want) {
 		t.Errorf("declaration: got %v, want %v", got, want)
 	}
@@ -89,6 +90,12 @@
 		{"syntax", "teams: [", []string{"1:8: "}},
 		{"two documents", validDocument + "---\nteams: []\n", []string{"a second document"}},
 		{"scalar", "teams", []string{"1:1: expected a mapping with policy, teams"}},
+		{"evacuate", "evacuate: [lausanne, Chur, '', 7, lausanne]\n", []string{
+			`1:22: evacuate[1]: "Chur" is not a name`, `1:28: evacuate[2]: "" is not a name`, "1:32: evacuate[3]: expected a string",
+		}},
+		{"evacuate one without a list", "evacuate: lausanne\n", []string{"1:11: evacuate: expected a list"}},
+		{"evacuate nothing", "evacuate:\n", []string{"evacuate: no value; expected a list"}},
+		{"evacuate too many", "evacuate: [" + strings.Repeat("c, ", maxEvacuated) + "c]\n", []string{"evacuate: 1001 data centres; expected at most 1000"}},
 		{"no value", "teams:\n", []string{"teams: no value; expected a list"}},
 		{"alias", "policy: &p {compact: 0}\nteams: *p\n", []string{"policy: anchors", "teams: anchors"}},
 		{"not a number", "policy: {compact: .nan}\n", []string{"policy.compact: expected a number"}},
@@ -143,6 +150,7 @@
     weight: 3
     guarantees:
       - {name: routes, grace: 6s, shape: {tasks: 3, gpus: 8, adjacent: rack}}
+evacuate: [chur, bern, chur]
 `))
 	if err != nil {
 		t.Fatal(err)
@@ -152,7 +160,9 @@
 		lines = append(lines, c.String())
 	}
 	got := strings.Join(lines, "\n")
-	want := `~ policy.compact: 0.25 -> 0
+	want := `+ evacuate.bern: true
+- evacuate.lausanne: true
+~ policy.compact: 0.25 -> 0
 - teams.brennholz.guarantees.routes.centre: lausanne
 ~ teams.brennholz.guarantees.routes.grace: 5s -> 6s
 - teams.brennholz.quota: 24
@@ -186,6 +196,9 @@
 		}
 		d.Teams = append(d.Teams, spec)
 	}
+	for _, centre := range rapid.SliceOfN(name, 0, 3).Draw(t, "evacuate") {
+		d.Evacuate = append(d.Evacuate, model.Centre(centre))
+	}
 	return d
 }
 
@@ -207,7 +220,7 @@
 		}
 	})
 	for _, word := range []string{"on", "no", "yes", "null", "true", "y", "nan", "e3", "x0"} {
-		d := model.Declaration{Teams: []model.TeamSpec{{Name: model.Team(word), Weight: 1}}}
+		d := model.Declaration{Teams: []model.TeamSpec{{Name: model.Team(word), Weight: 1}}, Evacuate: []model.Centre{model.Centre(word)}}
 		if _, err := Format(d); err != nil {
 			t.Errorf("format with team %s: got %v, want none", word, err)
 		}
--- a/core/decl/diff.go
+++ b/core/decl/diff.go
@@ -31,7 +31,8 @@
 	return fmt.Sprintf("~ %s: %s -> %s", c.Path, c.Old, c.New)
 }
 
-// Diff returns the differences from old to new, ordered by path. It ignores the order of teams and guarantees.
+// Diff returns the differences from old to new, ordered by path. It ignores the order of teams and guarantees, and the order
+// and the number of occurrences of evacuated data centres.
 func Diff(old, new model.Declaration) []Change {
 	before, after := flatten(old), flatten(new)
 	var changes []Change
@@ -52,6 +53,9 @@
 // flatten returns the text of each value that is set, keyed by its path.
 func flatten(d model.Declaration) map[string]string {
 	out := map[string]string{"policy.compact": fmt.Sprint(d.Policy.Compact)}
+	for _, centre := range d.Evacuate {
+		out["evacuate."+string(centre)] = "true"
+	}
 	for _, team := range d.Teams {
 		path := "teams." + string(team.Name)
 		out[path+".weight"] = fmt.Sprint(team.Weight)
--- a/core/model/spec.go
+++ b/core/model/spec.go
@@ -100,4 +100,6 @@
 	// GuaranteeCells holds the cell of each guarantee, by team/guarantee. It is computed when the declaration is stored
 	// and isn't part of its YAML text.
 	GuaranteeCells map[string]CellID `cbor:"3,keyasint,omitempty" json:"homes,omitempty" yaml:"-"`
+	// Evacuate lists the data centres in which nothing more is started; what runs there goes on.
+	Evacuate []Centre `cbor:"4,keyasint,omitempty" json:"evacuate,omitempty" yaml:"evacuate,omitempty"`
 }
