Send no request to minions in an evacuated data centre

Cause: the list of the declaration had no effect on routing.

Ruled out: a last place in the order of nearness, since requests would still go there when no other minion is left. Refusals by agents: they could only follow the same revision, and older entries would count them as faults.

Change: core/route leaves out the agents of evacuated data centres for first attempts and retries alike; attempts in flight end as usual. If no other agent is left, the request is refused as not run, and the reason counts the evacuated agents. An entry refuses requests until a configuration is in force, because it knows agents before it knows the list. Evacuated minions don't count for the number of requests that an entry admits. The gauge evacuated_centres is added.

Conclusion: routing follows the list.

--- a/cmds/config.go
+++ b/cmds/config.go
@@ -14,6 +14,7 @@
 	"wagtailhoist/core/model"
 	"wagtailhoist/io/agent"
 	"wagtailhoist/io/conf"
+	"wagtailhoist/io/meter"
 	"wagtailhoist/io/peers"
 	"wagtailhoist/io/queue"
 	"wagtailhoist/io/store"
@@ -83,9 +84,9 @@
 	return &conf.Exchange{Manager: m, OnDrain: shutdownFunc(shutdown, log), Log: log}
 }
 
-// startConf distributes the configuration over the links of an entry and applies the team weights of each revision
-// that comes into force to the admission gate.
-func startConf(life fx.Lifecycle, self *entrySelf, x *conf.Exchange, p *peers.Peers, m *peers.Members, g *queue.Gate) {
+// startConf distributes the configuration over the links of an entry. It applies the team weights of each revision that
+// comes into force to the admission gate, and the evacuated data centres to the routing.
+func startConf(life fx.Lifecycle, self *entrySelf, x *conf.Exchange, p *peers.Peers, m *peers.Members, g *queue.Gate, metrics *meter.Meter) {
 	p.OnLinkUp, p.OnLinkDown, p.OnFrame = x.AddLink, x.RemoveLink, x.HandleFrame
 	p.Revision = func() model.Revision {
 		c, _, _ := x.Manager.InUse()
@@ -97,6 +98,8 @@
 			weights[t.Name] = t.Weight
 		}
 		g.SetWeights(weights)
+		m.SetEvacuated(d.Evacuate)
+		metrics.EvacuatedCentres(len(slices.Compact(slices.Sorted(slices.Values(d.Evacuate)))))
 	})
 	runUntilStop(life, func(ctx context.Context) {
 		x.Probe(ctx, self.settings, func() map[model.NodeID]conf.Target {
--- a/cmds/route.go
+++ b/cmds/route.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wagtailhoist/core/member"
+	"wagtailhoist/core/route"
 	"wagtailhoist/io/claims"
 	"wagtailhoist/io/front"
 	"wagtailhoist/io/peers"
@@ -29,8 +30,9 @@
 func newMembers(self *entrySelf) *peers.Members {
 	s := self.settings.Self
 	return &peers.Members{
-		Table: member.Table{Region: s.Region, Centre: s.Centre},
-		Relay: member.Relay{Address: s.Address},
+		Table:  member.Table{Region: s.Region, Centre: s.Centre},
+		Router: route.Router{AwaitEvacuated: true},
+		Relay:  member.Relay{Address: s.Address},
 	}
 }
 
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -210,12 +210,12 @@
 // Row returns the row of a node, or nil.
 func (t *Table) Row(id model.NodeID) *Row { return t.rows[id] }
 
-// Slots returns the number of slots of the live agents of the own region.
-func (t *Table) Slots(now time.Time) int {
+// Slots returns the number of slots of the live agents of the own region, without those in excluded data centres.
+func (t *Table) Slots(now time.Time, excluded func(model.Centre) bool) int {
 	n := 0
 	for key, pool := range t.pools {
 		for _, row := range pool {
-			if key.nearness != OtherRegion && t.Live(now, row) {
+			if key.nearness != OtherRegion && !excluded(row.Record.Centre) && t.Live(now, row) {
 				n += row.Record.Load.Slots
 			}
 		}
--- a/core/route/errors.go
+++ b/core/route/errors.go
@@ -10,15 +10,27 @@
 // NoCandidateError reports that no agent of the service can get the request now.
 type NoCandidateError struct {
 	Service string
-	// Known is the number of agents of the service in the table, live or not.
-	Known int
+	// Known is the number of agents of the service in the table, live or not. Evacuated of them are in evacuated data centres.
+	Known, Evacuated int
 }
 
 // Error names the service and the number of its known agents.
 func (e *NoCandidateError) Error() string {
+	if e.Evacuated > 0 {
+		return fmt.Sprintf("no agent can take the request: service %q has %d known agents, %d of them in evacuated data centres",
+			e.Service, e.Known, e.Evacuated)
+	}
 	return fmt.Sprintf("no agent can take the request: service %q has %d known agents", e.Service, e.Known)
 }
 
+// NotConfiguredError reports that the entry doesn't know yet which data centres are evacuated.
+type NotConfiguredError struct{ Service string }
+
+// Error names the service.
+func (e *NotConfiguredError) Error() string {
+	return fmt.Sprintf("no configuration is in force yet: service %q", e.Service)
+}
+
 // ByteBudgetError reports that only another region has candidates, and that the byte budget between regions doesn't cover the
 // request.
 type ByteBudgetError struct {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -44,6 +44,12 @@
 	Bytes float64
 	// Entries is the number of live entries among which the region's byte budget is divided; 0 means 1.
 	Entries int
+	// AwaitEvacuated makes Pick refuse every request until SetEvacuated has been called. Otherwise a restarted entry would
+	// send requests to evacuated data centres before it has read the configuration.
+	AwaitEvacuated bool
+
+	evacuated      map[model.Centre]bool
+	evacuatedKnown bool
 
 	agents     map[model.NodeID]*health
 	byteBudget bucket
@@ -52,10 +58,24 @@
 	initialized bool
 }
 
+// SetEvacuated replaces the evacuated data centres, whose agents get no attempts. Attempts in flight there go on.
+func (r *Router) SetEvacuated(centres []model.Centre) {
+	r.evacuated, r.evacuatedKnown = make(map[model.Centre]bool, len(centres)), true
+	for _, centre := range centres {
+		r.evacuated[centre] = centre != ""
+	}
+}
+
+// Evacuated reports whether a data centre is evacuated.
+func (r *Router) Evacuated(centre model.Centre) bool { return r.evacuated[centre] }
+
 // Pick chooses the agent for the next attempt of a request. Each call that returns an agent must be followed by one call of
-// Report for that agent. The error is a NoCandidateError, a ByteBudgetError or a RetryBudgetError.
+// Report for that agent. The error is a NotConfiguredError, a NoCandidateError, a ByteBudgetError or a RetryBudgetError.
 func (r *Router) Pick(now time.Time, req Request) (model.Record, error) {
 	r.init()
+	if r.AwaitEvacuated && !r.evacuatedKnown {
+		return model.Record{}, &NotConfiguredError{Service: req.Service}
+	}
 	if len(req.Tried) > 0 && r.retryTokens < 1 {
 		return model.Record{}, &RetryBudgetError{Service: req.Service}
 	}
@@ -132,6 +152,10 @@
 	for nearness := member.OwnCentre; nearness <= member.OtherRegion; nearness++ {
 		pool := r.Table.Pool(req.Service, nearness)
 		known += len(pool)
+		if nearness == member.OwnCentre && r.evacuated[r.Table.Centre] {
+			// No row of the pool is eligible. Searching all of them for each request would take milliseconds with thousands of agents.
+			continue
+		}
 		row := r.pickOfTwo(now, pool, req.Tried)
 		if row == nil {
 			continue
@@ -146,7 +170,23 @@
 		}
 		return row, nil
 	}
-	return nil, &NoCandidateError{Service: req.Service, Known: known}
+	return nil, &NoCandidateError{Service: req.Service, Known: known, Evacuated: r.countEvacuated(req.Service)}
+}
+
+// countEvacuated returns the number of agents of the service in evacuated data centres.
+func (r *Router) countEvacuated(service string) int {
+	if len(r.evacuated) == 0 {
+		return 0
+	}
+	n := 0
+	for nearness := member.OwnCentre; nearness <= member.OtherRegion; nearness++ {
+		for _, row := range r.Table.Pool(service, nearness) {
+			if r.evacuated[row.Record.Centre] {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // pickOfTwo draws two eligible rows at random and returns the less loaded one, or nil if no row is eligible.
@@ -182,9 +222,10 @@
 	return first
 }
 
-// eligible reports whether the agent of the row is live, wasn't tried for the request and may get an attempt at now.
+// eligible reports whether the agent of the row is live, in no evacuated data centre, wasn't tried for the request and may get
+// an attempt at now.
 func (r *Router) eligible(now time.Time, row *member.Row, tried []model.NodeID) bool {
-	return r.Table.Live(now, row) && !slices.Contains(tried, row.Record.ID) &&
+	return !r.evacuated[row.Record.Centre] && r.Table.Live(now, row) && !slices.Contains(tried, row.Record.ID) &&
 		r.health(row).eligible(now, row.Record.Sequence, r.lastHeard(now, row))
 }
 
--- a/core/route/router_test.go
+++ b/core/route/router_test.go
@@ -278,3 +278,80 @@
 		t.Errorf("other service: got %v, want NoCandidateError", err)
 	}
 }
+
+// No request may reach an agent in an evacuated data centre, not even as a retry or because no other agent is left, and its
+// agents must be candidates again at once when it is returned to service.
+func TestEvacuatedCentreGetsNoAttempts(t *testing.T) {
+	agents := []model.Record{rec("near", "w", "a", 0), rec("region", "w", "b", 7), rec("far", "e", "z", 0)}
+	for _, tc := range []struct {
+		name      string
+		evacuated []model.Centre
+		tried     []model.NodeID
+		want      model.NodeID // empty for a refusal
+		unusable  int
+	}{
+		{"none", nil, nil, "near", 0},
+		{"own", []model.Centre{"a"}, nil, "region", 1},
+		{"own, listed twice", []model.Centre{"a", "a"}, nil, "region", 1},
+		{"unknown and empty", []model.Centre{"q", ""}, nil, "near", 0},
+		{"another of the region", []model.Centre{"b"}, []model.NodeID{"near"}, "far", 1},
+		{"two", []model.Centre{"a", "b"}, nil, "far", 2},
+		{"retry", []model.Centre{"a", "z"}, []model.NodeID{"region"}, "", 2},
+		{"all", []model.Centre{"a", "b", "z"}, nil, "", 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRouter(agents...)
+			r.SetEvacuated(tc.evacuated)
+			for range 100 {
+				got, err := r.Pick(start, Request{Service: "plan", Tried: tc.tried})
+				r.Report(start, got.ID, Result{Outcome: Answered})
+				var none *NoCandidateError
+				if got.ID != tc.want || (err != nil) != (tc.want == "") || err != nil && !errors.As(err, &none) {
+					t.Fatalf("picked %q, error %v; want %q", got.ID, err, tc.want)
+				}
+				if none != nil && (none.Known != 3 || none.Evacuated != tc.unusable) {
+					t.Fatalf("refusal: got %+v, want 3 known agents and %d evacuated ones", none, tc.unusable)
+				}
+				if len(tc.tried) > 0 {
+					break // the retry budget covers only the first retries
+				}
+			}
+			r.SetEvacuated(nil)
+			if got := pick(t, r, start, Request{}); got != "near" {
+				t.Errorf("returned to service: picked %q, want near", got)
+			}
+		})
+	}
+}
+
+// An agent without a data centre belongs to none that could be evacuated.
+func TestAgentWithoutCentreIsNeverEvacuated(t *testing.T) {
+	r := newRouter(rec("one", "w", "", 0))
+	r.SetEvacuated([]model.Centre{""})
+	pick(t, r, start, Request{})
+}
+
+// A restarted entry knows agents before it knows the configuration, and must not send requests to evacuated data centres
+// meanwhile.
+func TestRequestsWaitForTheEvacuatedCentres(t *testing.T) {
+	r := newRouter(rec("one", "w", "a", 0))
+	r.AwaitEvacuated = true
+	var notConfigured *NotConfiguredError
+	if got, err := r.Pick(start, Request{Service: "plan"}); !errors.As(err, &notConfigured) {
+		t.Fatalf("before SetEvacuated: got %q, %v, want NotConfiguredError", got.ID, err)
+	}
+	r.SetEvacuated(nil)
+	pick(t, r, start, Request{})
+}
+
+// Attempts that are in flight when their data centre is evacuated end as usual, and their results still count.
+func TestAttemptInFlightEndsAfterEvacuation(t *testing.T) {
+	r := newRouter(rec("one", "w", "a", 0))
+	pick(t, r, start, Request{})
+	r.SetEvacuated([]model.Centre{"a"})
+	r.Report(start, "one", Result{Outcome: Stalled})
+	r.SetEvacuated(nil)
+	if got, err := r.Pick(start, Request{Service: "plan"}); err == nil {
+		t.Errorf("after a stalled attempt: picked %q, want it ejected", got.ID)
+	}
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -153,6 +153,13 @@
 	m.scope.Tagged(map[string]string{"cell": name}).Gauge("fragmentation").Update(value)
 }
 
+// EvacuatedCentres sets the number of evacuated data centres in the configuration in force.
+func (m *Meter) EvacuatedCentres(n int) {
+	if m != nil {
+		m.scope.Gauge("evacuated_centres").Update(float64(n))
+	}
+}
+
 // timing records d once by team and once by class, in separate metrics: a series for each pair would multiply the 380
 // teams by the number of classes.
 func (m *Meter) timing(name string, team model.Team, class string, d time.Duration) {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -35,6 +35,7 @@
 	m.Fragmentation("lausanne", 0.25)
 	m.Fragmentation("chur", 0.5)
 	m.Fragmentation("chur", math.NaN())
+	m.EvacuatedCentres(2)
 	if err := m.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -50,6 +51,7 @@
 		`wagtailhoist_remote_bytes_total{region="ch-east"} 42`,
 		`wagtailhoist_fragmentation{cell="lausanne"} 0.25`,
 		`wagtailhoist_fragmentation{cell="chur"} NaN`,
+		`wagtailhoist_evacuated_centres 2`,
 	} {
 		if !strings.Contains(got, want) {
 			t.Errorf("metrics: got no line %s", want)
--- a/io/peers/check_test.go
+++ b/io/peers/check_test.go
@@ -90,3 +90,25 @@
 		t.Errorf("announcements accepted at once: got %d, want %d and more a second later", accepted, agentAnnouncementBurst)
 	}
 }
+
+// The slots of an evacuated data centre must not count, since the entry would admit more requests than the other agents can
+// serve, and its agents must not be listed as candidates.
+func TestEvacuatedAgentsCountForNothing(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	m := &Members{Table: member.Table{Region: "w", Centre: "w-a"}}
+	for i, centre := range []model.Centre{"w-a", "w-b"} {
+		m.Table.Merge(now, model.Record{ID: model.NodeID(centre), Incarnation: 1, Region: "w", Centre: centre, Service: "s", Load: model.Load{Slots: 8 << i}})
+	}
+	for _, tc := range []struct {
+		evacuated         []model.Centre
+		slots, candidates int
+	}{{nil, 24, 2}, {[]model.Centre{"w-a"}, 16, 1}, {[]model.Centre{"w-a", "w-b"}, 0, 0}, {[]model.Centre{"w-c"}, 24, 2}} {
+		m.SetEvacuated(tc.evacuated)
+		if got := m.Slots(now); got != tc.slots {
+			t.Errorf("slots with %v evacuated: got %d, want %d", tc.evacuated, got, tc.slots)
+		}
+		if got := len(m.Candidates(now, "s")); got != tc.candidates {
+			t.Errorf("candidates with %v evacuated: got %d, want %d", tc.evacuated, got, tc.candidates)
+		}
+	}
+}
--- a/io/peers/members.go
+++ b/io/peers/members.go
@@ -45,18 +45,25 @@
 	m.Router.Suspect(now, id)
 }
 
+// SetEvacuated replaces the evacuated data centres, see route.Router.SetEvacuated.
+func (m *Members) SetEvacuated(centres []model.Centre) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Router.SetEvacuated(centres)
+}
+
 // Candidates returns the records of a service's agents that may get new work.
 func (m *Members) Candidates(now time.Time, service string) []model.Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.Table.Candidates(now, service)
+	return slices.DeleteFunc(m.Table.Candidates(now, service), func(r model.Record) bool { return m.Router.Evacuated(r.Centre) })
 }
 
-// Slots returns the number of slots of the live agents of the own region.
+// Slots returns the number of slots of the live agents of the own region that may get new work.
 func (m *Members) Slots(now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.Table.Slots(now)
+	return m.Table.Slots(now, m.Router.Evacuated)
 }
 
 // hasRoom reports whether a record of the node is in the table or may be added.
