Place nothing in evacuated data centres

Cause: the planner knew workers that are lost or quarantined, but no data centre in which nothing more is to be started while what runs there goes on.

Ruled out: a quarantine of each worker by the controller. Its shortfalls would name lost workers, its end would be a time, and preemption for the quota and for the headroom stops jobs on quarantined workers.

Change: plan.State holds the evacuated data centres of the declaration. Their workers aren't usable: no starts, reservations, anchors or moves there, and no room that counts for others. A job that is being started there is stopped with a reason of its own; one that runs is not stopped for others. Guarantees move away, also from under a running job, or are in shortfall with the cause and the data centre. After the return to service, the anchor of such a shortfall goes back under the job that still runs. Waiting jobs name the evacuated data centres that have room for them. CBOR keys are only added.

With the condition on usable workers taken out, six tests of single cases fail, and both generated ones. Each of these, taken out alone, fails a test: the stop of starts, the check of Accept, the exceptions for quota and headroom, the return of an anchor.

Conclusion: decisions follow the list. A job whose guarantee has moved stays a borrower after the return to service.

--- a/core/plan/accept.go
+++ b/core/plan/accept.go
@@ -47,6 +47,10 @@
 		})
 	case Checkpoint, Stop, Move:
 		needed := a.ForJob == "" || s.Jobs[a.ForJob] != nil
+		if a.Reason.Code == StartEvacuated && j.Phase != Starting {
+			// The job has begun to run since the decision.
+			return false
+		}
 		if !j.placed() || j.Phase == Stopping || a.Run != j.Run || !(needed || j.Cancelled) {
 			return false
 		}
--- a/core/plan/action.go
+++ b/core/plan/action.go
@@ -54,7 +54,7 @@
 	// Team and Guarantee name the guarantee whose anchor moves.
 	Team      model.Team `cbor:"9,keyasint,omitempty" json:"team,omitempty"`
 	Guarantee string     `cbor:"10,keyasint,omitempty" json:"guarantee,omitempty"`
-	// Reason is set if the job is stopped because of its memory usage.
+	// Reason is set if the job is stopped because of its memory usage or of an evacuation.
 	Reason Reason `cbor:"11,keyasint,omitempty" json:"why,omitzero"`
 }
 
@@ -83,7 +83,7 @@
 // Code is the kind of a reason.
 type Code uint8
 
-// The codes of reasons. Those from TooLarge on, except MemoryExceeded, are final.
+// The codes of reasons. Those from TooLarge on, except MemoryExceeded and StartEvacuated, are final.
 const (
 	// NoRoom means that too few accelerators are free.
 	NoRoom Code = iota + 1
@@ -124,6 +124,8 @@
 	// MemoryExceeded means that the job was stopped because it used more memory than it declared and its worker ran
 	// short of memory. Need and Have are the observed and the declared gigabytes of a task.
 	MemoryExceeded
+	// StartEvacuated means that the job was stopped before it ran, because its data centre was evacuated.
+	StartEvacuated
 )
 
 // String names the code.
@@ -131,7 +133,7 @@
 	names := [...]string{
 		"none", "no room", "scattered", "quota", "reserving", "reclaiming", "behind", "guarantee in use",
 		"shortfall", "headroom", "kept off the cleanest rack", "leaving", "too large", "over quota", "no guarantee", "not covered", "bad shape",
-		"no team", "fails everywhere", "stopped for exceeding its declared memory",
+		"no team", "fails everywhere", "stopped for exceeding its declared memory", "not started",
 	}
 	if int(c) < len(names) {
 		return names[c]
@@ -151,10 +153,14 @@
 	Job model.JobID `cbor:"5,keyasint,omitempty" json:"job,omitempty"`
 	// Guarantee names the guarantee that the job asks for.
 	Guarantee string `cbor:"6,keyasint,omitempty" json:"guarantee,omitempty"`
+	// Evacuated names the evacuated data centres, separated by commas, that have room for the job.
+	Evacuated string `cbor:"7,keyasint,omitempty" json:"evacuated,omitempty"`
 }
 
 // Permanent reports whether the job can never run unless the job, the fleet or the declaration changes.
-func (r Reason) Permanent() bool { return r.Code >= TooLarge && r.Code != MemoryExceeded }
+func (r Reason) Permanent() bool {
+	return r.Code >= TooLarge && r.Code != MemoryExceeded && r.Code != StartEvacuated
+}
 
 // String describes the reason for operators.
 func (r Reason) String() string {
@@ -171,6 +177,9 @@
 	if r.Job != "" {
 		s += fmt.Sprintf(", after job %q", r.Job)
 	}
+	if r.Evacuated != "" {
+		s += ", data centre evacuated: " + r.Evacuated
+	}
 	if !r.Until.IsZero() {
 		s += ", until " + r.Until.UTC().Format(time.RFC3339)
 	}
@@ -196,13 +205,15 @@
 	InvalidGuarantee
 	// WorkersLost means that workers are lost or quarantined.
 	WorkersLost
+	// CentreEvacuated means that only an evacuated data centre has room.
+	CentreEvacuated
 )
 
 // String names the cause.
 func (c Cause) String() string {
 	names := [...]string{
 		"none", "too few accelerators", "no adjacent block", "pinned work", "no such data centre", "above quota",
-		"invalid guarantee", "workers lost",
+		"invalid guarantee", "workers lost", "data centre evacuated",
 	}
 	if int(c) < len(names) {
 		return names[c]
@@ -220,4 +231,14 @@
 	Workers []model.WorkerID `cbor:"5,keyasint,omitempty" json:"workers,omitempty"`
 	// Jobs names the jobs that hold the accelerators, if the cause is NotPreemptible.
 	Jobs []model.JobID `cbor:"6,keyasint,omitempty" json:"jobs,omitempty"`
+	// Centre is the evacuated data centre that has room, if the cause is CentreEvacuated.
+	Centre model.Centre `cbor:"7,keyasint,omitempty" json:"centre,omitempty"`
+}
+
+// CauseText returns the cause, with the data centre if that is evacuated.
+func (s *Shortfall) CauseText() string {
+	if s.Centre == "" {
+		return s.Cause.String()
+	}
+	return s.Cause.String() + ": " + string(s.Centre)
 }
--- a/core/plan/anchor.go
+++ b/core/plan/anchor.go
@@ -18,7 +18,7 @@
 // guarantees become borrowers.
 func (s *State) applyDeclaration(now time.Time, d model.Declaration) {
 	old := s.Anchors
-	s.Policy, s.Teams, s.Anchors = d.Policy, slices.Clone(d.Teams), nil
+	s.Policy, s.Teams, s.Anchors, s.Evacuated = d.Policy, slices.Clone(d.Teams), nil, slices.Clone(d.Evacuate)
 	for _, t := range d.Teams {
 		for _, g := range t.Guarantees {
 			a := Anchor{Team: t.Name, Guarantee: g}
@@ -70,7 +70,7 @@
 	v := &view{index: *x, state: s, now: now}
 	var infeasible []int
 	for i := range s.Anchors {
-		if !x.anchorFeasible(&s.Anchors[i]) {
+		if !x.anchorFeasible(&s.Anchors[i]) && !s.resumeAnchor(now, v, i) {
 			infeasible = append(infeasible, i)
 		}
 	}
@@ -79,6 +79,10 @@
 	}
 	minTasks := make([]map[int]int, len(s.Anchors))
 	for _, i := range infeasible {
+		if x.anchorEvacuated(&s.Anchors[i]) {
+			// The jobs on the anchor stay where they are, and the guarantee has to be available elsewhere.
+			s.detachJobs(now, &s.Anchors[i])
+		}
 		minTasks[i] = x.tasksInUse(&s.Anchors[i])
 		x.removeAnchor(i, &s.Anchors[i])
 		s.Anchors[i].Slots = nil
@@ -257,13 +261,14 @@
 	return false
 }
 
-// describeShortfall returns a Shortfall with the cause why anchor i can't be placed.
+// describeShortfall returns a Shortfall with the cause why anchor i can't be placed. Evacuation is the cause if the anchor
+// would fit without it.
 func (v *view) describeShortfall(i int) *Shortfall {
 	a := v.state.Anchors[i]
 	g := a.Guarantee
 	out := &Shortfall{Team: a.Team, Guarantee: g.Name, Cause: TooFewAccelerators}
 	q := v.anchorSearch(i, nil)
-	q.room = func(n int) Amount { return v.nodes[n].roomBesideAnchors(i, false) }
+	q.room = func(n int) Amount { return v.nodes[n].roomBesideAnchors(i, v.nodes[n].usable) }
 	if spots := q.cheapest(); spots != nil {
 		out.Cause = NotPreemptible
 		for _, p := range spots {
@@ -280,11 +285,16 @@
 		}
 		return out
 	}
+	q.room = func(n int) Amount { return v.nodes[n].roomBesideAnchors(i, v.usableUnlessEvacuated(n)) }
+	if spots := q.cheapest(); spots != nil {
+		out.Cause, out.Centre = CentreEvacuated, v.state.Workers[v.nodes[spots[0].node].id].Worker.Centre
+		return out
+	}
 	free := 0
 	for n := range v.nodes {
 		if v.inCentre(nodeRange{lo: n, hi: n + 1}, g.Centre) {
-			free += tasksThatFit(v.nodes[n].roomBesideAnchors(i, false), q.perTask, g.Shape.Tasks)
-			if !v.nodes[n].usable {
+			free += tasksThatFit(v.nodes[n].roomBesideAnchors(i, v.nodes[n].usable), q.perTask, g.Shape.Tasks)
+			if !v.usableUnlessEvacuated(n) {
 				out.Workers = append(out.Workers, v.nodes[n].id)
 			}
 		}
@@ -301,10 +311,10 @@
 	return out
 }
 
-// roomBesideAnchors returns the room that a node has beside all anchors except skip, as if no jobs ran there. If lost
-// is set, workers that aren't usable count too.
-func (n *node) roomBesideAnchors(skip int, lost bool) Amount {
-	if !n.usable && !lost {
+// roomBesideAnchors returns the room that a node has beside all anchors except skip, as if no jobs ran there; it is zero
+// unless the node counts.
+func (n *node) roomBesideAnchors(skip int, counts bool) Amount {
+	if !counts {
 		return Amount{}
 	}
 	room := n.capacity
--- a/core/plan/claim.go
+++ b/core/plan/claim.go
@@ -18,7 +18,7 @@
 	})
 	a := p.currentAnchor(i)
 	if a.Shortfall != nil || len(a.Slots) == 0 {
-		p.reasons[j.Spec.ID] = Reason{Code: GuaranteeShortfall, Guarantee: name}
+		p.reasons[j.Spec.ID] = Reason{Code: GuaranteeShortfall, Guarantee: name, Evacuated: a.evacuatedCentre()}
 		return
 	}
 	spots := p.claimSearch(a, j).cheapest()
@@ -342,13 +342,16 @@
 }
 
 // preemptOwnTeam stops jobs of a team that is at its quota, so that an urgent job of the team stays within it. It
-// reports whether enough jobs can be stopped in time; if not, it stops none.
+// reports whether enough jobs can be stopped in time; if not, it stops none. Jobs in evacuated data centres are not stopped.
 func (p *planner) preemptOwnTeam(j *Job) bool {
 	within := UrgentWithin - urgentMargin
 	excess := p.used[j.Spec.Team] + j.Spec.Shape.Size() - p.state.Team(j.Spec.Team).Quota
 	seen := map[model.JobID]bool{}
 	var stoppable []*Job
 	for i := range p.nodes {
+		if p.nodes[i].evacuated {
+			continue
+		}
 		for _, u := range p.nodes[i].allocations {
 			o := u.job
 			if o.Spec.Team != j.Spec.Team || o.Anchored || o.Spec.Urgent || seen[o.Spec.ID] || p.started[o.Spec.ID] {
--- a/core/plan/decide.go
+++ b/core/plan/decide.go
@@ -65,6 +65,8 @@
 	// noOtherWorkers caches, for jobs that have failed, whether the workers on which they haven't failed are too small
 	// for them.
 	noOtherWorkers map[model.JobID]bool
+	// evacuatedRooms caches the results of evacuatedRoom.
+	evacuatedRooms map[model.Shape]string
 }
 
 // searchKey identifies the jobs that search for the same shape on the same workers.
@@ -98,6 +100,7 @@
 func Decide(now time.Time, s *State) Decision {
 	p := newPlanner(now, s)
 	p.stopCancelled()
+	p.stopEvacuatedStarts()
 	p.relieveMemory()
 	p.restoreGuarantees()
 	p.restoreHeadroom()
@@ -122,6 +125,7 @@
 		view: s.scratchView(now), failedSearches: map[searchKey][]failedSearch{}, stopping: map[model.JobID]bool{},
 		started: map[model.JobID]bool{}, reasons: map[model.JobID]Reason{},
 		movedAnchors: map[int]*Anchor{}, claimedParts: map[claimedPartKey]Amount{}, freeGPUs: -1, noOtherWorkers: map[model.JobID]bool{},
+		evacuatedRooms: map[model.Shape]string{},
 	}
 	for i := range p.nodes {
 		n := &p.nodes[i]
--- a/core/plan/doc.go
+++ b/core/plan/doc.go
@@ -11,6 +11,7 @@
 //   - The grace of a job is the time that it needs to stop. A slow job is one that can't be stopped in
 //     time for urgent work; the headroom is the capacity that slow jobs must leave for urgent work.
 //   - A movable job can be checkpointed within a minute. One rack is kept free of other jobs where possible.
+//   - An evacuated data centre gets no new work; jobs that run there go on.
 //   - A block is a range of workers within which the adjacency of a shape allows it to be placed.
 //
 // # Use by a controller
--- a/core/plan/headroom.go
+++ b/core/plan/headroom.go
@@ -149,6 +149,10 @@
 	var best, firstSlow *Job
 	bestGain, onlyOneSlow := 0, true
 	for i := range p.nodes {
+		if p.nodes[i].evacuated {
+			// Stopping these jobs frees nothing that urgent work could use.
+			continue
+		}
 		for _, u := range p.nodes[i].allocations {
 			j := u.job
 			if j.Anchored || stopsForUrgent(j) || j.Spec.Urgent {
--- a/core/plan/index.go
+++ b/core/plan/index.go
@@ -51,10 +51,11 @@
 type node struct {
 	id   model.WorkerID
 	rack int
-	// usable is set if the worker can be given work.
-	usable   bool
-	capacity Amount
-	used     Amount
+	// usable is set if the worker can be given work, evacuated if its data centre is evacuated.
+	usable    bool
+	evacuated bool
+	capacity  Amount
+	used      Amount
 	// unmovable counts the accelerators of anchored jobs and of jobs that can't be checkpointed within a minute.
 	unmovable int
 	// slowToStop counts the accelerators of borrowers that can't be stopped in time for urgent work.
@@ -117,6 +118,7 @@
 		refused: map[model.JobID]*Job{}, cancelledPlaced: map[model.JobID]*Job{}, quarantined: map[int]bool{}, moving: map[model.JobID]*Job{},
 		used: map[model.Team]int{}, maxTasksByShape: map[model.Shape]int{}, anchorsStale: true,
 	}
+	evacuated := s.evacuatedSet()
 	workers := make([]*model.Worker, 0, len(s.Workers))
 	for _, ws := range s.Workers {
 		w := ws.Worker
@@ -137,7 +139,7 @@
 		}
 		x.centres[len(x.centres)-1].hi = i + 1
 		x.racks[len(x.racks)-1].hi = i + 1
-		x.nodes[i] = node{id: w.ID, rack: len(x.racks) - 1, capacity: Capacity(*w)}
+		x.nodes[i] = node{id: w.ID, rack: len(x.racks) - 1, capacity: Capacity(*w), evacuated: evacuated[w.Centre]}
 	}
 	s.idx = x
 	for _, j := range s.Jobs {
@@ -164,7 +166,7 @@
 // refreshUsable updates whether a node is usable and whether it is quarantined.
 func (x *index) refreshUsable(s *State, i int, now time.Time) {
 	ws := s.Workers[x.nodes[i].id]
-	ok := ws.Usable(now)
+	ok := ws.Usable(now) && !x.nodes[i].evacuated
 	if ok != x.nodes[i].usable {
 		x.anchorsStale = true
 	}
--- a/core/plan/prop_test.go
+++ b/core/plan/prop_test.go
@@ -34,6 +34,8 @@
 	next      int
 	workers   []model.Worker
 	cancelled map[model.JobID]bool
+	// declared is the declaration in force, with the evacuated data centres.
+	declared model.Declaration
 }
 
 func (m *stateMachine) apply(e ...Event) { m.s.Apply(m.now, e...) }
@@ -99,6 +101,8 @@
 	d := Decide(m.now, &m.s)
 	m.checkInvariants(t)
 	m.checkMemoryStops(t, d)
+	m.checkEvacuation(t, &m.s, d.Actions)
+	m.checkUnstarted(t, d.Actions)
 	overtaken := m.drawJobs(t, rapid.IntRange(0, 2).Draw(t, "overtaking"), func(j *Job) bool { return true })
 	m.cancel(overtaken)
 	for _, a := range m.s.Accept(m.now, d.Actions) {
@@ -157,6 +161,7 @@
 			t.Fatalf("guarantee %s/%s has room but a shortfall %+v", a.Team, a.Guarantee.Name, a.Shortfall)
 		}
 	}
+	m.checkEvacuatedAnchors(t)
 	m.claimAll(t)
 }
 
@@ -192,7 +197,7 @@
 		if a.Guarantee.Shape.Adjacent == model.SameWorker {
 			key = string(id)
 		}
-		if ws.Usable(m.now) && (a.Guarantee.Centre == "" || a.Guarantee.Centre == ws.Worker.Centre) {
+		if ws.Usable(m.now) && !m.evacuated(id) && (a.Guarantee.Centre == "" || a.Guarantee.Centre == ws.Worker.Centre) {
 			blocks[key] += tasksThatFit(room[id], PerTask(a.Guarantee.Shape), MaxTasks)
 		}
 	}
@@ -227,7 +232,9 @@
 				c.Apply(now, Event{Kind: Stopped, Jobs: []model.JobID{j.Spec.ID}})
 			}
 		}
-		for _, act := range c.Accept(now, Decide(now, c).Actions) {
+		decision := Decide(now, c)
+		m.checkEvacuation(t, c, decision.Actions)
+		for _, act := range c.Accept(now, decision.Actions) {
 			if j := c.Jobs[act.Job]; j != nil && act.Verb != Start && act.Verb != Reserve && j.Anchored && !j.Cancelled && j.MemoryExcess() == 0 {
 				t.Fatalf("job %s runs under a guarantee, but got action %s for a claim", act.Job, act.Verb)
 			}
@@ -241,6 +248,18 @@
 	}
 }
 
+// advance lets time pass and reports the jobs as stopped that must have ended by then.
+func (m *stateMachine) advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 10, 600}).Draw(t, "seconds")) * time.Second)
+	var gone []model.JobID
+	for _, id := range slices.Sorted(maps.Keys(m.s.Jobs)) {
+		if j := m.s.Jobs[id]; j.Phase == Stopping && !m.now.Before(j.StopBy) {
+			gone = append(gone, id)
+		}
+	}
+	m.apply(Event{Kind: Stopped, Jobs: gone, Saved: true})
+}
+
 func (m *stateMachine) loseWorkers(ids ...model.WorkerID) {
 	m.apply(Event{Kind: WorkerLost, Workers: ids})
 }
@@ -252,8 +271,8 @@
 		for i := range m.workers {
 			m.apply(Event{Kind: WorkerSeen, Worker: &m.workers[i]})
 		}
-		d := drawDeclaration(t)
-		m.apply(Event{Kind: Declared, Declaration: &d})
+		m.declared = drawDeclaration(t)
+		m.apply(Event{Kind: Declared, Declaration: &m.declared})
 		placed := func(j *Job) bool { return j.placed() }
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": m.submit, "submit2": m.submit, "submit3": m.submit, "decide": m.decideAndAccept, "decide2": m.decideAndAccept,
@@ -261,8 +280,11 @@
 			"finish": func(t *rapid.T) { m.apply(Event{Kind: Finished, Jobs: m.drawJobs(t, 3, placed)}) },
 			"declare": func(t *rapid.T) {
 				d := drawDeclaration(t)
-				m.apply(Event{Kind: Declared, Declaration: &d})
+				d.Evacuate = m.declared.Evacuate
+				m.declare(d)
 			},
+			"evacuate": m.evacuate,
+			"withdraw": m.withdraw, "start": m.start,
 			"fail": func(t *rapid.T) {
 				for _, id := range m.drawJobs(t, 1, placed) {
 					m.apply(Event{Kind: Failed, Jobs: []model.JobID{id}, Workers: []model.WorkerID{m.s.Jobs[id].Slots[0].Worker}})
@@ -288,17 +310,8 @@
 				}
 			},
 			"report": m.reportUsage, "report2": m.reportUsage,
-			"time": func(t *rapid.T) {
-				m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 10, 600}).Draw(t, "seconds")) * time.Second)
-				var gone []model.JobID
-				for _, id := range slices.Sorted(maps.Keys(m.s.Jobs)) {
-					if j := m.s.Jobs[id]; j.Phase == Stopping && !m.now.Before(j.StopBy) {
-						gone = append(gone, id)
-					}
-				}
-				m.apply(Event{Kind: Stopped, Jobs: gone, Saved: true})
-			},
-			"": m.checkInvariants,
+			"time": m.advance,
+			"":     m.checkInvariants,
 		})
 	})
 }
--- a/core/plan/queue.go
+++ b/core/plan/queue.go
@@ -25,7 +25,7 @@
 			}
 		}
 	}
-	r := Reason{Code: NoRoom, Need: j.Spec.Shape.Size(), Have: p.freeGPUs}
+	r := Reason{Code: NoRoom, Need: j.Spec.Shape.Size(), Have: p.freeGPUs, Evacuated: p.evacuatedRoom(j.Spec.Shape)}
 	if r.Have >= r.Need {
 		r.Code = Scattered
 	}
--- a/core/plan/reserve.go
+++ b/core/plan/reserve.go
@@ -48,7 +48,7 @@
 // can be backfilled there.
 func (p *planner) reserveSpots(j *Job, spots []spot, due time.Time) {
 	p.recordReservation(j, spots, due)
-	p.reasons[j.Spec.ID] = Reason{Code: Reserving, Until: due}
+	p.reasons[j.Spec.ID] = Reason{Code: Reserving, Until: due, Evacuated: p.evacuatedRoom(j.Spec.Shape)}
 	p.reserved = append(p.reserved, j)
 	for _, s := range spots {
 		n := &p.nodes[s.node]
--- a/core/plan/state.go
+++ b/core/plan/state.go
@@ -143,6 +143,8 @@
 	Sequence uint64 `cbor:"9,keyasint" json:"sequence"`
 	// Sizes holds the peak usage of earlier jobs by team and class.
 	Sizes map[string]UsageHistory `cbor:"10,keyasint,omitempty" json:"sizes,omitempty"`
+	// Evacuated lists the data centres in which nothing more is started; jobs that run there go on.
+	Evacuated []model.Centre `cbor:"11,keyasint,omitempty" json:"evacuated,omitempty"`
 
 	idx *index
 }
@@ -158,6 +160,7 @@
 	c.History = maps.Clone(s.History)
 	c.Cancelled = maps.Clone(s.Cancelled)
 	c.Sizes = maps.Clone(s.Sizes)
+	c.Evacuated = slices.Clone(s.Evacuated)
 	return &c
 }
 
