Follow the evacuated data centres in the owners of cells

Cause: the planner's list of evacuated data centres was not filled by the owners, and a new owner could decide on a declaration from before its own pause.

Ruled out: a choice of the cell of a new job by the list. Entries with different revisions would choose different cells for the same job, and it could run in both. The balancing of cells sends such jobs on after 2 s.

Change: the declaration of a cell keeps the list. A stop before the release has the cause evacuated and takes effect only on a placement that isn't released. Guarantees without a fixed data centre move to another cell if theirs has no room outside the evacuated data centres. A new owner decides nothing before the revision in force is one that the store had in its term, unless the store is down or 8 s, the bound of a configuration, have passed. The owner logs the course of each evacuation and the guarantees that it puts in shortfall; a name without a listed worker is logged once.

Conclusion: nothing is placed in an evacuated data centre by the owner or a successor. In the layout with a cell for each data centre, a job that was placed there before waits there, because its tasks are numbered in that cell.

--- a/cmds/jobs.go
+++ b/cmds/jobs.go
@@ -108,7 +108,7 @@
 // planState converts the view of a cell to the input state of the planner, for use with query.Snapshot.Observe.
 func planState(c sched.CellView, d model.Declaration) *plan.State {
 	s := &plan.State{
-		Cell: c.Cell, Policy: d.Policy, Teams: d.Teams,
+		Cell: c.Cell, Policy: d.Policy, Teams: d.Teams, Evacuated: d.Evacuate,
 		Workers: map[model.WorkerID]plan.WorkerState{}, Jobs: map[model.JobID]*plan.Job{},
 		History: map[string]plan.RunHistory{}, Cancelled: map[model.JobID]time.Time{},
 	}
--- a/cmds/sched.go
+++ b/cmds/sched.go
@@ -41,6 +41,7 @@
 			_, d, ok := m.InUse()
 			return d, ok
 		},
+		ConfigReadSince: m.ReadSince,
 		StoreReassignment: func(ctx context.Context, assignCells func(map[string]model.CellID) (map[string]model.CellID, error)) error {
 			ctx, cancel := context.WithTimeout(ctx, rehomeTimeout)
 			defer cancel()
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -15,7 +15,7 @@
 const maxPlacements = 100
 
 // Guarantees returns the cell of each guarantee of d, by team/guarantee. A guarantee stays in its cell in d.GuaranteeCells
-// unless the others don't fit then. The error is a *plan.ConflictError. Lost workers count as up, since they may come back.
+// unless the others don't fit then. The error is a *plan.ConflictError. Lost workers count as up, since they may come back, and so do those in evacuated data centres.
 func Guarantees(workers []model.Worker, d model.Declaration) (map[string]model.CellID, error) {
 	if err := plan.Validate(d); err != nil {
 		return nil, err
@@ -127,13 +127,13 @@
 	return s.result(), true
 }
 
-// Reassign returns an assignment in which guarantees that no longer fit in their cells after a loss of workers have other
-// cells, and the guarantees that move. A guarantee stays if no other cell has room for it, if it names a data centre, or if
+// Reassign returns an assignment in which guarantees that no longer fit in their cells after a loss of workers or an evacuation
+// have other cells, and the guarantees that move. A guarantee stays if no other cell has room for it, if it names a data centre, or if
 // others would have to move for it.
 func Reassign(workers []model.Worker, d model.Declaration) (map[string]model.CellID, []plan.Ref) {
 	var up []model.Worker
 	for _, w := range workers {
-		if w.Up {
+		if w.Up && !slices.Contains(d.Evacuate, w.Centre) {
 			up = append(up, w)
 		}
 	}
--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -184,6 +184,8 @@
 	fixed := teamsWithGuarantees(3, 2, 1)
 	fixed.GuaranteeCells = d.GuaranteeCells
 	fixed.Teams[0].Guarantees[0].Centre = "c0"
+	evacuated, evacuatedFixed := d, fixed
+	evacuated.Evacuate, evacuatedFixed.Evacuate = []model.Centre{"c0"}, []model.Centre{"c0"}
 	for _, c := range []struct {
 		name string
 		d    model.Declaration
@@ -191,6 +193,8 @@
 		want map[string]model.CellID
 	}{
 		{"nothing lost", d, nil, nil},
+		{"an evacuated data centre", evacuated, nil, map[string]model.CellID{"t0/base": "c2"}},
+		{"the same with a data centre", evacuatedFixed, nil, nil},
 		{"a spare worker", d, []model.WorkerID{"c2-w0000"}, nil},
 		{"a worker of the largest", d, []model.WorkerID{"c0-w0001"}, map[string]model.CellID{"t0/base": "c2"}},
 		{"the same with a data centre", fixed, []model.WorkerID{"c0-w0001"}, nil},
--- a/core/cell/gang.go
+++ b/core/cell/gang.go
@@ -238,6 +238,9 @@
 			change.Kind, change.Cause = JobEnded, Rejected
 		case a.Workers != nil && j.Phase == Waiting:
 			change.Kind, change.Workers, change.Note = JobPlaced, a.Workers, a.Note
+		case a.Cause == Evacuated && j.Phase != Placed:
+			// The job has been released since the decision; jobs that run go on.
+			continue
 		case a.Workers == nil && !a.Reject && (j.Phase == Placed || j.Phase == Released):
 			change.Kind, change.Cause, change.WithCheckpoint = JobStopRequested, cmp.Or(a.Cause, Preempted), a.WithCheckpoint
 		default:
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -67,6 +67,8 @@
 	Adopted Cause = "adopted"
 	// Moved means that the job was handed over to another cell.
 	Moved Cause = "moved"
+	// Evacuated means that a decision stopped the job before it was released, because its data centre was evacuated.
+	Evacuated Cause = "evacuated"
 )
 
 // Job is a job of the plan. A Job in a Plan is never modified, only replaced, since clones of the plan share it.
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -120,6 +120,11 @@
 // in it. The second result is false if the store has not answered since the process started.
 func (s *State) StoreContact() (time.Time, bool) { return s.storeContact, !s.storeContact.IsZero() }
 
+// CurrentAt reports whether the revision in force is the one that the store had at a time or later.
+func (s *State) CurrentAt(at time.Time) bool {
+	return s.ready && !s.storeContact.IsZero() && !s.storeContact.Before(at) && s.inForce.Revision >= s.storeRevision
+}
+
 // Tick sends the state of the process to all linked peers. It is called about once a second.
 func (s *State) Tick(now time.Time) []Effect {
 	effects := s.announce(now)
--- a/core/config/state_test.go
+++ b/core/config/state_test.go
@@ -245,3 +245,25 @@
 		t.Errorf("past changes: got %d, want %d", got, want)
 	}
 }
+
+// A process that has heard of a higher revision in the store, but doesn't have its document yet, must not count as up to date.
+func TestCurrentAtNeedsTheLatestRevision(t *testing.T) {
+	s := New(start, 1)
+	if s.CurrentAt(start) {
+		t.Error("before the store answered: current")
+	}
+	s.Store(start.Add(time.Second), start.Add(time.Second), Snapshot{Revision: 1})
+	if !s.CurrentAt(start.Add(time.Second)) || s.CurrentAt(start.Add(time.Second+1)) {
+		t.Error("after an answer: want current at the time of the call and not later")
+	}
+	now := start.Add(2 * time.Second)
+	s.LinkUp(now, "p")
+	s.Receive(now, "p", Message{Highest: 2, InUse: 2, StoreRevision: 2, Ready: true, Echo: Stamp{1, 2 * time.Second}})
+	if s.CurrentAt(now) {
+		t.Error("without the document of the store's revision: current")
+	}
+	s.Receive(now, "p", Message{Highest: 2, InUse: 2, StoreRevision: 2, Ready: true, Echo: Stamp{1, 2 * time.Second}, Snapshot: &Snapshot{Revision: 2}})
+	if !s.CurrentAt(now) {
+		t.Error("with the document of the store's revision: not current")
+	}
+}
--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -309,6 +309,29 @@
 	eventually(t, 8*time.Second, "revision 1", e1.usesRevision(1, true))
 }
 
+// ReadSince must not count an answer of the store from before the time: a new owner relies on it.
+func TestReadSinceWaitsForTheStore(t *testing.T) {
+	b := newFixture(t)
+	m, _ := b.start("e1", "west", b.client())
+	eventually(t, 10*time.Second, "ready", m.Ready)
+	if m.ReadSince(time.Now()) {
+		t.Error("the store counts as read at once")
+	}
+	now := time.Now()
+	eventually(t, 2*time.Second, "the store is read", func() bool { return m.ReadSince(now) })
+	b.faults.Add(fault.Fault{Mode: fault.Down, Service: "store"})
+	time.Sleep(500 * time.Millisecond)
+	down := time.Now()
+	for range 20 {
+		if m.ReadSince(down) {
+			t.Fatal("the store counts as read while it is down")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	b.faults.Add(fault.Fault{Mode: fault.Clear})
+	eventually(t, 8*time.Second, "the store is read again", func() bool { return m.ReadSince(down) })
+}
+
 // A process that restarts while the store is down must not use the lower revision of the peer that answers first.
 func TestRestartWithStoreDownTakesHighestOfPeers(t *testing.T) {
 	b := newFixture(t)
--- a/io/conf/manager.go
+++ b/io/conf/manager.go
@@ -362,6 +362,18 @@
 	return c, m.inUse, ready
 }
 
+// ReadSince reports whether the revision in force is the one that the store had at a time or later. If that isn't known, the
+// store is read soon.
+func (m *Manager) ReadSince(at time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.state.CurrentAt(at) {
+		return true
+	}
+	m.requestRead()
+	return false
+}
+
 // Status is the configuration state of one process.
 type Status struct {
 	ID model.NodeID `json:"id"`
--- a/io/sched/assign.go
+++ b/io/sched/assign.go
@@ -132,7 +132,7 @@
 
 // declarationForCell returns a declaration with only the guarantees that are assigned to a cell.
 func (s *Sched) declarationForCell(d model.Declaration, id model.CellID) model.Declaration {
-	out := model.Declaration{Policy: d.Policy, Teams: slices.Clone(d.Teams)}
+	out := model.Declaration{Policy: d.Policy, Teams: slices.Clone(d.Teams), Evacuate: d.Evacuate}
 	for i, t := range out.Teams {
 		out.Teams[i].Guarantees = nil
 		for _, g := range t.Guarantees {
--- a/io/sched/controller.go
+++ b/io/sched/controller.go
@@ -20,6 +20,9 @@
 	// watchRetryPause is the time before a watch that failed is repeated, and between checks whether this process has become
 	// the owner.
 	watchRetryPause = 250 * time.Millisecond
+	// configReadTimeout is how long a new owner waits for the configuration. It is the bound within which every process that
+	// reaches the store has an accepted revision in force, so that waiting for longer gains nothing.
+	configReadTimeout = 8 * time.Second
 	// maxDecisionInterval is the longest time between decisions. Without other changes, the waiting times alone change the
 	// order of the queue.
 	maxDecisionInterval = 2 * time.Second
@@ -60,6 +63,10 @@
 	decision Output
 	// deciderEpoch is the epoch of this owner that the decider was created for.
 	deciderEpoch model.Epoch
+	// ownedSince is when this process became the owner in deciderEpoch. configRead is true once the configuration has been
+	// read since then.
+	ownedSince time.Time
+	configRead bool
 	// decisionMade is true if decision was made in this epoch. decisionBasis holds the plan's revision and the version of the
 	// inputs that it was made on; while these don't change, the next decision is made at decideAgainAt.
 	decisionMade  bool
@@ -71,6 +78,7 @@
 	handoverEnded chan model.JobID
 	// waitingSince holds when this owner first saw each job wait in the cell.
 	waitingSince          map[model.JobID]time.Time
+	evacuationLog         evacuationLog
 	nextBalance           time.Time
 	nextFeasibilitySearch time.Time
 	balancing             atomic.Bool
@@ -170,10 +178,12 @@
 func (c *controller) decide(ctx context.Context) {
 	in, ok := c.sched.cellInputs(c.id)
 	now, p := c.sched.clock(), c.cell.Plan()
-	if !ok || c.decisionMade && c.decisionBasis == [2]uint64{p.Revision, in.version} && now.Before(c.decideAgainAt) {
+	if !ok || !c.hasReadConfig() || c.decisionMade && c.decisionBasis == [2]uint64{p.Revision, in.version} && now.Before(c.decideAgainAt) {
 		return
 	}
-	out := c.decider.Decide(now, Input{Cell: c.id, Plan: p, Workers: in.workers, Declaration: in.declaration, Usage: c.sched.usageCache.latest(c.id)})
+	input := Input{Cell: c.id, Plan: p, Workers: in.workers, Declaration: in.declaration, Usage: c.sched.usageCache.latest(c.id)}
+	out := c.decider.Decide(now, input)
+	c.evacuationLog.update(c.log, now, input, out.Shortfalls)
 	c.decision, c.decisionMade, c.decisionBasis = out, true, [2]uint64{p.Revision, in.version}
 	c.decideAgainAt = now.Add(maxDecisionInterval)
 	if !out.Wake.IsZero() && out.Wake.Before(c.decideAgainAt) {
@@ -185,6 +195,14 @@
 	}
 }
 
+// hasReadConfig reports whether this owner may decide on the configuration that it knows: it has been read from the store in
+// this term, the store is down, or configReadTimeout has passed.
+func (c *controller) hasReadConfig() bool {
+	read := c.sched.ConfigReadSince
+	c.configRead = c.configRead || read == nil || read(c.ownedSince)
+	return c.configRead || c.cell.Detached() || c.sched.clock().Sub(c.ownedSince) >= configReadTimeout
+}
+
 // publishView replaces the view. If this process has become the owner, it also creates a new decider. It logs
 // when the ownership or the detachment from the store changes.
 func (c *controller) publishView() {
@@ -195,8 +213,8 @@
 		c.owned.Store(owned)
 		if epoch := c.cell.Epoch(); owned && epoch != c.deciderEpoch {
 			// Another owner may have decided in between, so the new decider starts from the plan.
-			c.decider, c.deciderEpoch = c.sched.newDecider(), epoch
-			c.decision, c.decisionMade = Output{}, false
+			c.decider, c.deciderEpoch, c.ownedSince, c.configRead = c.sched.newDecider(), epoch, c.sched.clock(), false
+			c.decision, c.decisionMade, c.evacuationLog = Output{}, false, evacuationLog{}
 		}
 	}
 	detached := c.cell.Detached()
--- a/io/sched/decider.go
+++ b/io/sched/decider.go
@@ -80,8 +80,11 @@
 		return cell.Action{Job: a.Job, Workers: workers, Note: note}, err == nil
 	case plan.Checkpoint, plan.Move, plan.Stop:
 		stop := cell.Action{Job: a.Job, WithCheckpoint: a.Verb != plan.Stop}
-		if a.Reason.Code == plan.MemoryExceeded {
+		switch a.Reason.Code {
+		case plan.MemoryExceeded:
 			stop.Cause = cell.Exceeded
+		case plan.StartEvacuated:
+			stop.Cause = cell.Evacuated
 		}
 		return stop, true
 	}
--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -45,6 +45,9 @@
 	Works  works.Works
 	// Declaration returns the declaration in force. Without one, no decisions are made.
 	Declaration func() (model.Declaration, bool)
+	// ConfigReadSince reports whether the configuration was read from the store at a time or later; nil means always. A new
+	// owner decides nothing before that, because it may have been paused or cut off and not know of an evacuation.
+	ConfigReadSince func(time.Time) bool
 	// NewDecider returns a new Decider for a cell; nil means the one that uses core/plan.
 	NewDecider func() Decider
 	// Layout tells how workers are grouped into cells if the store has no layout yet; empty means one cell for each data
@@ -79,6 +82,8 @@
 	// inputsVersion counts the changes of the workers and of the declaration.
 	inputsVersion uint64
 	usageCache    usageCache
+	// unknownEvacuated holds the evacuated data centres without a listed worker that have been logged.
+	unknownEvacuated map[model.Centre]bool
 }
 
 func (s *Sched) clock() time.Time {
@@ -112,6 +117,7 @@
 			s.logger().Warn("listing workers at the worker service failed; the former list stays in use", "error", err.Error())
 		} else {
 			s.updateWorkers(ctx, assign.SetCells(s.Layout, workers))
+			s.logUnknownEvacuated()
 			s.startReassignment(ctx)
 		}
 		pause(ctx, max(workerListInterval, callTimeDivisor*time.Since(started)))
--- a/io/sched/sched_test.go
+++ b/io/sched/sched_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -326,3 +327,69 @@
 		t.Errorf("submit: got %v, want invalid", err)
 	}
 }
+
+// A new owner may not know of an evacuation, because it was paused or cut off. It must start nothing before the configuration
+// has been read in its term.
+func TestNewOwnerReadsTheConfigurationFirst(t *testing.T) {
+	r := newRig(t, "lausanne=3")
+	s := r.newSched("e1", assign.ByCentre)
+	var read atomic.Bool
+	var askedSince atomic.Int64
+	began := time.Now()
+	s.ConfigReadSince = func(at time.Time) bool {
+		askedSince.Store(at.UnixNano())
+		return read.Load()
+	}
+	r.run(s)
+	r.waitUntil("the process owns the cell", ownsOnlyCell(s))
+	r.submit(s, gangSpec("j", 2))
+	r.waitUntil("the process asks for the configuration", func() bool { return askedSince.Load() > began.UnixNano() })
+	time.Sleep(time.Second)
+	if got := len(r.Tasks.List("")); got != 0 {
+		t.Errorf("tasks before the configuration was read: got %d, want none", got)
+	}
+	read.Store(true)
+	r.waitUntil("the gang runs", func() bool { return r.runningTasks("j") == 2 })
+}
+
+// Nothing new must start in an evacuated data centre, whether it shares its cell with others or has one of its own, and what
+// runs there must go on.
+func TestJobsStartOutsideTheEvacuatedCentre(t *testing.T) {
+	for _, layout := range []assign.Layout{assign.ByRegion, assign.ByCentre} {
+		t.Run(string(layout), func(t *testing.T) {
+			r := newRig(t, "ch-west/lausanne=3,ch-west/fribourg=3")
+			s := r.newSched("e1", layout)
+			var evacuated atomic.Pointer[[]model.Centre]
+			evacuated.Store(&[]model.Centre{"fribourg"})
+			s.Declaration = func() (model.Declaration, bool) {
+				d := testDeclaration
+				d.Evacuate = *evacuated.Load()
+				return d, true
+			}
+			r.run(s)
+			r.waitUntil("the process owns all cells", func() bool {
+				cells := s.Snapshot().Cells
+				return len(cells) > 0 && !slices.ContainsFunc(cells, func(c sched.CellView) bool { return !c.Owned })
+			})
+			r.submit(s, gangSpec("first", 3))
+			r.waitUntil("the first gang runs", func() bool { return r.runningTasks("first") == 3 })
+			evacuated.Store(&[]model.Centre{"lausanne"})
+			time.Sleep(time.Second) // several control intervals
+			for _, id := range []model.JobID{"second", "third", "fourth"} {
+				r.submit(s, gangSpec(id, 1))
+			}
+			for _, job := range []string{"second", "third", "fourth"} {
+				r.waitUntil(job+" runs", func() bool { return r.runningTasks(job) == 1 })
+			}
+			for _, task := range r.Tasks.List("") {
+				want := "fribourg"
+				if task.Job == "first" {
+					want = "lausanne"
+				}
+				if !strings.HasPrefix(task.Worker, want) || task.State != tasks.Running {
+					t.Errorf("task: got %+v, want it running in %s", task, want)
+				}
+			}
+		})
+	}
+}
