Show evacuation in the answers for operators

Cause: why, show and apply said nothing of evacuated data centres.

Ruled out: a statement of the query language for evacuations. The list of the declaration is changed by apply, and the statements that edit the declaration keep it.

Change: show workers and show minions mark what is in an evacuated data centre. Reasons, show shortfalls and reclaim name it, and why notes that a job there runs to its end. apply notes a data centre of which no worker or minion is known; the change is accepted all the same.

Conclusion: operators see evacuations in the usual answers.

--- a/core/query/eval.go
+++ b/core/query/eval.go
@@ -207,7 +207,7 @@
 	for _, anchor := range snap.Anchors {
 		if s := anchor.Shortfall; s != nil && f.matchesTeam(anchor.Team) {
 			a.Rows = append(a.Rows, []string{
-				string(s.Team), s.Guarantee, s.Cause.String(), formatAge(snap, s.Since), joinNames(s.Workers), joinNames(s.Jobs),
+				string(s.Team), s.Guarantee, s.CauseText(), formatAge(snap, s.Since), joinNames(s.Workers), joinNames(s.Jobs),
 			})
 		}
 	}
@@ -249,6 +249,9 @@
 		if w.Failed > 0 {
 			state += fmt.Sprintf(", %d jobs failed here", w.Failed)
 		}
+		if snap.evacuated(w.Centre) {
+			state += ", evacuated"
+		}
 		a.Rows = append(a.Rows, []string{
 			string(w.ID), string(w.Centre), w.Rack, strconv.Itoa(w.GPUs), strconv.Itoa(used[w.ID]), state,
 		})
@@ -293,8 +296,12 @@
 	a := Answer{Columns: []string{"minion", "service", "centre", "state", "running", "slots", "revision"}}
 	for _, r := range snap.Minions {
 		if f.centre == "" || string(r.Centre) == f.centre {
+			state := r.State.String()
+			if snap.evacuated(r.Centre) {
+				state += ", evacuated"
+			}
 			a.Rows = append(a.Rows, []string{
-				string(r.ID), r.Service, string(r.Centre), r.State.String(), strconv.Itoa(r.Load.Running), strconv.Itoa(r.Load.Slots),
+				string(r.ID), r.Service, string(r.Centre), state, strconv.Itoa(r.Load.Running), strconv.Itoa(r.Load.Slots),
 				strconv.FormatUint(uint64(r.Revision), 10),
 			})
 		}
@@ -312,6 +319,9 @@
 		text, expectedStart, reserved := formatReason(j.Reason), "unknown", "-"
 		if len(j.Slots) > 0 {
 			text, expectedStart = "it has its accelerators: "+formatSlots(j.Slots), "-"
+			if centre := centreOfWorkers(snap)[j.Slots[0].Worker]; snap.evacuated(centre) {
+				a.Notes = append(a.Notes, "data centre "+string(centre)+" is evacuated; the job runs there to its end")
+			}
 		}
 		text += lastStopSuffix(j)
 		if !j.ExpectedStart.IsZero() && len(j.Slots) == 0 {
@@ -340,7 +350,7 @@
 	}
 	anchor := snap.Anchors[i]
 	if anchor.Shortfall != nil {
-		a.Notes = append(a.Notes, "the guarantee has a shortfall: "+anchor.Shortfall.Cause.String())
+		a.Notes = append(a.Notes, "the guarantee has a shortfall: "+anchor.Shortfall.CauseText())
 		return a, nil
 	}
 	for _, j := range snap.Jobs {
--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -83,7 +83,7 @@
 // An edit must change only the object that it names, and only in the copy of the declaration: otherwise guarantees would change
 // before the change is accepted.
 func TestEditsChangeTheirSubjectOnly(t *testing.T) {
-	d, err := decl.Parse([]byte("teams:\n- {name: a, weight: 1, guarantees: [{name: g, grace: 5s, shape: {tasks: 1, gpus: 8}}]}\n- {name: b, weight: 2}\n"))
+	d, err := decl.Parse([]byte("teams:\n- {name: a, weight: 1, guarantees: [{name: g, grace: 5s, shape: {tasks: 1, gpus: 8}}]}\n- {name: b, weight: 2}\nevacuate: [chur]\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -198,6 +198,43 @@
 	}
 }
 
+// Operators must see what an evacuation affects: the workers and minions of the data centre, the jobs that still run there, and
+// the jobs and guarantees that wait for it.
+func TestAnswersNameEvacuation(t *testing.T) {
+	snap := cellSnapshot(t)
+	snap.Declaration.Evacuate = []model.Centre{"glasgow-a"}
+	for i := range snap.Jobs {
+		if snap.Jobs[i].Spec.ID == "late" {
+			snap.Jobs[i].Reason = plan.Reason{Code: plan.NoRoom, Need: 8, Evacuated: "glasgow-a"}
+		}
+	}
+	for i := range snap.Anchors {
+		snap.Anchors[i].Slots = nil
+		snap.Anchors[i].Shortfall = &plan.Shortfall{Team: "trust", Guarantee: "nightly", Cause: plan.CentreEvacuated, Centre: "glasgow-a"}
+	}
+	for _, tc := range []struct{ text, want string }{
+		{"show workers", "w3 glasgow-a r1 8 8 up, evacuated"},
+		{"show minions", "m1 s glasgow-a ready, evacuated 2 8 4"},
+		{"show shortfalls", "trust nightly data centre evacuated: glasgow-a"},
+		{"show waiting", "no room: needs 8, has 0, data centre evacuated: glasgow-a"},
+		{"why late", "no room: needs 8, has 0, data centre evacuated: glasgow-a"},
+		{"why loan", "data centre glasgow-a is evacuated; the job runs there to its end"},
+		{"reclaim trust nightly", "the guarantee has a shortfall: data centre evacuated: glasgow-a"},
+	} {
+		a, err := Eval(mustParse(t, tc.text), snap)
+		if err != nil {
+			t.Fatalf("%s: %v", tc.text, err)
+		}
+		var buf bytes.Buffer
+		if err := a.WriteTable(&buf); err != nil {
+			t.Fatal(err)
+		}
+		if got := strings.Join(strings.Fields(buf.String()), " "); !strings.Contains(got, tc.want) {
+			t.Errorf("%s: got\n%s\nwant it to contain\n%s", tc.text, buf.String(), tc.want)
+		}
+	}
+}
+
 // A list must contain only the objects that its filters select, and a query about a missing object must fail.
 func TestFiltersAndMissingObjects(t *testing.T) {
 	snap := cellSnapshot(t)
--- a/core/query/snapshot.go
+++ b/core/query/snapshot.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"slices"
 	"time"
 
 	"wagtailhoist/core/model"
@@ -23,6 +24,11 @@
 	StoppedByClaim func(team model.Team, guarantee string) []StoppedJob
 }
 
+// evacuated reports whether a data centre is evacuated.
+func (s *Snapshot) evacuated(centre model.Centre) bool {
+	return centre != "" && slices.Contains(s.Declaration.Evacuate, centre)
+}
+
 // Worker is a worker with its quarantine and the failures attributed to it.
 type Worker struct {
 	model.Worker
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -233,6 +233,18 @@
 	}
 }
 
+// A data centre of which nothing is known is probably a mistake in the name: the operator must be told, and the change must be
+// accepted all the same, because the data centre may be down.
+func TestUnknownEvacuatedCentreIsNoted(t *testing.T) {
+	b := newFixture(t)
+	b.fleet.workers = []model.Worker{{ID: "w1", Centre: "lausanne", Rack: "r", GPUs: 8, Up: true}}
+	got, err := b.client.Apply(b.ctx, ApplyRequest{Document: doc + "evacuate: [lausanne, nowhere, nowhere]\n"})
+	want := `[evacuated data centre "nowhere": no worker or minion there is known]`
+	if err != nil || fmt.Sprint(got.Notes) != want {
+		t.Errorf("notes: got %v, %v, want %s", got.Notes, err, want)
+	}
+}
+
 // A write to a store that is down must fail as unavailable, and a write whose answer is lost must be applied once.
 func TestStoreFailuresKeepTheirKind(t *testing.T) {
 	b := newFixture(t)
--- a/io/admin/handle.go
+++ b/io/admin/handle.go
@@ -91,6 +91,7 @@
 			return assign.Guarantees(workers, d)
 		}
 	}
+	out.Notes = append(out.Notes, s.unknownEvacuated(workers, d.Evacuate)...)
 	before, old, _ := s.Config.InUse()
 	out.Revision, err = s.Config.Apply(ctx, change)
 	if err != nil {
@@ -103,6 +104,20 @@
 	return out, nil
 }
 
+// unknownEvacuated returns a note for each evacuated data centre of which neither a worker nor a minion is known; its name may
+// be a mistake.
+func (s *Server) unknownEvacuated(workers []model.Worker, centres []model.Centre) []string {
+	var notes []string
+	for _, centre := range slices.Compact(slices.Sorted(slices.Values(centres))) {
+		known := slices.ContainsFunc(workers, func(w model.Worker) bool { return w.Centre == centre }) ||
+			slices.ContainsFunc(s.Fleet.Records(), func(r model.Record) bool { return r.Centre == centre })
+		if !known {
+			notes = append(notes, fmt.Sprintf("evacuated data centre %q: no worker or minion there is known", centre))
+		}
+	}
+	return notes
+}
+
 // query serves POST /query.
 func (s *Server) query(w http.ResponseWriter, r *http.Request) {
 	var req QueryRequest
