Let the simulation evacuate while starts are under way

Cause: a trial that took the mark of sent starts out passed the property, although a start that is under way then runs beside the next one of its task: the sequence was too rare. Change: tests only. The simulation evacuates a data centre while starts are on their way to it, and evacuations that the owner learns of at a tick. TestUnconfirmedPlacementIsStopped checks that the task isn't placed elsewhere before the refusal.

--- a/core/alloc/centre_test.go
+++ b/core/alloc/centre_test.go
@@ -141,7 +141,12 @@
 		if len(o.Starts) != 1 {
 			t.Fatalf("got %d starts, want 1", len(o.Starts))
 		}
+		other := f.addWorkerIn("n2", "r2", "c2")
 		f.evacuate("c1")
+		f.scheduler.Plan(f.now, f.now)
+		if got := len(f.scheduler.workers[other.ID].runs); got != 0 {
+			t.Errorf("listed %v: got %d placements elsewhere while the run may exist, want none", listed, got)
+		}
 		f.pass(unconfirmedLimit / 2)
 		if listed {
 			w.running = append(w.running, batch.RunStatus{RunID: o.Starts[0].RunID})
@@ -156,10 +161,9 @@
 			continue
 		}
 		w.refused = append(w.refused, batch.Refusal{RunID: o.Stops[0], Reason: batch.RefusedStopped})
-		f.addWorkerIn("n2", "r2", "c2")
 		f.report(w)
 		f.runRound()
-		if got, want := len(f.scheduler.workers[batch.WorkerID("n2", "w", 1)].runs), 1; got != want {
+		if got, want := len(f.scheduler.workers[other.ID].runs), 1; got != want {
 			t.Errorf("got %d placements elsewhere after the refusal, want %d", got, want)
 		}
 	}
--- a/core/alloc/prop_test.go
+++ b/core/alloc/prop_test.go
@@ -69,6 +69,21 @@
 				if _, evacuated := sim.evacuated[centre]; !evacuated {
 					sim.evacuated[centre] = sim.now
 				}
+				if rapid.Bool().Draw(t, "at a tick") {
+					sim.readEvacuations()
+					sim.scheduler.EnforceEvacuation(sim.now, sim.now)
+				}
+			},
+			"evacuate while starts are under way": func(*rapid.T) {
+				w := sim.pickWorker("worker")
+				sim.scheduler.Plan(sim.now, sim.now)
+				sim.storeProgress()
+				sim.deliverOrders(w, true)
+				if _, evacuated := sim.evacuated[w.Centre]; !evacuated {
+					sim.evacuated[w.Centre] = sim.now
+				}
+				sim.readEvacuations()
+				sim.scheduler.EnforceEvacuation(sim.now, sim.now)
 			},
 			"withdraw": func(t *rapid.T) {
 				delete(sim.evacuated, rapid.SampledFrom([]string{"c-n0", "c-n1", "c-n2", "c-none"}).Draw(t, "centre"))
