Keep the worker of the scheduler at its size

Change: times that few workers have stand behind a pointer. The time until a worker is warm is part of the report instead of the worker's description, which fits better too: it changes with each report.

--- a/core/alloc/centre.go
+++ b/core/alloc/centre.go
@@ -79,7 +79,9 @@
 	}
 	w.evacuated = evacuated
 	// After its return to service, tasks start there again at once.
-	w.refusedUntil = time.Time{}
+	if w.delays != nil {
+		w.delays.refusedUntil = time.Time{}
+	}
 	for _, t := range w.runs {
 		t.unconfirmedSince = time.Time{}
 	}
--- a/core/alloc/centre_test.go
+++ b/core/alloc/centre_test.go
@@ -348,7 +348,7 @@
 	f := newFixture(t)
 	cold, warm := f.addWorkerIn("n1", "r1", "c1"), f.addWorkerIn("n2", "r2", "c1")
 	// The cold worker is the better fit.
-	cold.Capacity.GPU, cold.ColdTime = 4, time.Second
+	cold.Capacity.GPU, cold.coldTime = 4, time.Second
 	f.report(cold)
 	id := f.submit("p1", "a", gpuStep(1, 1))
 	f.runRound()
@@ -363,7 +363,7 @@
 	if len(cold.running) != 1 {
 		t.Errorf("got %d runs on the cold worker in the data's rack, want 1", len(cold.running))
 	}
-	f.now = f.now.Add(cold.ColdTime)
+	f.now = f.now.Add(cold.coldTime)
 	f.submit("p1", "a", gpuStep(1, 1))
 	f.scheduler.Plan(f.now, f.now)
 	if got, want := len(f.scheduler.workers[cold.ID].runs), 2; got != want {
@@ -375,7 +375,7 @@
 func TestGangPrefersWarmWorkers(t *testing.T) {
 	f := newFixture(t)
 	cold := f.addWorkerIn("n1", "r1", "c1")
-	cold.Capacity.GPU, cold.ColdTime = 4, time.Second
+	cold.Capacity.GPU, cold.coldTime = 4, time.Second
 	f.report(cold)
 	warm := f.addWorkerIn("n2", "r2", "c1")
 	step := gangStep(2, 1)
--- a/core/alloc/equal_test.go
+++ b/core/alloc/equal_test.go
@@ -81,9 +81,9 @@
 		f.executeOrders()
 		for _, id := range f.sortedWorkerIDs() {
 			w := f.workers[id]
-			w.ColdTime = 0
+			w.coldTime = 0
 			if evacuations && rng.Intn(5) == 0 {
-				w.ColdTime = time.Second
+				w.coldTime = time.Second
 			}
 			for _, status := range slices.Clone(w.running) {
 				if rng.Intn(8) == 0 {
--- a/core/alloc/fixture_test.go
+++ b/core/alloc/fixture_test.go
@@ -34,6 +34,8 @@
 	refused []batch.Refusal
 	// acknowledgedEnd is the highest number of an end that the owner has acknowledged.
 	acknowledgedEnd uint64
+	// coldTime is for how long the worker is slow.
+	coldTime time.Duration
 }
 
 func newFixture(t testing.TB, teams ...batch.Team) *fixture {
@@ -66,7 +68,7 @@
 
 func (f *fixture) report(w *fakeWorker) {
 	f.Helper()
-	r := &batch.Report{Worker: w.Worker, Listed: true, Running: w.running, Refused: w.refused}
+	r := &batch.Report{Worker: w.Worker, Listed: true, Running: w.running, Refused: w.refused, ColdTime: w.coldTime}
 	for _, e := range w.ended {
 		if e.Number > w.acknowledgedEnd {
 			r.Ended = append(r.Ended, e)
--- a/core/alloc/job.go
+++ b/core/alloc/job.go
@@ -41,13 +41,13 @@
 	startSent, confirmed bool
 	// sent reports whether the start may have been sent to any agent, so that the run may exist.
 	sent bool
-	// unconfirmedSince is since when the run has been missing from the lists of a worker in an evacuated data centre.
-	unconfirmedSince time.Time
 	// proven reports whether the worker itself has listed the run, so that it isn't on another incarnation.
 	proven bool
 	// mustStop reports whether the run has to end; stopSent is when a stop order was last sent.
 	mustStop bool
 	stopSent time.Time
+	// unconfirmedSince is since when the run has been missing from the lists of a worker in an evacuated data centre.
+	unconfirmedSince time.Time
 	// partial reports whether the run resumed from a checkpoint or began under an earlier owner, so that its run time isn't
 	// known.
 	partial bool
--- a/core/alloc/reference_test.go
+++ b/core/alloc/reference_test.go
@@ -152,7 +152,7 @@
 		}
 		cold := 0
 		for _, w := range assigned {
-			if p.now.Before(w.coldUntil) {
+			if w.cold(p.now) {
 				cold++
 			}
 		}
@@ -228,7 +228,7 @@
 	if w.failureStreak != v.failureStreak {
 		return w.failureStreak < v.failureStreak
 	}
-	if w, v := p.now.Before(w.coldUntil), p.now.Before(v.coldUntil); w != v {
+	if w, v := w.cold(p.now), v.cold(p.now); w != v {
 		return v
 	}
 	if remaining[w].GPU != remaining[v].GPU {
--- a/core/alloc/report.go
+++ b/core/alloc/report.go
@@ -31,7 +31,9 @@
 	}
 	w.Worker = r.Worker
 	w.listed = r.Listed
-	w.coldUntil = now.Add(r.Worker.ColdTime)
+	if r.ColdTime > 0 || w.delays != nil {
+		w.setDelays().coldUntil = now.Add(r.ColdTime)
+	}
 	s.updateCentre(w)
 	if w.session != session {
 		w.session = session
@@ -190,7 +192,7 @@
 	}
 	if r.Reason == batch.RefusedEvacuated {
 		// The agent has learned of the evacuation first. Until this owner does, the same worker would refuse again.
-		w.refusedUntil = now.Add(evacuationRefusalPause)
+		w.setDelays().refusedUntil = now.Add(evacuationRefusalPause)
 	}
 	if r.Reason == batch.RefusedUnhealthy || r.Reason == batch.RefusedNoCapacity || r.Reason == batch.RefusedInvalid {
 		w.quarantine(now, firstQuarantine)
--- a/core/alloc/worker.go
+++ b/core/alloc/worker.go
@@ -29,6 +29,10 @@
 	lastListed time.Time
 	// listed reports whether the last report had lists from the worker itself.
 	listed bool
+	// touched reports whether the worker is in the scheduler's list of workers for which orders may be due.
+	touched bool
+	// evacuated reports whether the worker's data centre is evacuated.
+	evacuated bool
 	// session is the number of the agent's connection to the owner, 0 until the first report.
 	session uint64
 	// leavesAt is the earliest time at which a draining worker leaves.
@@ -43,17 +47,29 @@
 	quarantinedUntil time.Time
 	failureStreak    int
 
-	// evacuated reports whether the worker's data centre is evacuated. refusedUntil is the time before which the worker gets no
-	// tasks because its agent knows of an evacuation of which the scheduler doesn't.
-	evacuated    bool
+	// delays is nil for most workers. It isn't part of the worker, since a plan for 3000 workers is slower by a tenth if each
+	// takes 64 bytes more.
+	delays *delays
+
+	// index is the worker's position in Scheduler.sorted.
+	index int
+}
+
+// delays are times before which a worker gets no tasks, or others are preferred.
+type delays struct {
+	// refusedUntil is the time before which the worker gets no tasks because its agent knows of an evacuation of which the
+	// scheduler doesn't.
 	refusedUntil time.Time
 	// coldUntil is when the worker, which has started recently, is no longer slow.
 	coldUntil time.Time
+}
 
-	// touched reports whether the worker is in the scheduler's list of workers for which orders may be due.
-	touched bool
-	// index is the worker's position in Scheduler.sorted.
-	index int
+// setDelays returns the worker's delays for a change.
+func (w *worker) setDelays() *delays {
+	if w.delays == nil {
+		w.delays = &delays{}
+	}
+	return w.delays
 }
 
 // foreignRun is a run that uses resources of a worker without being placed there.
@@ -115,7 +131,7 @@
 
 // usable reports whether the worker may get tasks of a service.
 func (w *worker) usable(now time.Time, service string) bool {
-	return w.ready(service) && !w.evacuated && !now.Before(w.quarantinedUntil) && !now.Before(w.refusedUntil)
+	return w.ready(service) && !w.evacuated && !now.Before(w.quarantinedUntil) && (w.delays == nil || !now.Before(w.delays.refusedUntil))
 }
 
 // ready reports whether the worker has said that it accepts runs of a service.
@@ -124,7 +140,7 @@
 }
 
 // cold reports whether the worker is slow because it has started recently.
-func (w *worker) cold(now time.Time) bool { return now.Before(w.coldUntil) }
+func (w *worker) cold(now time.Time) bool { return w.delays != nil && now.Before(w.delays.coldUntil) }
 
 // freeCapacity returns the capacity that no run uses. Runs that are being stopped still use theirs.
 func (w *worker) freeCapacity() batch.Amount {
--- a/core/batch/orders.go
+++ b/core/batch/orders.go
@@ -37,8 +37,6 @@
 	MinTimeLeft time.Duration `cbor:"8,keyasint,omitempty"`
 	// Born is when the incarnation started, in milliseconds since 1970. It orders the incarnations of a node.
 	Born int64 `cbor:"9,keyasint,omitempty"`
-	// ColdTime is how much longer the worker is slow because it has started recently.
-	ColdTime time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // WorkerID returns the ID of an incarnation: NODE/NAME@BORN. It contains the node and the start time, so that an owner
@@ -155,6 +153,8 @@
 	// MoreEnds reports whether the worker may have more ends than Ended holds. A run that is missing from both lists may then
 	// have ended.
 	MoreEnds bool `cbor:"7,keyasint,omitempty"`
+	// ColdTime is how much longer the worker is slow because it has started recently.
+	ColdTime time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // StartOrder tells an agent to start a run.
--- a/io/runner/evac_test.go
+++ b/io/runner/evac_test.go
@@ -69,18 +69,18 @@
 // each of them.
 func TestColdTimeRunsDown(t *testing.T) {
 	r := newRunner(&fakeWorker{})
-	r.UpdateStatus(StatusReport{Instance: "i-1", Worker: batch.Worker{Born: 1, Service: "s", ColdTime: 2 * time.Second}})
+	r.UpdateStatus(StatusReport{Instance: "i-1", Worker: batch.Worker{Born: 1, Service: "s"}, ColdTime: 2 * time.Second})
 	now := clock.Now()
 	first, _ := r.report(now)
 	later, _ := r.report(now.Add(1500 * time.Millisecond))
 	warm, _ := r.report(now.Add(time.Minute))
-	if got := first.Worker.ColdTime; got <= 0 || got > 2*time.Second {
+	if got := first.ColdTime; got <= 0 || got > 2*time.Second {
 		t.Errorf("got cold time %v at first, want at most 2 s", got)
 	}
-	if got := first.Worker.ColdTime - later.Worker.ColdTime; got != 1500*time.Millisecond {
+	if got := first.ColdTime - later.ColdTime; got != 1500*time.Millisecond {
 		t.Errorf("got the cold time %v shorter after 1.5 s", got)
 	}
-	if got := warm.Worker.ColdTime; got != 0 {
+	if got := warm.ColdTime; got != 0 {
 		t.Errorf("got cold time %v after a minute, want 0", got)
 	}
 }
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -16,6 +16,8 @@
 	// Instance is the name that calls of the worker address it by. The agent fills in the worker's ID and Node.
 	Instance string
 	Worker   batch.Worker
+	// ColdTime is how much longer the worker is slow because it has started recently.
+	ColdTime time.Duration
 	// warmAt is when the worker is no longer slow after its start, on the boot-time clock. UpdateStatus fills it in.
 	warmAt time.Time
 }
@@ -321,9 +323,8 @@
 	defer r.mu.Unlock()
 	r.sequence++
 	r.sendTimes[r.sequence] = now
-	p := batch.Report{Sequence: r.sequence, Worker: r.status.Worker}
 	// The status may be a while old.
-	p.Worker.ColdTime = max(0, r.status.warmAt.Sub(now))
+	p := batch.Report{Sequence: r.sequence, Worker: r.status.Worker, ColdTime: max(0, r.status.warmAt.Sub(now))}
 	if r.listFence == r.fence && r.fence != 0 && now.Sub(r.listAt) < listMaxAge && r.list.Born == r.status.Worker.Born {
 		p.Listed, p.Running, p.Ended, p.MoreEnds = true, r.list.Running, r.list.Ended, r.list.MoreEnds
 		if !p.MoreEnds {
--- a/io/runner/status.go
+++ b/io/runner/status.go
@@ -32,7 +32,7 @@
 	defer r.mu.Unlock()
 	report.Worker.Node = r.Node
 	report.Worker.ID = batch.WorkerID(r.Node, report.Instance, report.Worker.Born)
-	report.warmAt = clock.Now().Add(report.Worker.ColdTime)
+	report.warmAt = clock.Now().Add(report.ColdTime)
 	if report.Worker.Centre == "" {
 		// The agent is on the same VM.
 		report.Worker.Centre = string(r.Settings.Self.Centre)
