--- a/stand/replay/command.go
+++ b/stand/replay/command.go
@@ -84,15 +84,7 @@
 	for i := range others {
 		bySeed[others[i].Seed] = &others[i]
 	}
-	for _, figure := range []struct {
-		name  string
-		value func(*Result) float64
-	}{
-		{"worth", func(r *Result) float64 { return r.Worth }},
-		{"whole", func(r *Result) float64 { return r.Whole }},
-		{"windows", func(r *Result) float64 { return r.Windows }},
-		{"thrown", func(r *Result) float64 { return r.Thrown }},
-	} {
+	for _, figure := range figures {
 		var pairs []Result
 		differences := map[int64]float64{}
 		for i := range results {
--- a/stand/replay/day.go
+++ b/stand/replay/day.go
@@ -45,6 +45,9 @@
 	// completed is when its completion was stored, zero before.
 	completed time.Time
 	cancelled bool
+	// ran holds the tasks that have run, by index; allBegun is when the last of them began for the first time.
+	ran      map[int]bool
+	allBegun time.Time
 }
 
 // day is a simulated day.
@@ -139,7 +142,7 @@
 
 // newJob draws a job of a class.
 func (d *day) newJob(c *Class, at time.Time) *submitted {
-	j := &submitted{class: c, at: at, work: seconds(max(0.1, c.Work.draw(d.rng))), failing: map[batch.TaskID]bool{}}
+	j := &submitted{class: c, at: at, work: seconds(max(0.1, c.Work.draw(d.rng))), failing: map[batch.TaskID]bool{}, ran: map[int]bool{}}
 	step := batch.Step{
 		Count: max(1, int(math.Round(c.Width.draw(d.rng)))),
 		Need:  batch.Amount{CPU: c.Cores * 1000, Memory: c.Memory, GPU: c.GPUs[d.rng.Intn(len(c.GPUs))]},
@@ -441,4 +444,10 @@
 		r.endsAt = r.begun.Add(time.Duration(d.rng.Int63n(int64(j.work)/2 + 1)))
 	}
 	w.runs[s.Task] = r
+	if !j.ran[s.Task.Index] {
+		j.ran[s.Task.Index] = true
+		if len(j.ran) == step.Count {
+			j.allBegun = d.now
+		}
+	}
 }
--- a/stand/replay/result.go
+++ b/stand/replay/result.go
@@ -17,6 +17,8 @@
 	worstWindows = 2
 	// The weights of the parts of a day's worth.
 	dayWeight, windowWeight, classWeight = 0.6, 0.25, 0.15
+	// claimBound is how long after its acceptance all tasks of a guaranteed job must have begun.
+	claimBound = 2700 * time.Millisecond
 )
 
 // ClassResult is what the jobs of a class earned.
@@ -39,6 +41,12 @@
 	Thrown  float64 `json:"thrown"`
 	Stops   int     `json:"stops"`
 	Commits int     `json:"commits"`
+	// InTime, Late and Served are the shares of jobs that completed within their objective, after it but within three times the
+	// objective, and at all. Begun is the share of the jobs of priority 0 all tasks of which had begun within claimBound.
+	InTime float64 `json:"inTime"`
+	Late   float64 `json:"late"`
+	Served float64 `json:"served"`
+	Begun  float64 `json:"begun"`
 	// Plans is the time that plans took, in seconds.
 	Plans float64 `json:"plans"`
 }
@@ -116,6 +124,7 @@
 		r.Classes = append(r.Classes, result)
 	}
 	r.Whole = share{owed, earned}.ratio()
+	d.countJobs(&r)
 	r.Windows = worst(windows)
 	r.Thrown = d.thrown / max(1, work)
 	worstClass := 1.0
@@ -126,6 +135,36 @@
 	return r
 }
 
+// countJobs sets the shares of jobs in a result.
+func (d *day) countJobs(r *Result) {
+	var jobs, inTime, late, served, urgent, begun float64
+	for _, j := range d.order {
+		if j.cancelled {
+			continue
+		}
+		jobs++
+		objective := seconds(j.class.Stretch*j.work.Seconds() + j.class.Target)
+		switch taken := j.completed.Sub(j.at); {
+		case j.completed.IsZero():
+		case taken <= objective:
+			inTime++
+		case taken <= lateFactor*objective:
+			late++
+		}
+		if !j.completed.IsZero() {
+			served++
+		}
+		if j.class.Priority == 0 {
+			urgent++
+			if !j.allBegun.IsZero() && j.allBegun.Sub(j.at) <= claimBound {
+				begun++
+			}
+		}
+	}
+	r.InTime, r.Late, r.Served = share{jobs, inTime}.ratio(), share{jobs, late}.ratio(), share{jobs, served}.ratio()
+	r.Begun = share{urgent, begun}.ratio()
+}
+
 // share is the worth that was owed and earned.
 type share struct{ owed, earned float64 }
 
@@ -169,9 +208,28 @@
 	}
 	mean, spread := meanSpread(results, func(r *Result) float64 { return r.Worth })
 	fmt.Fprintf(w, "mean\t%.4f\t±%.4f\t\n", mean, spread)
+	for _, f := range figures[1:] {
+		mean, _ := meanSpread(results, f.value)
+		fmt.Fprintf(w, "%s\t%.4f\t\n", f.name, mean)
+	}
 	return w.Flush()
 }
 
+// figures are the figures of a day that are compared.
+var figures = []struct {
+	name  string
+	value func(*Result) float64
+}{
+	{"worth", func(r *Result) float64 { return r.Worth }},
+	{"whole", func(r *Result) float64 { return r.Whole }},
+	{"windows", func(r *Result) float64 { return r.Windows }},
+	{"thrown", func(r *Result) float64 { return r.Thrown }},
+	{"in time", func(r *Result) float64 { return r.InTime }},
+	{"late", func(r *Result) float64 { return r.Late }},
+	{"served", func(r *Result) float64 { return r.Served }},
+	{"begun", func(r *Result) float64 { return r.Begun }},
+}
+
 // meanSpread returns the mean of a figure and the half width of its 95 % interval.
 func meanSpread(results []Result, figure func(*Result) float64) (mean, half float64) {
 	n := float64(len(results))
