Expect run times by team, image and kind of worker

Cause: the regression by queue mixes teams (a team with right estimates was expected to run 2.1 s in place of 4 s beside one whose estimates are five times too high), and a run beyond its expected time was taken to go on for a quarter of it, also where all such runs go on for ten seconds. Change: core/alloc records ends in core/learn and asks it for expected and remaining times. Runs that were stopped or have failed count too. The fixture of the tests carries out orders by worker in a fixed order, since what is learned depends on the order of ends. TestRunTimesAreLearned has the same cases and bounds and now goes through the scheduler; TestPartialRunsTeachNothing and TestRunTimesSurviveTheOwner check the same on the model.

--- a/core/alloc/evacuate.go
+++ b/core/alloc/evacuate.go
@@ -25,24 +25,20 @@
 	}
 }
 
-// overdueDivisor is the part of its time for which a run that is longer than expected goes on.
-const overdueDivisor = 4
-
-// remainingTime returns the estimated time to the end of a run: extrapolated from its progress above 10 %, otherwise by the
-// expected run time. A run that has taken longer than expected is assumed to go on for a part of the time that it has taken.
+// remainingTime returns the estimated time to the end of a run: extrapolated from its progress above 10 %, otherwise the time
+// after which half of such runs end that have taken as long.
 func (s *Scheduler) remainingTime(now time.Time, t *task) time.Duration {
 	step := &t.job.job.Steps[t.Step]
 	if step.LongRunning {
 		return time.Hour
 	}
-	expected := s.expectedTime(&t.job.job, t.Step)
-	if !t.confirmed {
-		return expected
-	}
-	elapsed := now.Sub(t.startedAt)
-	if t.percent > 10 && t.percent <= 100 {
+	if t.confirmed && t.percent > 10 && t.percent <= 100 {
 		estimate := float64(t.progressedAt.Sub(t.startedAt)) * float64(100-t.percent) / float64(t.percent)
 		return max(0, time.Duration(estimate)-now.Sub(t.progressedAt))
 	}
-	return max(elapsed/overdueDivisor, expected-elapsed)
+	p := s.predictRun(t)
+	if !t.confirmed {
+		return p.Expected()
+	}
+	return p.Remaining(now.Sub(t.startedAt), 0.5)
 }
--- a/core/alloc/finish.go
+++ b/core/alloc/finish.go
@@ -14,10 +14,7 @@
 	s.trace("run ended", batch.RunID{Task: id, Run: t.Run}, w.ID, string(cause))
 	delete(w.runs, id)
 	stopOrdered := t.mustStop
-	if cause == batch.EndDone && t.confirmed && !t.partial && !j.job.Steps[t.Step].LongRunning {
-		t.RunTime = max(minRunTime, now.Sub(t.startedAt))
-		s.runTimes.record(j, t)
-	}
+	s.learnRun(now, w, t, cause)
 	t.resetRun()
 	j.markChanged()
 	step := &j.job.Steps[t.Step]
--- a/core/alloc/fixture_test.go
+++ b/core/alloc/fixture_test.go
@@ -118,9 +118,10 @@
 	f.executeOrders()
 }
 
-// executeOrders lets all workers carry out their orders and report.
+// executeOrders lets all workers carry out their orders and report, always in the same order: what is learned depends on it.
 func (f *fixture) executeOrders() {
-	for id, w := range f.workers {
+	for _, id := range f.sortedWorkerIDs() {
+		w := f.workers[id]
 		o, _ := f.scheduler.Orders(f.now, id, 1<<20)
 		w.acknowledgedEnd = max(w.acknowledgedEnd, o.AcknowledgedEnds)
 		for _, s := range o.Starts {
@@ -130,8 +131,8 @@
 			w.end(run, batch.EndStopped)
 		}
 	}
-	for _, w := range f.workers {
-		f.report(w)
+	for _, id := range f.sortedWorkerIDs() {
+		f.report(f.workers[id])
 	}
 }
 
--- a/core/alloc/runtime.go
+++ b/core/alloc/runtime.go
@@ -1,104 +1,97 @@
 package alloc
 
 import (
-	"math"
 	"time"
 
 	"wagtailhoist/core/batch"
+	"wagtailhoist/core/learn"
 )
 
-const (
-	// priorSamples is the number of samples that the caller's estimate counts as.
-	priorSamples = 2
-	// priorSlope is the weight of the expectation that run times are proportional to the estimates, in squared logarithms.
-	priorSlope = 0.5
-	// maxSamples bounds the weight of what was learned, so that later run times count more than earlier ones.
-	maxSamples = 200
-	// maxEstimateError bounds a sample: a run that took longer or shorter by more was disturbed.
-	maxEstimateError = 20
-	// minRunTime is the shortest run time that is told apart; lists of runs aren't more exact.
-	minRunTime = 50 * time.Millisecond
-)
+// minRunTime is the shortest run time that is told apart.
+const minRunTime = learn.MinRunTime
 
-// runTimes learns from completed runs how long the tasks of each queue run. It is for callers whose estimates are wrong by up
-// to ten times, and in one direction: objectives, order, reservations and preemption all depend on the run time.
-type runTimes map[string]*regression
+// Learned returns what was learned about run times. It is for callers whose estimates are wrong by up to ten times, and in
+// one direction: objectives, order, reservations and preemption all depend on the run time.
+func (s *Scheduler) Learned() *learn.Model { return &s.learned }
 
-// regression is a regression of the logarithm of the run time on that of the estimate.
-type regression struct{ n, sumX, sumY, sumXX, sumXY float64 }
+// SetLearned replaces what was learned about run times, for example by what an earlier owner has stored.
+func (s *Scheduler) SetLearned(m learn.Model) {
+	s.learned = m
+	s.needsPlan = true
+}
 
-// add adds the run time of a task.
-func (r *regression) add(estimate, actual time.Duration) {
-	if r.n >= maxSamples {
-		keep := (maxSamples - 1.0) / maxSamples
-		r.n, r.sumX, r.sumY, r.sumXX, r.sumXY = r.n*keep, r.sumX*keep, r.sumY*keep, r.sumXX*keep, r.sumXY*keep
-	}
-	x, y := logTime(estimate), logTime(actual)
-	y = max(x-math.Log(maxEstimateError), min(x+math.Log(maxEstimateError), y))
-	r.n++
-	r.sumX += x
-	r.sumY += y
-	r.sumXX += x * x
-	r.sumXY += x * y
+// taskKey returns what is known of the tasks of a job's step for predictions; kind is the kind of worker, empty if none is
+// chosen.
+func taskKey(j *batch.Job, step int, kind string) learn.Key {
+	return learn.Key{Queue: j.Queue, Team: string(j.Team), Image: j.Steps[step].Image, Kind: kind}
 }
 
-// predict returns the expected run time of a task.
-func (r *regression) predict(estimate time.Duration) time.Duration {
-	if r == nil || r.n == 0 || estimate <= 0 {
-		return estimate
+// kind returns the kind of worker, which is its first label. The last label is the rack.
+func (w *worker) kind() string {
+	if len(w.Labels) < 2 {
+		return ""
 	}
-	x := logTime(estimate)
-	meanX, meanY := r.sumX/r.n, r.sumY/r.n
-	slope := (r.sumXY - r.n*meanX*meanY + priorSlope) / (r.sumXX - r.n*meanX*meanX + priorSlope)
-	y := meanY + slope*(x-meanX)
-	y = (r.n*y + priorSamples*x) / (r.n + priorSamples)
-	y = max(x-math.Log(maxEstimateError), min(x+math.Log(maxEstimateError), y))
-	return time.Duration(math.Exp(y) * float64(time.Second))
+	return w.Labels[0]
 }
 
-func logTime(d time.Duration) float64 { return math.Log(max(d, minRunTime).Seconds()) }
+// expectedTime returns the expected run time of a task of a job's step.
+func (s *Scheduler) expectedTime(j *batch.Job, step int) time.Duration {
+	p := s.learned.Predict(taskKey(j, step, ""), j.Steps[step].Estimate)
+	return p.Expected()
+}
 
-// record adds the run time of a task that has just ended, unless another one of its step was recorded before: the tasks of a
-// step run equally long, and have the same error of the estimate.
-func (r runTimes) record(j *job, t *task) {
-	for _, other := range j.stepTasks(t.Occurrence, t.Step) {
-		if other != t && other.RunTime > 0 {
-			return
-		}
+// predictRun returns what is expected of a run on its worker.
+func (s *Scheduler) predictRun(t *task) learn.Prediction {
+	kind := ""
+	if w := s.workers[t.Worker]; w != nil {
+		kind = w.kind()
 	}
-	r.add(j, t)
+	return s.learned.Predict(taskKey(&t.job.job, t.Step, kind), t.job.job.Steps[t.Step].Estimate)
 }
 
-// recordStored adds the stored run times of a job, one for each step.
-func (r runTimes) recordStored(j *job) {
-	for occurrence := range j.job.Occurrences() {
-		for step := range j.job.Steps {
-			for _, t := range j.stepTasks(occurrence, step) {
-				if t.RunTime > 0 {
-					r.add(j, t)
-					break
-				}
-			}
-		}
-	}
+// criticalPath returns the expected run time of the longest chain of a job's dependent steps.
+func (s *Scheduler) criticalPath(j *batch.Job) time.Duration {
+	return j.LongestChain(func(step int) time.Duration { return s.expectedTime(j, step) })
 }
 
-// add adds the run time of a task to its queue.
-func (r runTimes) add(j *job, t *task) {
-	q := r[j.job.Queue]
-	if q == nil {
-		q = &regression{}
-		r[j.job.Queue] = q
+// learnRun learns from a run that has just ended on a worker with a cause. A run that resumed from a checkpoint or began under
+// an earlier owner says nothing, since its run time isn't known. Runs that were stopped or have failed would have taken longer.
+func (s *Scheduler) learnRun(now time.Time, w *worker, t *task, cause batch.Cause) {
+	j := &t.job.job
+	step := &j.Steps[t.Step]
+	if !t.confirmed || t.partial || step.LongRunning {
+		return
+	}
+	sample := learn.Sample{Estimate: step.Estimate, RunTime: max(minRunTime, now.Sub(t.startedAt))}
+	switch cause {
+	case batch.EndDone:
+		t.RunTime = sample.RunTime
+	case batch.EndStopped, batch.EndFailed, batch.EndGangMemberEnded:
+		sample.Censored = true
+	default:
+		return
 	}
-	q.add(j.job.Steps[t.Step].Estimate, t.RunTime)
+	sample.Weight = sampleWeight(step, sample.Censored)
+	s.learned.Record(taskKey(j, t.Step, w.kind()), sample)
 }
 
-// expectedTime returns the expected run time of a task of a job's step.
-func (s *Scheduler) expectedTime(j *batch.Job, step int) time.Duration {
-	return s.runTimes[j.Queue].predict(j.Steps[step].Estimate)
+// sampleWeight returns the number of samples that a run counts as. The tasks of a step have the same error of the estimate, and
+// count as one sample together. A gang that is done has one end; its other members end with it.
+func sampleWeight(step *batch.Step, censored bool) float64 {
+	if step.Gang && !censored {
+		return 1
+	}
+	return 1 / float64(max(1, step.Count))
 }
 
-// criticalPath returns the expected run time of the longest chain of a job's dependent steps.
-func (s *Scheduler) criticalPath(j *batch.Job) time.Duration {
-	return j.LongestChain(func(step int) time.Duration { return s.expectedTime(j, step) })
+// learnStored learns from the stored run times of a job. On which kind of worker the tasks ran isn't stored.
+func (s *Scheduler) learnStored(j *job) {
+	for _, t := range j.tasks {
+		if t.RunTime > 0 {
+			step := &j.job.Steps[t.Step]
+			s.learned.Record(taskKey(&j.job, t.Step, ""), learn.Sample{
+				Estimate: step.Estimate, RunTime: t.RunTime, Weight: sampleWeight(step, false),
+			})
+		}
+	}
 }
--- a/core/alloc/runtime_test.go
+++ b/core/alloc/runtime_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wagtailhoist/core/batch"
+	"wagtailhoist/core/model"
 )
 
 // Callers estimate up to ten times too little or too much. What was learned must come close to the run times, also for the
@@ -25,23 +26,28 @@
 		{"good estimates", [][2]float64{{1, 1}, {2, 2}, {8, 8}, {4, 4}, {1, 1}, {6, 6}}, 5, 4.9, 5.1},
 		{"a run that was held up counts as a limited error", [][2]float64{{1, 1}, {1, 1}, {1, 1}, {1, 1}, {1, 1}, {1, 1000}}, 1, 1, 2},
 	} {
-		var r regression
+		f := newFixture(t)
+		f.addWorker("n1", "r1")
 		for _, s := range tc.samples {
-			r.add(time.Duration(s[0]*float64(time.Second)), time.Duration(s[1]*float64(time.Second)))
+			step := gpuStep(1, 8)
+			step.Estimate = time.Duration(s[0] * float64(time.Second))
+			endAfter(f, "p0", step, time.Duration(s[1]*float64(time.Second)))
 		}
-		if got := r.predict(time.Duration(tc.estimate * float64(time.Second))).Seconds(); got < tc.low-1e-9 || got > tc.high+1e-9 {
+		job := batch.Job{Queue: "p0", Team: "a", Steps: []batch.Step{{Count: 1, Estimate: time.Duration(tc.estimate * float64(time.Second))}}}
+		if got := f.scheduler.expectedTime(&job, 0).Seconds(); got < tc.low-1e-9 || got > tc.high+1e-9 {
 			t.Errorf("%s: got an expected run time of %.3f s, want %v to %v s", tc.name, got, tc.low, tc.high)
 		}
 	}
 }
 
 // endAfter lets a job run for a time and end.
-func endAfter(f *fixture, queue string, step batch.Step, d time.Duration) {
+func endAfter(f *fixture, queue string, step batch.Step, d time.Duration) model.JobID {
 	id := f.submit(queue, "a", step)
 	f.runRound()
 	f.now = f.now.Add(d)
 	f.endRuns(id, batch.EndDone)
 	f.storeProgress()
+	return id
 }
 
 // A job whose caller estimates a third of its run time counted as of no more use three times too early, and then came after
@@ -67,12 +73,14 @@
 	f := newFixture(t)
 	f.addWorker("n1", "r1")
 	step := gpuStep(2, 1)
+	var id model.JobID
 	for range 20 {
-		endAfter(f, "p0", step, 6*time.Second)
+		id = endAfter(f, "p0", step, 6*time.Second)
 	}
-	before := f.scheduler.runTimes["p0"].predict(step.Estimate)
+	job := &f.scheduler.jobs[id].job
+	before := f.scheduler.expectedTime(job, 0)
 	f.scheduler.StartTerm(f.now, f.now, &f.cache)
-	after := f.scheduler.runTimes["p0"].predict(step.Estimate)
+	after := f.scheduler.expectedTime(job, 0)
 	if diff := (after - before).Abs(); diff > time.Millisecond || after < 5*time.Second {
 		t.Errorf("expected run time under the next owner: got %v, want %v", after, before)
 	}
@@ -91,7 +99,76 @@
 	}
 	f.now = f.now.Add(10 * time.Second)
 	f.endRuns(id, batch.EndDone)
-	if got := f.scheduler.runTimes["p0"]; got != nil {
-		t.Errorf("learned %+v from a run that an earlier owner had started, want nothing", got)
+	if got := f.scheduler.learned.Changes(); got != 0 {
+		t.Errorf("learned %d times from a run that an earlier owner had started, want never", got)
+	}
+}
+
+// Two teams share a queue, and the estimates of one are five times too high. Order and reservations of the other's jobs, whose
+// estimates are right, must not follow them; a regression for the whole queue mixed the two.
+func TestExpectationsOfTeamsDiffer(t *testing.T) {
+	f := newFixture(t)
+	f.addWorker("n1", "r1")
+	for i := range 40 {
+		step := gpuStep(1, 8)
+		step.Estimate = []time.Duration{2 * time.Second, 10 * time.Second}[i%2]
+		id := f.submit("p0", []model.Team{"right", "wrong"}[i%2], step)
+		f.runRound()
+		f.now = f.now.Add(2 * time.Second)
+		f.endRuns(id, batch.EndDone)
+		f.storeProgress()
+	}
+	for _, tc := range []struct {
+		team      model.Team
+		low, high time.Duration
+	}{{"right", 3500 * time.Millisecond, 5 * time.Second}, {"wrong", 700 * time.Millisecond, 1400 * time.Millisecond}} {
+		job := batch.Job{Queue: "p0", Team: tc.team, Steps: []batch.Step{{Count: 1, Estimate: 4 * time.Second}}}
+		if got := f.scheduler.expectedTime(&job, 0); got < tc.low || got > tc.high {
+			t.Errorf("expected run time of team %s for an estimate of 4 s: got %v, want %v to %v", tc.team, got, tc.low, tc.high)
+		}
+	}
+}
+
+// One customer's tasks run seven times as long in some cases. A run that has outlived what is usual is one of them: a
+// reservation that expected its end a quarter of its time later came too early again and again.
+func TestLongRunsAreExpectedToGoOn(t *testing.T) {
+	f := newFixture(t)
+	f.addWorker("n1", "r1")
+	step := gpuStep(1, 8)
+	for i := range 60 {
+		d := 2 * time.Second
+		if i%10 == 0 {
+			d = 14 * time.Second
+		}
+		endAfter(f, "p1", step, d)
+	}
+	id := f.submit("p1", "a", step)
+	f.runRound()
+	f.now = f.now.Add(4 * time.Second)
+	run := f.scheduler.jobs[id].tasks[0]
+	if got := f.scheduler.remainingTime(f.now, run); got < 6*time.Second || got > 14*time.Second {
+		t.Errorf("remaining time 4 s after the start of a task that mostly takes 2 s and else 14 s: got %v, want about 10 s", got)
+	}
+}
+
+// The runs that are stopped to make room are not all alike: those that took longest are stopped most. They must not make run
+// times look short.
+func TestStoppedRunsTeach(t *testing.T) {
+	f := newFixture(t)
+	f.addWorker("n1", "r1")
+	step := gpuStep(1, 8)
+	for range 10 {
+		endAfter(f, "p1", step, 2*time.Second)
+	}
+	before := f.scheduler.learned.Changes()
+	id := f.submit("p1", "a", step)
+	f.runRound()
+	f.now = f.now.Add(8 * time.Second)
+	f.endRuns(id, batch.EndStopped)
+	if got, want := f.scheduler.learned.Changes(), before+1; got != want {
+		t.Errorf("got %d samples after a run that was stopped, want %d", got, want)
+	}
+	if got := f.scheduler.expectedTime(&f.scheduler.jobs[id].job, 0); got <= 2*time.Second {
+		t.Errorf("expected run time after a run that took at least 8 s: got %v, want more than 2 s", got)
 	}
 }
--- a/core/alloc/scheduler.go
+++ b/core/alloc/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wagtailhoist/core/batch"
+	"wagtailhoist/core/learn"
 	"wagtailhoist/core/model"
 )
 
@@ -50,8 +51,8 @@
 	// touched holds the workers for which orders may be due.
 	touched []*worker
 	updates updateQueue
-	// runTimes is what was learned about the run times of each queue.
-	runTimes runTimes
+	// learned is what was learned about run times.
+	learned learn.Model
 	// termStart is when the owner's term began. Runs on workers that have not reported since may go on for a lease from then.
 	termStart time.Time
 	// needsPlan is set when the state has changed in a way that may allow or require other placements.
@@ -115,7 +116,7 @@
 func (s *Scheduler) StartTerm(now, wall time.Time, cache *batch.Cache) {
 	s.jobs, s.active = map[model.JobID]*job{}, map[model.JobID]*job{}
 	s.workers, s.byNode = map[string]*worker{}, map[string][]*worker{}
-	s.sorted, s.touched, s.updates, s.runTimes = nil, nil, updateQueue{}, runTimes{}
+	s.sorted, s.touched, s.updates, s.learned = nil, nil, updateQueue{}, learn.Model{}
 	s.termStart = now
 	for id := range cache.Jobs {
 		s.UpdateJob(now, wall, id, cache.Jobs[id])
@@ -159,7 +160,7 @@
 // adoptRuns adds the runs of a job that an earlier owner placed to the workers on which it placed them, and learns from the
 // run times that it recorded.
 func (s *Scheduler) adoptRuns(j *job) {
-	s.runTimes.recordStored(j)
+	s.learnStored(j)
 	for _, t := range j.tasks {
 		if t.Phase != batch.TaskPlaced {
 			continue
--- a/core/learn/model.go
+++ b/core/learn/model.go
@@ -159,6 +159,9 @@
 	}
 	p := m.Predict(k, s.Estimate)
 	x, y := logTime(s.Estimate), logTime(s.RunTime)
+	if p.queue == nil {
+		p.center = x
+	}
 	y = x + clamp(y-x, math.Log(maxError))
 	weight := min(1, s.Weight)
 	z := y - p.center
--- a/core/learn/predict.go
+++ b/core/learn/predict.go
@@ -10,8 +10,8 @@
 
 // Prediction is what is expected of a task. It is valid until the next call of Record.
 type Prediction struct {
-	// center is the expected logarithm of the run time in seconds. imageShift and kindShift are the parts of it that the image
-	// and the kind of worker contribute.
+	// center is the expected logarithm of the run time in seconds, 0 if nothing is known. imageShift and kindShift are the parts
+	// of it that the image and the kind of worker contribute.
 	center, imageShift, kindShift float64
 	// queue is nil if nothing is known of the queue, team if nothing is known of the team.
 	queue *queue
@@ -30,14 +30,12 @@
 
 // Predict returns what is expected of a task with a caller's estimate.
 func (m *Model) Predict(k Key, estimate time.Duration) Prediction {
-	x := logTime(estimate)
-	p := Prediction{center: x, estimate: estimate}
 	q := m.queues[k.Queue]
 	if q == nil || q.samples == 0 || estimate <= 0 {
-		return p
+		return Prediction{estimate: estimate}
 	}
-	p.queue = q
-	p.center = q.line(x)
+	x := logTime(estimate)
+	p := Prediction{center: q.line(x), queue: q, estimate: estimate}
 	if t := q.teams[k.Team]; t != nil && t.samples > 0 {
 		p.team = t
 		off := t.meanY - q.line(t.meanX)
