Don't stop runs that are about to end for claims and urgent steps

Cause: in bursts of claims, runs were stopped that would have made room by themselves before or soon after the stop; their work was lost. Change: a run that ends with a probability of 0.9 in time isn't stopped, and its room counts as being freed for the step that needs it. A claim may wait so for claimWait, 600 ms after its job's acceptance, which with a stop of up to 900 ms and two commits of up to 300 ms stays below the 2,700 ms in which its tasks must have begun; afterwards it stops what is left. No step waits beyond its latest possible start. A run whose progress says that it should have ended already isn't waited for. Without eight samples of the queue all decisions are the present ones. The reference plan has the same rule.

--- a/core/alloc/plan.go
+++ b/core/alloc/plan.go
@@ -42,6 +42,9 @@
 	// victimLists caches the runs that may be preempted, by service, as of victimPlacements placements.
 	victimLists      map[string][]victim
 	victimPlacements int
+	// ends holds the ends that are expected soon, once endsKnown is set.
+	ends      []awaitedEnd
+	endsKnown bool
 	// notPlaceable, notAfterStops and notByPreemption hold what didn't fit into the free capacity, into the capacity after
 	// the ordered stops, and after preemption.
 	notPlaceable, notAfterStops, notByPreemption []misfit
@@ -403,9 +406,7 @@
 func (p *plan) makeRoom(ps *pendingStep, tasks []*task) {
 	assigned := p.assignAfterStops(ps, tasks)
 	if assigned == nil && (ps.guaranteed || p.needsPreemption(ps)) {
-		if p.preempt(ps, tasks) {
-			assigned = p.assignAfterStops(ps, tasks)
-		}
+		assigned = p.assignByPreemption(ps, tasks)
 	}
 	if assigned != nil {
 		for _, w := range assigned {
@@ -423,18 +424,21 @@
 	if !ps.queue.RequiresTicket && knownMisfit(p.notAfterStops, ps, len(tasks)) {
 		return nil
 	}
-	var assigned []*worker
-	if ps.step.Gang {
-		assigned = p.assignGang(ps, p.freeAfterStops)
-	} else {
-		assigned = p.assignTasks(ps, tasks, p.freeAfterStops, p.candidates(ps))
-	}
+	assigned := p.assign(ps, tasks, p.freeAfterStops)
 	if assigned == nil {
 		p.notAfterStops = recordMisfit(p.notAfterStops, ps, len(tasks))
 	}
 	return assigned
 }
 
+// assign returns a worker for each task with the given free capacity, or nil if they don't fit.
+func (p *plan) assign(ps *pendingStep, tasks []*task, free []batch.Amount) []*worker {
+	if ps.step.Gang {
+		return p.assignGang(ps, free)
+	}
+	return p.assignTasks(ps, tasks, free, p.candidates(ps))
+}
+
 // victim is a run, or all runs of a gang, that may be preempted. cost is the work that is lost, in core seconds.
 type victim struct {
 	tasks []*task
--- a/core/alloc/preempt.go
+++ b/core/alloc/preempt.go
@@ -20,25 +20,25 @@
 
 // preempt stops the runs that lose the least work until the tasks fit, and reports whether they do. It is mainly for jobs
 // that claim their team's guarantee while others borrow its accelerators. For other jobs, nothing is stopped if that would
-// lose more work than the tasks are estimated to need.
-func (p *plan) preempt(ps *pendingStep, tasks []*task) bool {
-	if !ps.queue.RequiresTicket && knownMisfit(p.notByPreemption, ps, len(tasks)) {
+// lose more work than the tasks are estimated to need. free is the capacity without any further stop, and contains that of the
+// awaited runs, which aren't stopped.
+func (p *plan) preempt(ps *pendingStep, tasks []*task, free []batch.Amount, awaited map[*task]bool) bool {
+	if awaited == nil && !ps.queue.RequiresTicket && knownMisfit(p.notByPreemption, ps, len(tasks)) {
 		return false
 	}
-	victims := p.victims(ps)
+	victims := p.victims(ps, awaited)
 	var best []victim
 	found := false
 	for _, group := range p.workerGroups(ps) {
-		chosen, ok := p.preemptOn(ps, tasks, group, victims)
+		chosen, ok := p.preemptOn(ps, tasks, group, free, victims)
 		if ok && (!found || totalCost(chosen) < totalCost(best)) {
 			best, found = chosen, true
 		}
 	}
-	if !found {
+	if !found && awaited == nil {
 		p.notByPreemption = recordMisfit(p.notByPreemption, ps, len(tasks))
-		return false
 	}
-	if !ps.guaranteed && totalCost(best) > ps.estimatedWork(len(tasks)) {
+	if !found || !ps.guaranteed && totalCost(best) > ps.estimatedWork(len(tasks)) {
 		return false
 	}
 	for _, v := range best {
@@ -87,9 +87,9 @@
 func (f *freed) fits() bool { return f.total >= len(f.tasks) }
 
 // preemptOn returns the victims that must be stopped for the tasks to fit on a group of workers, and whether they would fit.
-func (p *plan) preemptOn(ps *pendingStep, tasks []*task, group []*worker, all []victim) ([]victim, bool) {
+func (p *plan) preemptOn(ps *pendingStep, tasks []*task, group []*worker, free []batch.Amount, all []victim) ([]victim, bool) {
 	f := &freed{
-		plan: p, ps: ps, tasks: tasks, free: slices.Clone(p.freeAfterStops),
+		plan: p, ps: ps, tasks: tasks, free: slices.Clone(free),
 		inside: make([]bool, len(p.workers)), slots: make([]int, len(p.workers)),
 	}
 	for _, w := range group {
@@ -193,8 +193,8 @@
 }
 
 // victims returns the runs that may be preempted for a step: not those of guaranteed jobs, nor long-running ones with a
-// limit on their unavailability, nor, unless the step is guaranteed, those of the same or a higher priority.
-func (p *plan) victims(ps *pendingStep) []victim {
+// limit on their unavailability, nor awaited ones, nor, unless the step is guaranteed, those of the same or a higher priority.
+func (p *plan) victims(ps *pendingStep, awaited map[*task]bool) []victim {
 	if p.placements != p.victimPlacements {
 		clear(p.victimLists)
 		p.victimPlacements = p.placements
@@ -207,7 +207,8 @@
 	list := make([]victim, 0, len(all))
 	for _, v := range all {
 		// The members of a gang are stopped together.
-		if !v.tasks[0].mustStop && (ps.guaranteed || v.priority > ps.queue.Priority) {
+		if !v.tasks[0].mustStop && !slices.ContainsFunc(v.tasks, func(t *task) bool { return awaited[t] }) &&
+			(ps.guaranteed || v.priority > ps.queue.Priority) {
 			list = append(list, v)
 		}
 	}
--- a/core/alloc/reference_preempt_test.go
+++ b/core/alloc/reference_preempt_test.go
@@ -1,6 +1,7 @@
 package alloc
 
 import (
+	"maps"
 	"slices"
 	"sort"
 
@@ -15,13 +16,15 @@
 
 // preempt stops the runs that lose the least work until the tasks fit, and reports whether they do. It is mainly for jobs
 // that claim their team's guarantee while others borrow its accelerators. For other jobs, nothing is stopped if that would
-// lose more work than the tasks are estimated to need.
-func (p *referencePlan) preempt(ps *pendingStep, tasks []*task) bool {
-	victims := p.victims(ps)
+// lose more work than the tasks are estimated to need. free contains the capacity of the awaited runs, which aren't stopped.
+func (p *referencePlan) preempt(ps *pendingStep, tasks []*task, free map[*worker]batch.Amount, awaited map[*task]bool) bool {
+	victims := slices.DeleteFunc(p.victims(ps), func(v referenceVictim) bool {
+		return slices.ContainsFunc(v.tasks, func(t *task) bool { return awaited[t] })
+	})
 	var best []referenceVictim
 	found := false
 	for _, group := range p.workerGroups(ps) {
-		chosen, ok := p.preemptOn(ps, tasks, group, append([]referenceVictim(nil), victims...))
+		chosen, ok := p.preemptOn(ps, tasks, group, maps.Clone(free), append([]referenceVictim(nil), victims...))
 		if ok && (!found || referenceTotalCost(chosen) < referenceTotalCost(best)) {
 			best, found = chosen, true
 		}
@@ -36,11 +39,9 @@
 }
 
 // preemptOn returns the victims that must be stopped for the tasks to fit on a group of workers, and whether they would fit.
-func (p *referencePlan) preemptOn(ps *pendingStep, tasks []*task, group []*worker, victims []referenceVictim) ([]referenceVictim, bool) {
-	free := make(map[*worker]batch.Amount, len(p.freeAfterStops))
-	for w, a := range p.freeAfterStops {
-		free[w] = a
-	}
+func (p *referencePlan) preemptOn(
+	ps *pendingStep, tasks []*task, group []*worker, free map[*worker]batch.Amount, victims []referenceVictim,
+) ([]referenceVictim, bool) {
 	inside := make(map[string]bool, len(group))
 	for _, w := range group {
 		inside[w.ID] = true
--- a/core/alloc/reference_test.go
+++ b/core/alloc/reference_test.go
@@ -1,6 +1,7 @@
 package alloc
 
 import (
+	"maps"
 	"time"
 
 	"wagtailhoist/core/batch"
@@ -8,7 +9,7 @@
 
 // referencePlan is the plan as it was before it kept slices by worker, cached candidates and known misfits: each step is
 // compared with all workers. Plan must take the same decisions. It shares only the methods of plan that use neither workers
-// nor caches: allowsRemote, needsPreemption, stopCost and tasksOnWorker.
+// nor caches: allowsRemote, needsPreemption, awaitUntil, latestEnd, stopCost and tasksOnWorker.
 type referencePlan struct {
 	*plan
 	now, wall                            time.Time
@@ -239,8 +240,11 @@
 func (p *referencePlan) makeRoom(ps *pendingStep, tasks []*task) {
 	assigned := p.assignAfterStops(ps, tasks)
 	if assigned == nil && (ps.guaranteed || p.needsPreemption(ps)) {
-		if p.preempt(ps, tasks) {
-			assigned = p.assignAfterStops(ps, tasks)
+		free, awaited := p.freeAfterEnds(ps)
+		assigned = p.assign(ps, tasks, free)
+		if assigned == nil && p.preempt(ps, tasks, free, awaited) {
+			free, _ = p.freeAfterEnds(ps)
+			assigned = p.assign(ps, tasks, free)
 		}
 	}
 	if assigned != nil {
@@ -257,8 +261,30 @@
 
 // assignAfterStops returns a worker for each task as of the end of the runs that are being stopped, or nil if they don't fit.
 func (p *referencePlan) assignAfterStops(ps *pendingStep, tasks []*task) []*worker {
+	return p.assign(ps, tasks, p.freeAfterStops)
+}
+
+// assign returns a worker for each task with the given free capacity, or nil if they don't fit.
+func (p *referencePlan) assign(ps *pendingStep, tasks []*task, free map[*worker]batch.Amount) []*worker {
 	if ps.step.Gang {
-		return p.assignGang(ps, p.freeAfterStops)
+		return p.assignGang(ps, free)
+	}
+	return p.assignTasks(ps, tasks, free, p.candidates(ps), false)
+}
+
+// freeAfterEnds returns the capacity after the ordered stops and after the ends for which a step may wait, and the runs that
+// are waited for.
+func (p *referencePlan) freeAfterEnds(ps *pendingStep) (map[*worker]batch.Amount, map[*task]bool) {
+	free, awaited := maps.Clone(p.freeAfterStops), map[*task]bool{}
+	until := p.awaitUntil(ps)
+	for _, w := range p.workers {
+		for _, t := range w.runs {
+			at, ok := p.latestEnd(p.now, t)
+			if ok && until.After(p.now) && !at.After(until) && !at.After(p.now.Add(stopDuration)) {
+				awaited[t] = true
+				free[w] = free[w].Add(t.job.job.Steps[t.Step].Allocation())
+			}
+		}
 	}
-	return p.assignTasks(ps, tasks, p.freeAfterStops, p.candidates(ps), false)
+	return free, awaited
 }
