Count the time since the last checkpoint and the nearness of the end as costs of a stop

Cause: a run with checkpoints was taken to lose nothing, also if it had saved last long ago, and a run with a tenth of its time left cost as much as one that had as long to go as it had run. Change: a run that lists its checkpoints loses the time since the last one; without any listed it saves when it is stopped, as before.

--- a/core/alloc/job.go
+++ b/core/alloc/job.go
@@ -50,6 +50,8 @@
 	// startedAt is when the run was first listed, progressedAt when its percentage last changed.
 	startedAt, progressedAt time.Time
 	percent                 int
+	// checkpointedAt is when the run first listed its last checkpoint, zero if it has listed none of its own.
+	checkpointedAt time.Time
 	// lastFailedRun is the last run whose failure was counted for all members of the gang.
 	lastFailedRun int
 }
@@ -92,7 +94,7 @@
 func (t *task) resetRun() {
 	t.Worker = ""
 	t.startSent, t.confirmed, t.proven, t.mustStop = false, false, false, false
-	t.stopSent, t.startedAt, t.progressedAt = time.Time{}, time.Time{}, time.Time{}
+	t.stopSent, t.startedAt, t.progressedAt, t.checkpointedAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	t.percent = 0
 }
 
--- a/core/alloc/preempt.go
+++ b/core/alloc/preempt.go
@@ -254,11 +254,33 @@
 // minLostTime is the run time that a stop costs at least: for ending, placing and restarting the run.
 const minLostTime = 500 * time.Millisecond
 
-// stopCost returns the work that is lost by stopping a run, in core seconds.
+// stopCost returns the work that is lost by stopping a run, in core seconds: since its start, or since its last checkpoint.
+// A run with checkpoints that lists none saves its work when it is stopped. The nearer a run is to its end, the more a stop
+// delays its job, and the sooner its capacity would have become free anyhow; at its end the cost counts twice.
 func (p *plan) stopCost(t *task, step *batch.Step) float64 {
 	lostTime := minLostTime
-	if !step.Checkpoints && t.confirmed {
+	if !t.confirmed {
+		return lostTime.Seconds() * step.Need.Cores()
+	}
+	switch {
+	case !step.Checkpoints:
 		lostTime += p.now.Sub(t.startedAt)
+	case !t.checkpointedAt.IsZero():
+		lostTime += p.now.Sub(t.checkpointedAt)
+	}
+	return lostTime.Seconds() * step.Need.Cores() * (1 + p.doneShare(t))
+}
+
+// doneShare returns the share of a run's time that has passed, 0 if too little is known.
+func (p *plan) doneShare(t *task) float64 {
+	prediction := p.predictRun(t)
+	if prediction.Samples() < minAwaitedSamples || t.job.job.Steps[t.Step].LongRunning {
+		return 0
+	}
+	elapsed := p.now.Sub(t.startedAt)
+	remaining := p.remainingTime(p.now, t)
+	if elapsed+remaining <= 0 {
+		return 0
 	}
-	return lostTime.Seconds() * step.Need.Cores()
+	return float64(elapsed) / float64(elapsed+remaining)
 }
--- a/core/alloc/report.go
+++ b/core/alloc/report.go
@@ -144,8 +144,8 @@
 	if r.Percent != t.percent {
 		t.percent, t.progressedAt = r.Percent, now
 	}
-	if r.Checkpoint != "" {
-		t.Checkpoint = r.Checkpoint
+	if r.Checkpoint != "" && r.Checkpoint != t.Checkpoint {
+		t.Checkpoint, t.checkpointedAt = r.Checkpoint, now
 	}
 }
 
