Store learned run times for the next owner

Cause: a successor learned from the records of jobs that still existed, which are those of the last minutes, without the kind of worker and without runs that were stopped. Operators could neither see nor reset what was learned. Ruled out: a record for each queue (more commits for the same bytes), and a key below wh/lead/, which agents copy too. Change: the owner stores the model under wh/learned, at most every 10 s, after changes, on condition of its fence and of the value's version. A successor begins with it; a value that can't be decoded is logged, ignored and replaced. Deleting the key resets what was learned. Each interval, a log line and three gauges for each queue that has changed show ratio, spread and samples. Entries copy the key with the others. Conclusion: what was learned in the last 10 s of a term is lost at most.

--- a/core/batch/cache.go
+++ b/core/batch/cache.go
@@ -21,6 +21,9 @@
 	CancelPrefix = Root + "end/"
 )
 
+// LearnedKey is the key of the learned run times (see package learn). Only the owner writes it.
+const LearnedKey = Root + "learned"
+
 // JobKey returns the key of an accepted job.
 func JobKey(id model.JobID) string { return JobPrefix + string(id) }
 
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -153,6 +153,19 @@
 	m.scope.Tagged(map[string]string{"cell": name}).Gauge("fragmentation").Update(value)
 }
 
+// RunTimes sets what was learned about the run times of a queue: the expected run time by the estimate, the quotient of the
+// run times that one in ten and nine in ten exceed, and the weight of the samples. NaN means that this process doesn't decide
+// any more.
+func (m *Meter) RunTimes(queue string, ratio, spread, samples float64) {
+	if m == nil {
+		return
+	}
+	scope := m.scope.Tagged(map[string]string{"queue": m.classes.value("", queue)})
+	scope.Gauge("run_time_ratio").Update(ratio)
+	scope.Gauge("run_time_spread").Update(spread)
+	scope.Gauge("run_time_samples").Update(samples)
+}
+
 // timing records d once by team and once by class, in separate metrics: a series for each pair would multiply the 380
 // teams by the number of classes.
 func (m *Meter) timing(name string, team model.Team, class string, d time.Duration) {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -33,6 +33,7 @@
 	m.LateAnswer("duplicate")
 	m.RemoteBytes("ch-east", 42)
 	m.Fragmentation("lausanne", 0.25)
+	m.RunTimes("nightly", 1.5, 2.25, 40)
 	m.Fragmentation("chur", 0.5)
 	m.Fragmentation("chur", math.NaN())
 	if err := m.Close(); err != nil {
@@ -49,6 +50,9 @@
 		`wagtailhoist_late_answers_total{kind="duplicate"} 1`,
 		`wagtailhoist_remote_bytes_total{region="ch-east"} 42`,
 		`wagtailhoist_fragmentation{cell="lausanne"} 0.25`,
+		`wagtailhoist_run_time_ratio{queue="nightly"} 1.5`,
+		`wagtailhoist_run_time_spread{queue="nightly"} 2.25`,
+		`wagtailhoist_run_time_samples{queue="nightly"} 40`,
 		`wagtailhoist_fragmentation{cell="chur"} NaN`,
 	} {
 		if !strings.Contains(got, want) {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -34,7 +34,7 @@
 	Share float64 `cbor:"3,keyasint,omitempty"`
 }
 
-// Mirror is a copy of the stored jobs and of the keys below LeadPrefix. It is ready to run once Store and Log are set.
+// Mirror is a copy of the stored jobs, of the keys below LeadPrefix and of batch.LearnedKey. It is ready to run once Store and Log are set.
 type Mirror struct {
 	Store Store
 	// Prefix limits what is copied; empty means all keys of the system.
@@ -43,8 +43,9 @@
 	Wait time.Duration
 	Log  *slog.Logger
 
-	mu        sync.Mutex
-	cache     batch.Cache
+	mu    sync.Mutex
+	cache batch.Cache
+	// leadItems holds the items that aren't of jobs, by key.
 	leadItems map[string]store.Item
 	revision  uint64
 	// synced is true once the first list has been applied.
@@ -87,7 +88,7 @@
 		m.changedJobs = map[model.JobID]bool{}
 	}
 	for _, item := range items {
-		if strings.HasPrefix(item.Key, LeadPrefix) {
+		if strings.HasPrefix(item.Key, LeadPrefix) || item.Key == batch.LearnedKey {
 			m.applyLeadItem(item)
 			continue
 		}
@@ -102,7 +103,7 @@
 	m.signal()
 }
 
-// applyLeadItem stores or deletes the copy of an item below LeadPrefix.
+// applyLeadItem stores or deletes the copy of an item that isn't of a job.
 func (m *Mirror) applyLeadItem(item store.Item) {
 	if item.Version == 0 {
 		delete(m.leadItems, item.Key)
@@ -184,7 +185,7 @@
 	return m.revision, m.contacted, m.synced
 }
 
-// LeadItem returns the item of a key below LeadPrefix, with version 0 if there is none.
+// LeadItem returns the item of a key below LeadPrefix or of batch.LearnedKey, with version 0 if there is none.
 func (m *Mirror) LeadItem(key string) store.Item {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/io/owner/commit.go
+++ b/io/owner/commit.go
@@ -43,7 +43,7 @@
 	t.commits.Begin(now)
 	go func() {
 		revision, err := t.owner.Store.Commit(ctx, change)
-		t.commitResults <- commitResult{records, values, revision, err}
+		t.commitResults <- commitResult{records: records, values: values, revision: revision, err: err}
 	}()
 }
 
@@ -55,13 +55,23 @@
 	for _, record := range result.records {
 		delete(t.committing, record.Job)
 	}
+	if result.learned != nil {
+		t.learned.writing = false
+	}
 	if result.err == nil {
+		if result.learned != nil {
+			t.learnedStored(result.learned, result.revision)
+		}
 		for _, record := range result.records {
 			t.progressVersions[record.Job] = result.revision
 			t.scheduler.ConfirmStored(record)
 		}
 		return true
 	}
+	if !changed && result.learned != nil {
+		t.owner.Log.Warn("learned run times not stored; retrying", "error", result.err)
+		return true
+	}
 	if !changed {
 		t.owner.Log.Warn("progress not stored; retrying", "jobs", len(result.records), "error", result.err)
 		return true
@@ -74,6 +84,9 @@
 		t.owner.Log.Warn("ownership lost: the owner key has another fence", "fence", t.fence, "found", current[mirror.OwnerKey].Version)
 		return false
 	}
+	if result.learned != nil {
+		t.learnedRefused(result.learned, current[batch.LearnedKey])
+	}
 	for i, record := range result.records {
 		item := current[batch.ProgressKey(record.Job)]
 		t.progressVersions[record.Job] = item.Version
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -66,6 +66,9 @@
 	// Policy returns the declared queues and teams, and their revision, which is 0 until a declaration has been read.
 	Policy func() (batch.Policy, uint64)
 
+	// learnInterval replaces learnedInterval if it isn't 0.
+	learnInterval time.Duration
+
 	// candidate is used only by the goroutine of Run.
 	candidate elect.Candidate
 
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -61,12 +61,14 @@
 	receivedAt time.Time
 }
 
-// commitResult is the result of a commit; records and values are empty if it deleted ended jobs.
+// commitResult is the result of a commit; records and values are empty if it deleted ended jobs or stored learned run times.
 type commitResult struct {
 	records  []alloc.ProgressUpdate
 	values   [][]byte
 	revision uint64
 	err      error
+	// learned is nil unless the commit stored learned run times.
+	learned *learnedWrite
 }
 
 // adviceAnswer is the advice service's answer to a query. Its tickets are valid for the duration valid, counted from asked.
@@ -118,6 +120,7 @@
 	lagLoggedAt    time.Time
 	deletedAt      time.Time
 	policyRevision uint64
+	learned        learnedState
 }
 
 func newTerm(o *Owner, fence uint64) *term {
@@ -159,6 +162,8 @@
 		t.updatePolicy()
 		t.scheduler.StartTerm(now, wall, cache)
 	})
+	t.loadLearned(now)
+	defer t.endLearnedMetrics()
 	t.checkedAt = now
 	t.polledAt = now
 	ticker := time.NewTicker(pollInterval)
@@ -217,6 +222,7 @@
 	t.recordLag(now, now.Sub(t.polledAt)-pollInterval)
 	t.polledAt = now
 	t.applyStoreChanges()
+	t.followLearned()
 	t.scheduler.ExpireLeases(now, wall)
 	t.scheduler.PreemptStalled(now)
 	t.scheduler.Evacuate(now)
@@ -357,6 +363,7 @@
 			return
 		}
 	}
+	t.storeLearned(ctx, now)
 	t.storeProgress(ctx, now)
 	t.requestAdvice(ctx, now)
 	t.sendOrders(now, false)
