Replay teams with false estimates, long jobs and two kinds of workers

Cause: in the patterns all teams estimate alike, and no job runs many times as long, so that they say nothing about expectations by team.

--- a/stand/replay/day.go
+++ b/stand/replay/day.go
@@ -27,6 +27,8 @@
 	lossNotice = 400 * time.Millisecond
 	// recordsPerCommit is the number of records in a commit.
 	recordsPerCommit = 15
+	// longFactor is by how much longer than usual the long jobs of a class run.
+	longFactor = 7
 )
 
 func teamOf(i int) teamName { return teamName("team-" + strconv.Itoa(i)) }
@@ -155,7 +157,14 @@
 	if d.rng.Float64() < c.Cancel {
 		j.cancelAt = at.Add(time.Duration(d.rng.Int63n(int64(2 * time.Second))))
 	}
-	j.Job = batch.Job{Queue: c.Name, Team: teamOf(d.rng.Intn(d.load.Teams)), Steps: []batch.Step{step}, Accepted: at.UnixMilli()}
+	team := d.rng.Intn(d.load.Teams)
+	if team < c.Lying {
+		step.Estimate = time.Duration(float64(step.Estimate) * math.Exp(c.Lie))
+	}
+	if c.Long > 0 && d.rng.Float64() < c.Long {
+		j.work *= longFactor
+	}
+	j.Job = batch.Job{Queue: c.Name, Team: teamOf(team), Steps: []batch.Step{step}, Accepted: at.UnixMilli()}
 	return j
 }
 
@@ -431,6 +440,7 @@
 			r.slowdown = 3
 		}
 	}
+	r.slowdown /= w.speed
 	if s.Checkpoint != "" {
 		saved, err := strconv.ParseInt(s.Checkpoint, 10, 64)
 		if err == nil {
--- a/stand/replay/load.go
+++ b/stand/replay/load.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,8 @@
 	Restore float64 `yaml:"restore"`
 	// Remote is the factor by which tasks run slower away from their data; 0 means 3.
 	Remote float64 `yaml:"remote"`
+	// Speeds are those of the kinds of workers, which take turns; empty means one kind of speed 1.
+	Speeds []float64 `yaml:"speeds"`
 }
 
 // Spread is a lognormal distribution: its mean, the standard deviation of its logarithm, and a bound.
@@ -77,6 +80,11 @@
 	// Error is the standard deviation of the logarithm of estimate by run time, Bias its mean.
 	Error float64 `yaml:"error"`
 	Bias  float64 `yaml:"bias"`
+	// Lying is the number of teams whose estimates are off by Lie more, as the logarithm of estimate by run time.
+	Lying int     `yaml:"lying"`
+	Lie   float64 `yaml:"lie"`
+	// Long is the share of jobs that run seven times as long as their estimate says.
+	Long float64 `yaml:"long"`
 	// Gang, Saves, Near and Cancel are the shares of jobs that are gangs, have checkpoints, have data on a rack, and are
 	// cancelled within two seconds.
 	Gang   float64 `yaml:"gang"`
@@ -135,6 +143,8 @@
 		return errors.New("fleet: workers, rack, cores and memory must be positive")
 	case f.Link < 0 || f.Store < 0 || f.Stop < 0 || f.Restore < 0:
 		return errors.New("fleet: times must not be negative")
+	case slices.ContainsFunc(f.Speeds, func(speed float64) bool { return speed <= 0 }):
+		return errors.New("fleet: speeds must be positive")
 	case l.Teams < 1 || l.Guarantee < 0:
 		return errors.New("teams must be positive, guarantee not negative")
 	case len(l.Classes) == 0:
--- a/stand/replay/replay_test.go
+++ b/stand/replay/replay_test.go
@@ -86,6 +86,7 @@
 		{"length: 0", "length"},
 		{"length: 1\nfleet: {workers: 0}", "fleet"},
 		{"length: 1\nteams: 1\nfleet: {workers: 1, rack: 1, cores: 1, memory: 1}", "classes"},
+		{"length: 1\nteams: 1\nfleet: {workers: 1, rack: 1, cores: 1, memory: 1, speeds: [1, 0]}", "speeds"},
 	} {
 		if _, err := parseLoad([]byte(tc.text)); err == nil || !strings.Contains(err.Error(), tc.want) {
 			t.Errorf("%q: got error %v, want one that names %q", tc.text, err, tc.want)
--- a/stand/replay/worker.go
+++ b/stand/replay/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"wagtailhoist/core/batch"
@@ -34,15 +35,21 @@
 	leavesFor   time.Duration
 	// failing reports whether the worker fails what it starts.
 	failing bool
+	// speed is the factor by which it works faster than others.
+	speed float64
 	// reportAt is when the next report is due.
 	reportAt time.Time
 }
 
 // newWorker returns worker i of a fleet.
 func newWorker(f *Fleet, i int) *worker {
-	w := &worker{runs: map[batch.TaskID]*run{}}
+	w := &worker{runs: map[batch.TaskID]*run{}, speed: 1}
 	w.Node = fmt.Sprintf("n%04d", i)
 	w.Service, w.Labels = service, []string{"a", rackOf(i / f.Rack)}
+	if len(f.Speeds) > 0 {
+		kind := i % len(f.Speeds)
+		w.speed, w.Labels[0] = f.Speeds[kind], "kind-"+strconv.Itoa(kind)
+	}
 	w.Capacity = batch.Amount{CPU: f.Cores * 1000, Memory: f.Memory, GPU: f.GPUs}
 	w.renew()
 	return w
