--- a/stand/replay/day.go
+++ b/stand/replay/day.go
@@ -27,6 +27,8 @@
 	lossNotice = 400 * time.Millisecond
 	// recordsPerCommit is the number of records in a commit.
 	recordsPerCommit = 15
+	// longFactor is by how much longer than usual the long jobs of a class run.
+	longFactor = 7
 )
 
 func teamOf(i int) teamName { return teamName("team-" + strconv.Itoa(i)) }
@@ -45,6 +47,9 @@
 	// completed is when its completion was stored, zero before.
 	completed time.Time
 	cancelled bool
+	// ran holds the tasks that have run, by index; allBegun is when the last of them began for the first time.
+	ran      map[int]bool
+	allBegun time.Time
 }
 
 // day is a simulated day.
@@ -139,7 +144,7 @@
 
 // newJob draws a job of a class.
 func (d *day) newJob(c *Class, at time.Time) *submitted {
-	j := &submitted{class: c, at: at, work: seconds(max(0.1, c.Work.draw(d.rng))), failing: map[batch.TaskID]bool{}}
+	j := &submitted{class: c, at: at, work: seconds(max(0.1, c.Work.draw(d.rng))), failing: map[batch.TaskID]bool{}, ran: map[int]bool{}}
 	step := batch.Step{
 		Count: max(1, int(math.Round(c.Width.draw(d.rng)))),
 		Need:  batch.Amount{CPU: c.Cores * 1000, Memory: c.Memory, GPU: c.GPUs[d.rng.Intn(len(c.GPUs))]},
@@ -152,7 +157,14 @@
 	if d.rng.Float64() < c.Cancel {
 		j.cancelAt = at.Add(time.Duration(d.rng.Int63n(int64(2 * time.Second))))
 	}
-	j.Job = batch.Job{Queue: c.Name, Team: teamOf(d.rng.Intn(d.load.Teams)), Steps: []batch.Step{step}, Accepted: at.UnixMilli()}
+	team := d.rng.Intn(d.load.Teams)
+	if team < c.Lying {
+		step.Estimate = time.Duration(float64(step.Estimate) * math.Exp(c.Lie))
+	}
+	if c.Long > 0 && d.rng.Float64() < c.Long {
+		j.work *= longFactor
+	}
+	j.Job = batch.Job{Queue: c.Name, Team: teamOf(team), Steps: []batch.Step{step}, Accepted: at.UnixMilli()}
 	return j
 }
 
@@ -428,6 +440,7 @@
 			r.slowdown = 3
 		}
 	}
+	r.slowdown /= w.speed
 	if s.Checkpoint != "" {
 		saved, err := strconv.ParseInt(s.Checkpoint, 10, 64)
 		if err == nil {
@@ -441,4 +454,10 @@
 		r.endsAt = r.begun.Add(time.Duration(d.rng.Int63n(int64(j.work)/2 + 1)))
 	}
 	w.runs[s.Task] = r
+	if !j.ran[s.Task.Index] {
+		j.ran[s.Task.Index] = true
+		if len(j.ran) == step.Count {
+			j.allBegun = d.now
+		}
+	}
 }
