--- a/cmds/apply.go
+++ b/cmds/apply.go
@@ -107,7 +107,7 @@
 
 func (r *applyResult) write(w io.Writer) error {
 	fmt.Fprintf(w, "accepted as revision %d\n", r.Revision)
-	if err := writeChanges(w, r.Changes); err != nil {
+	if err := writeLines(w, r.Changes); err != nil {
 		return err
 	}
 	for _, note := range r.Notes {
--- a/script_test.go
+++ b/script_test.go
@@ -12,6 +12,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"wagtailhoist/cmds"
+	"wagtailhoist/platform"
+	"wagtailhoist/platform/fakes"
 	"wagtailhoist/stand/plat"
 	"wagtailhoist/stand/serve"
 	"wagtailhoist/stand/tasks"
@@ -26,14 +28,14 @@
 	})
 }
 
-// TestScripts runs the scripts in testdata/scripts. Each has its own platform at $PLATFORM and free addresses
-// for the listeners of an entry in $LINK and $ADMIN.
+// TestScripts runs the scripts in testdata/scripts. Each has its own platform at $PLATFORM, its own store of desired states
+// at $STORE, and free addresses for the listeners of an entry in $LINK and $ADMIN.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata/scripts",
 		RequireExplicitExec: true,
 		Setup:               setup,
-		Cmds:                map[string]func(*testscript.TestScript, bool, []string){"ready": ready, "until": until},
+		Cmds:                map[string]func(*testscript.TestScript, bool, []string){"ready": ready, "until": until, "store": storeDesired},
 	})
 }
 
@@ -63,6 +65,11 @@
 		server.Close()
 	})
 	env.Setenv("PLATFORM", server.URL)
+	desired := &fakes.Store{}
+	store := httptest.NewServer(desired)
+	env.Defer(store.Close)
+	env.Values[desiredStoreKey{}] = desired
+	env.Setenv("STORE", store.Listener.Addr().String())
 	for _, name := range []string{"LINK", "ADMIN"} {
 		addr, release, err := serve.ReserveAddress("127.0.0.1:0")
 		if err != nil {
@@ -75,6 +82,17 @@
 	return nil
 }
 
+// desiredStoreKey is the key of a script's store of desired states.
+type desiredStoreKey struct{}
+
+// storeDesired writes a file into the store as the desired state in force.
+func storeDesired(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: store file")
+	}
+	ts.Value(desiredStoreKey{}).(*fakes.Store).Put(platform.DesiredKey, []byte(ts.ReadFile(args[0])))
+}
+
 // ready waits until the entry at $LINK is ready.
 func ready(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) > 0 {
