Keep at most a thousand findings of each severity

Cause: a file of nothing but faults gave millions of findings, of which a hundred are listed: 3.9 MB of two-byte routes took 4.0 GB and 11.9 s. The differences also named callers as refused by limits on headers, which desk doesn't read.

Ruled out: stopping at the first thousand, because the counts would be wrong and errors behind warnings would be missed.

Change: core/check.Findings counts all findings and composes only those that are kept, for errors and warnings separately. Differences of the limits on headers say that they count where they are enforced.

--- a/cmds/check.go
+++ b/cmds/check.go
@@ -158,8 +158,10 @@
 		place := check.Place{Path: fmt.Sprintf("teams[%d].guarantees", i)}
 		teams = append(teams, check.Team{Guarantee: check.Field[int64]{Value: sum, Place: place}})
 	}
+	var findings check.Findings
+	check.Guarantees(teams, int64(c.GPUs), &findings)
 	var problems []decl.Problem
-	for _, f := range check.Guarantees(teams, int64(c.GPUs)) {
+	for _, f := range findings.Report().Findings {
 		problems = append(problems, decl.Problem{Path: f.Path, Text: f.Text + "; " + f.Fix})
 	}
 	return problems
--- a/core/check/check_test.go
+++ b/core/check/check_test.go
@@ -108,7 +108,9 @@
 		s := goodState()
 		test.edit(s)
 		var got []string
-		for _, f := range NewReport(Find(s, Bounds{GPUs: 8, BodyBudget: 1000, MinBody: 20, InForce: &inForce})).Findings {
+		var findings Findings
+		Find(s, Bounds{GPUs: 8, BodyBudget: 1000, MinBody: 20, InForce: &inForce}, &findings)
+		for _, f := range findings.Report().Findings {
 			got = append(got, fmt.Sprint(f.Severity, " ", f.Path))
 			if f.Text == "" || f.Fix == "" {
 				t.Errorf("%s: got the finding %+v, want a text and what to do", test.name, f)
@@ -124,28 +126,43 @@
 func TestUnknownBounds(t *testing.T) {
 	s := goodState()
 	s.Teams[0].Guarantee.Value, s.Teams[0].Quota.Value, s.Limits.BodyBytes.Value = 1<<40, 0, 1<<40
-	if got := Find(s, Bounds{}); len(got) > 0 {
+	var findings Findings
+	Find(s, Bounds{}, &findings)
+	if got := findings.Report().Findings; len(got) > 0 {
 		t.Errorf("got %v, want no findings", got)
 	}
 }
 
-// TestReportOrder guards the order and the number of listed findings: errors must not be cut off by warnings.
+// TestReportOrder guards the order and the number of listed findings: errors must not be cut off by warnings, and what is not kept
+// must be counted.
 func TestReportOrder(t *testing.T) {
-	var findings []Finding
-	for line := range 150 {
-		findings = append(findings, Finding{Place: Place{Line: 150 - line}, Severity: Warning})
+	var findings Findings
+	add := func(s Severity, line, column int) {
+		findings.Add(s, func() Finding { return Finding{Place: Place{Line: line, Column: column}} })
 	}
-	findings = append(findings, Finding{Place: Place{Line: 900, Column: 2}, Severity: Error}, Finding{Place: Place{Line: 900, Column: 1}, Severity: Error})
-	r := NewReport(findings)
-	if r.Errors != 2 || r.Warnings != 150 || len(r.Findings) != maxFindings || r.Omitted() != 52 {
-		t.Errorf("got %d errors, %d warnings, %d listed, %d omitted; want 2, 150, %d, 52", r.Errors, r.Warnings, len(r.Findings), r.Omitted(), maxFindings)
+	const warnings = 2 * maxKept
+	for i := range warnings {
+		add(Warning, warnings-i, 0)
 	}
-	var lines []int
+	add(Error, 9000, 2)
+	add(Error, 9000, 1)
+	r := findings.Report()
+	if r.Errors != 2 || r.Warnings != warnings || len(r.Findings) != maxFindings || r.Omitted() != warnings+2-maxFindings {
+		t.Errorf("got %d errors, %d warnings, %d listed, %d omitted; want 2, %d, %d, %d", r.Errors, r.Warnings, len(r.Findings), r.Omitted(),
+			warnings, maxFindings, warnings+2-maxFindings)
+	}
+	var got []Finding
 	for _, f := range r.Findings[:4] {
-		lines = append(lines, f.Line*10+f.Column)
+		got = append(got, Finding{Place: f.Place, Severity: f.Severity})
+	}
+	want := []Finding{
+		{Place{9000, 1, ""}, Error, "", ""},
+		{Place{9000, 2, ""}, Error, "", ""},
+		{Place{warnings - maxKept + 1, 0, ""}, Warning, "", ""},
+		{Place{warnings - maxKept + 2, 0, ""}, Warning, "", ""},
 	}
-	if want := []int{9001, 9002, 10, 20}; !slices.Equal(lines, want) {
-		t.Errorf("got the order %v, want %v", lines, want)
+	if !slices.Equal(got, want) {
+		t.Errorf("got the order %v, want %v", got, want)
 	}
 }
 
--- a/core/check/diff.go
+++ b/core/check/diff.go
@@ -234,8 +234,8 @@
 
 func (d *differ) limits(old, new *Limits) {
 	d.limit("body bytes", old.BodyBytes.Value, new.BodyBytes.Value, "requests with larger bodies")
-	d.limit("header bytes", old.HeaderBytes.Value, new.HeaderBytes.Value, "requests with larger headers")
-	d.limit("header timeout in ms", old.HeaderTimeoutMillis.Value, new.HeaderTimeoutMillis.Value, "callers that send headers more slowly")
+	d.limit("header bytes", old.HeaderBytes.Value, new.HeaderBytes.Value, "requests with larger headers, where the limit is enforced")
+	d.limit("header timeout in ms", old.HeaderTimeoutMillis.Value, new.HeaderTimeoutMillis.Value, "callers that send headers more slowly, where the limit is enforced")
 	d.limit("idle timeout in ms", old.IdleTimeoutMillis.Value, new.IdleTimeoutMillis.Value, "")
 }
 
--- a/core/check/finding.go
+++ b/core/check/finding.go
@@ -58,27 +58,39 @@
 	Warnings int `json:"warnings"`
 }
 
-// NewReport sorts the findings and lists at most the first hundred.
-func NewReport(findings []Finding) Report {
-	r := Report{Findings: slices.Clone(findings)}
-	if r.Findings == nil {
-		r.Findings = []Finding{}
+// maxKept limits the findings of each severity that are kept until they are sorted, so that a large file of nothing but faults
+// doesn't fill the memory.
+const maxKept = 1000
+
+// Findings collects findings. It counts all and keeps the first thousand of each severity.
+type Findings struct {
+	keptErrors, keptWarnings []Finding
+	// Errors and Warnings count all findings.
+	Errors, Warnings int
+}
+
+// Add counts a finding and, if it is kept, calls compose for it.
+func (l *Findings) Add(s Severity, compose func() Finding) {
+	kept, count := &l.keptWarnings, &l.Warnings
+	if s == Error {
+		kept, count = &l.keptErrors, &l.Errors
 	}
-	for _, f := range findings {
-		if f.Severity == Error {
-			r.Errors++
-		}
+	*count++
+	if len(*kept) < maxKept {
+		f := compose()
+		f.Severity = s
+		*kept = append(*kept, f)
 	}
-	r.Warnings = len(findings) - r.Errors
-	slices.SortStableFunc(r.Findings, func(a, b Finding) int {
-		if a.Severity != b.Severity {
-			// "error" sorts before "warning".
-			return cmp.Compare(a.Severity, b.Severity)
-		}
-		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
-	})
-	r.Findings = r.Findings[:min(len(r.Findings), maxFindings)]
-	return r
+}
+
+// Report sorts the findings and lists at most the first hundred.
+func (l *Findings) Report() Report {
+	byPlace := func(a, b Finding) int { return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column)) }
+	errors, warnings := slices.Clone(l.keptErrors), slices.Clone(l.keptWarnings)
+	slices.SortStableFunc(errors, byPlace)
+	slices.SortStableFunc(warnings, byPlace)
+	findings := append([]Finding{}, append(errors, warnings...)...)
+	return Report{Findings: findings[:min(len(findings), maxFindings)], Errors: l.Errors, Warnings: l.Warnings}
 }
 
 // Omitted returns how many findings are counted but not listed.
--- a/core/check/rules.go
+++ b/core/check/rules.go
@@ -10,20 +10,20 @@
 // maxMillis bounds times, so that they can be calculated with in nanoseconds: 30 days.
 const maxMillis = 30 * 24 * 3600 * 1000
 
-// rules collects findings.
-type rules struct{ findings []Finding }
+// rules adds findings to a collection.
+type rules struct{ findings *Findings }
 
 func (r *rules) error(p Place, fix, format string, args ...any) {
-	r.findings = append(r.findings, Finding{Place: p, Severity: Error, Text: fmt.Sprintf(format, args...), Fix: fix})
+	r.findings.Add(Error, func() Finding { return Finding{Place: p, Text: fmt.Sprintf(format, args...), Fix: fix} })
 }
 
 func (r *rules) warn(p Place, fix, format string, args ...any) {
-	r.findings = append(r.findings, Finding{Place: p, Severity: Warning, Text: fmt.Sprintf(format, args...), Fix: fix})
+	r.findings.Add(Warning, func() Finding { return Finding{Place: p, Text: fmt.Sprintf(format, args...), Fix: fix} })
 }
 
-// Find returns the contradictions of a state, in no particular order.
-func Find(s *State, b Bounds) []Finding {
-	r := &rules{}
+// Find adds the contradictions of a state to the findings.
+func Find(s *State, b Bounds, findings *Findings) {
+	r := &rules{findings}
 	r.version(s, b.InForce)
 	r.queues(s)
 	r.paths(s.Routes)
@@ -32,9 +32,8 @@
 	}
 	r.services(s)
 	r.teams(s.Teams)
-	r.findings = append(r.findings, Guarantees(s.Teams, b.GPUs)...)
+	Guarantees(s.Teams, b.GPUs, findings)
 	r.limits(&s.Limits, b)
-	return r.findings
 }
 
 func (r *rules) version(s *State, inForce *int64) {
@@ -224,9 +223,9 @@
 	}
 }
 
-// Guarantees returns the guarantees that contradict the quota of their team or, if gpus is not 0, the size of the fleet.
-func Guarantees(teams []Team, gpus int64) []Finding {
-	r := &rules{}
+// Guarantees adds the guarantees that contradict the quota of their team or, if gpus is not 0, the size of the fleet.
+func Guarantees(teams []Team, gpus int64, findings *Findings) {
+	r := &rules{findings}
 	// Guarantees may be as large as an int64, so that their sum is limited.
 	var sum int64
 	for i := range teams {
@@ -245,7 +244,6 @@
 			r.error(guarantee.Place, "lower the guarantees", "with this one, the guarantees add up to %d accelerators or more; the fleet has %d", sum, gpus)
 		}
 	}
-	return r.findings
 }
 
 func (r *rules) limits(l *Limits, b Bounds) {
