Make room for several connections at a time

Cause: at its bound on connections the listener ended one request in progress for each new connection. net/http keeps a connection with an unread body open for half a second after the answer, so that a crowd that holds its bodies back let in two new connections a second, and those that were ended weren't counted as evicted.

Change: room is made for a sixteenth of the connections at a time, and ended requests count as evicted connections. TestAcceptWaitsForRoom failed once because it sent a request before its connection counted as idle; it waits for that now, and checks as much.

Result: TestHostileSenders passes (36 s); the new test gets one request ended instead of two on the old code by construction. The tests of io/intake that wait for room passed 20 times with -race.

--- a/io/intake/listener.go
+++ b/io/intake/listener.go
@@ -30,8 +30,8 @@
 	// MaxHeaderBytes bounds the bytes that the waiting connections have sent together, and closes the one that has sent the most.
 	// net/http takes up to 20 times as much for a header of very short lines. 0 means no bound.
 	MaxHeaderBytes int64
-	// MakeRoom makes a connection with a request in progress end early, and returns false if there is none. It is called at
-	// MaxConns if only few connections wait: those are new ones, which would close each other before they could send a request.
+	// MakeRoom makes a connection with a request in progress end early, and returns false if there is none. It is called, several
+	// times in a row, at MaxConns if only few connections wait: those are new ones, which would close each other before they could send a request.
 	// May be nil.
 	MakeRoom func() bool
 	// Report and Counters are told of closed connections; both may be nil.
@@ -61,8 +61,13 @@
 	return c, nil
 }
 
-// waitingShare is the part of MaxConns that is left to waiting connections before requests in progress are ended early.
-const waitingShare = 8
+const (
+	// waitingShare is the part of MaxConns that is left to waiting connections before requests in progress are ended early.
+	waitingShare = 8
+	// roomShare is the part of MaxConns for which room is made at a time. net/http keeps a connection with an unread body open for
+	// half a second after the answer, so that one at a time would let in two connections a second.
+	roomShare = 16
+)
 
 // add counts a new connection once there is room for it. It returns false if the listener was closed.
 func (l *Listener) add(c *trackedConn) bool {
@@ -76,9 +81,9 @@
 			l.evictLocked(l.waiting.Front().Value.(*trackedConn))
 		case !askedForRoom:
 			askedForRoom = true
-			// The connection whose request ends needs the lock.
+			// The connections whose requests end need the lock.
 			l.mu.Unlock()
-			roomExpected = l.MakeRoom()
+			roomExpected = l.makeRoom() > 0
 			l.mu.Lock()
 		default:
 			l.changed.Wait()
@@ -92,6 +97,18 @@
 	return true
 }
 
+// makeRoom ends requests in progress for the room of several connections, and returns how many.
+func (l *Listener) makeRoom() int {
+	n := 0
+	for n < max(1, l.MaxConns/roomShare) && l.MakeRoom() {
+		n++
+	}
+	if l.Counters != nil {
+		l.Counters.Evicted.Add(uint64(n))
+	}
+	return n
+}
+
 // evictLocked closes a waiting connection.
 func (l *Listener) evictLocked(c *trackedConn) {
 	c.evicted = true
--- a/io/intake/listener_test.go
+++ b/io/intake/listener_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -181,6 +182,8 @@
 	get(t, next)
 	awaitClosed(t, "idle connection", busy)
 	awaitConns(t, l, 1)
+	// The answer arrives before the connection counts as idle; a request in between would be on an idle connection.
+	awaitWaiting(t, l, 1)
 
 	if _, err := io.WriteString(next, "PUT / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		t.Fatal(err)
@@ -222,3 +225,43 @@
 		answered(t, long)
 	}
 }
+
+// TestRoomIsMadeForSeveralConnections checks that requests in progress are ended for several new connections at a time and that their
+// connections are counted: each stays open for half a second after its answer, so that new callers got in two a second.
+func TestRoomIsMadeForSeveralConnections(t *testing.T) {
+	const conns = 2 * roomShare
+	var asked atomic.Int32
+	ended := make(chan struct{})
+	counters := &ListenerCounters{}
+	l := &Listener{MaxConns: conns, Counters: counters, MakeRoom: func() bool {
+		if asked.Add(1) == 2 {
+			close(ended)
+		}
+		return true
+	}}
+	address := serveBounded(t, l, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			<-ended
+			w.Header().Set("Connection", "close")
+		}
+		answerOK(w, r)
+	})
+	for i := range conns {
+		if _, err := io.WriteString(openConn(t, l, address, i+1), "PUT / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	awaitWaiting(t, l, 0)
+	caller, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { caller.Close() })
+	get(t, caller)
+	if got := asked.Load(); got != 2 {
+		t.Errorf("got %d requests ended for a new connection, want 2", got)
+	}
+	if got := counters.Evicted.Load(); got != 2 {
+		t.Errorf("got %d connections counted, want 2", got)
+	}
+}
