Close a listener of io/intake once

Close ends an Accept that waits for room, and the http.Server closes its listener when Accept fails. If the server came first, the caller of Close got the error of a second close.

Change: the inner listener is closed once, and later calls return the first one's error.

Conclusion: a fault of the product that only an orderly stop could show.

--- a/io/intake/listener.go
+++ b/io/intake/listener.go
@@ -45,6 +45,8 @@
 	headerBytes int64
 	open        int
 	closed      bool
+	closeOnce   sync.Once
+	closeErr    error
 }
 
 // Accept returns the next connection, which waits for its first request.
@@ -137,13 +139,17 @@
 	l.changed.Broadcast()
 }
 
-// Close closes the listener and ends an Accept that waits for room.
+// Close closes the listener and ends an Accept that waits for room. Later calls return the first one's error, since a server closes
+// its listener itself once Accept has failed.
 func (l *Listener) Close() error {
-	l.mu.Lock()
-	l.closed = true
-	l.changed.Broadcast()
-	l.mu.Unlock()
-	return l.Listener.Close()
+	l.closeOnce.Do(func() {
+		l.mu.Lock()
+		l.closed = true
+		l.changed.Broadcast()
+		l.mu.Unlock()
+		l.closeErr = l.Listener.Close()
+	})
+	return l.closeErr
 }
 
 // TrackHeaders is an http.Server's ConnState hook that marks connections whose request header is complete.
--- a/io/intake/listener_test.go
+++ b/io/intake/listener_test.go
@@ -161,7 +161,7 @@
 }
 
 // TestAcceptWaitsForRoom checks that the bound holds while no connection can be closed, that a connection that becomes idle makes
-// room, and that the listener can be closed meanwhile.
+// room, and that the listener can be closed meanwhile, although its server closes it then, too.
 func TestAcceptWaitsForRoom(t *testing.T) {
 	l := &Listener{MaxConns: 1}
 	release := make(chan struct{})
