Compare the body limit with one body's share of the budget in check

Cause: check accepted a limit on bodies up to the whole memory budget of an entry. One holder gets at most three quarters of it, so a body between the two is always refused with 413.

Ruled out: subtracting the header, which is charged as well.

Change: the rule uses budget.MaxBody, as the entry does.

Conclusion: check reports an error for limits that no body could use.

--- a/cmds/check.go
+++ b/cmds/check.go
@@ -31,7 +31,7 @@
 	// Entries have a setting of the same name in another form, so the environment variable that they share is not read.
 	Store      string `env:"-" help:"IP:port of the platform's store; with it, the changes against the desired state in force are shown. The store is only read."`
 	GPUs       int    `name:"gpus" help:"Number of accelerators of the fleet, which guarantees must not exceed; 0 means unknown." default:"0"`
-	BodyBudget int    `help:"Memory of an entry for request bodies in bytes, which the limit on bodies must not exceed; 0 means unknown." default:"12582912"`
+	BodyBudget int    `help:"Memory of an entry for request bodies in bytes, of which one body may take three quarters; 0 means unknown." default:"12582912"`
 	Strict     bool   `help:"Fail if there are warnings."`
 	outputFlags
 }
--- a/core/check/rules.go
+++ b/core/check/rules.go
@@ -5,6 +5,8 @@
 	"math"
 	"regexp"
 	"strings"
+
+	"wagtailhoist/core/budget"
 )
 
 // maxMillis bounds times, so that they can be calculated with in nanoseconds: 30 days.
@@ -252,9 +254,10 @@
 	// The entry reads one byte more than the limit.
 	case body.Value < b.MinBody || body.Value == math.MaxInt64:
 		r.error(body.Place, "set another limit, or 0 for the default", "with a limit of %d bytes, every job is refused", body.Value)
-	case b.BodyBudget > 0 && body.Value > b.BodyBudget:
+	case b.BodyBudget > 0 && body.Value > budget.MaxBody(b.BodyBudget):
 		r.error(body.Place, "lower the limit, or raise the budget of the entries",
-			"the limit of %d bytes exceeds the entry's memory budget for bodies, %d bytes: larger bodies are always refused", body.Value, b.BodyBudget)
+			"the limit of %d bytes exceeds %d bytes, three quarters of the entry's memory budget for bodies: larger bodies are always refused",
+			body.Value, budget.MaxBody(b.BodyBudget))
 	}
 	if l.HeaderBytes.Value < 0 {
 		r.warn(l.HeaderBytes.Place, "set a limit, or 0 for the default", "a limit of %d bytes is out of range", l.HeaderBytes.Value)
--- a/core/check/state.go
+++ b/core/check/state.go
@@ -70,7 +70,8 @@
 type Bounds struct {
 	// GPUs is the number of accelerators of the fleet; 0 means that it is not known.
 	GPUs int64
-	// BodyBudget is the memory of an entry for bodies in progress, in bytes; 0 means that it is not known.
+	// BodyBudget is the memory of an entry for bodies in progress, in bytes; 0 means that it is not known. One body may take as much
+	// of it as budget.MaxBody says.
 	BodyBudget int64
 	// MinBody is the size of the smallest job in bytes.
 	MinBody int64
