Find routes that several longer prefixes shadow together

Cause: check found a prefix that takes some job IDs of a shorter one (a warning), but not that several together take all of them.

Ruled out: drawing sample IDs, which misses the one ID that is left. Counting the prefixes by length, which needs numbers beyond 64 bits and treats nested prefixes wrongly.

Change: core/check collects the beginnings of IDs that longer prefixes take from each route, and decides digit by digit whether they cover all IDs (22 characters, 16 places).

Conclusion: whether a route is shadowed is decidable in full.

--- a/core/check/check_test.go
+++ b/core/check/check_test.go
@@ -122,6 +122,54 @@
 	}
 }
 
+// withRoutes appends a route for each prefix.
+func withRoutes(s *State, prefixes ...string) {
+	for _, prefix := range prefixes {
+		second(s, func(r *Route) { r.Name.Value, r.Prefix.Value = prefix, prefix })
+	}
+}
+
+// behind returns a prefix followed by each digit of a job ID.
+func behind(prefix string) []string {
+	var prefixes []string
+	for _, digit := range jobIDDigits {
+		prefixes = append(prefixes, prefix+string(digit))
+	}
+	return prefixes
+}
+
+// TestRouteShadowedBySeveralPrefixes guards against a route that gets no jobs because several longer prefixes together take all job
+// IDs: none of them does by itself. A single ID that is left makes it no error.
+func TestRouteShadowedBySeveralPrefixes(t *testing.T) {
+	all := behind("/q/")
+	last := len(all) - 1
+	tests := []struct {
+		name     string
+		prefixes []string
+		want     int
+	}{
+		{"all first digits", all, 1},
+		{"all but one", all[1:], 0},
+		{"all but those in capitals", all[:16], 0},
+		{"the last digit by its second ones", append(behind(all[last]), all[:last]...), 1},
+		{"all but one second digit", append(behind(all[last])[1:], all[:last]...), 0},
+		{"both of two lengths", append(behind(all[last]), all...), 2},
+		{"paths below", append(behind("/q/x"), "/q/0/"), 0},
+	}
+	for _, test := range tests {
+		s := goodState()
+		withRoutes(s, test.prefixes...)
+		var findings Findings
+		Find(s, Bounds{}, &findings)
+		if findings.Errors != test.want {
+			t.Errorf("%s: got %d errors, want %d; the first finding is %v", test.name, findings.Errors, test.want, findings.Report().Findings[0])
+		}
+		if first := findings.Report().Findings[0]; test.want > 0 && first.Path != "prefix" && first.Path != "prefix 2" {
+			t.Errorf("%s: got the finding %v, want it at a prefix", test.name, first)
+		}
+	}
+}
+
 // TestUnknownBounds checks that a fleet and a budget that are not known give no findings.
 func TestUnknownBounds(t *testing.T) {
 	s := goodState()
--- a/core/check/rules.go
+++ b/core/check/rules.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"strings"
 
 	"wagtailhoist/core/budget"
@@ -103,6 +104,8 @@
 		}
 		first[route.selector()] = route
 	}
+	// taken has the beginnings of job IDs that longer prefixes take from a route.
+	taken := map[*Route][]string{}
 	for i := range routes {
 		long := &routes[i]
 		if first[long.selector()] != long {
@@ -115,9 +118,41 @@
 			if ok && strings.HasPrefix(prefix[:n], "/") && jobIDStart.MatchString(prefix[n:]) {
 				r.warn(long.Prefix.Place, "end prefixes with a slash", "takes the jobs of queue %q whose IDs begin with %q (prefix %q at line %d)",
 					short.Name.Value, prefix[n:], prefix[:n], short.Place.Line)
+				taken[short] = append(taken[short], prefix[n:])
 			}
 		}
 	}
+	for i := range routes {
+		if route := &routes[i]; coverJobIDs(taken[route]) {
+			r.error(route.Prefix.Place, "end prefixes with a slash",
+				"%d longer prefixes together take all job IDs behind prefix %q, so that queue %q gets no jobs by this route",
+				len(taken[route]), route.Prefix.Value, route.Name.Value)
+		}
+	}
+}
+
+// jobIDDigits are the characters of job IDs, which are compared as they are written.
+const jobIDDigits = "0123456789abcdefABCDEF"
+
+// coverJobIDs reports whether each job ID begins with one of the given texts, which consist of at most 16 digits each. It is so if
+// one text is empty, or if the texts with each first digit, without that digit, cover the IDs that go on from there.
+func coverJobIDs(starts []string) bool {
+	if slices.Contains(starts, "") {
+		return true
+	}
+	if len(starts) < len(jobIDDigits) {
+		return false
+	}
+	rest := map[byte][]string{}
+	for _, start := range starts {
+		rest[start[0]] = append(rest[start[0]], start[1:])
+	}
+	for _, digit := range []byte(jobIDDigits) {
+		if !coverJobIDs(rest[digit]) {
+			return false
+		}
+	}
+	return true
 }
 
 // route finds what is wrong with a route by itself.
