Decide which connection is closed apart from the listener

Cause: io/intake.Listener decided between net.Conn calls and a lock which connection gives way at a bound, so that only tests with a network could show it, and none covered the order for all states.

Change: the package core/conns holds the open and the waiting connections. Next returns the next step for a new one (admit, evict, end requests, wait for a change); Add, StartWaiting and Receive return what they evict. The listener carries that out. Who has waited the longest is judged by the time that is passed, which is taken under the listener's lock. The listener's fields and hooks are unchanged.

--- a/io/intake/listener.go
+++ b/io/intake/listener.go
@@ -1,12 +1,14 @@
 package intake
 
 import (
-	"container/list"
 	"context"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"wagtailhoist/core/conns"
 )
 
 // ListenerCounters counts connections of a listener that were closed before they had sent a whole request.
@@ -15,7 +17,7 @@
 	Evicted, Unfinished atomic.Uint64
 }
 
-// Listener is a listener with bounds on its connections. At a bound it closes the connection that has waited the longest: one that
+// Listener is a listener with bounds on its connections. At a bound it closes one that waits for a request, as core/conns decides: it
 // has sent no request header, or is idle between two requests. Which connections wait is told by an http.Server's ConnState hook:
 //
 //   - TrackRequests: a connection waits unless a request is in progress.
@@ -38,15 +40,12 @@
 	Report   *Reporter
 	Counters *ListenerCounters
 
-	mu      sync.Mutex
-	changed sync.Cond // of mu; told when a connection has ended or waits
-	waiting list.List // of *trackedConn, the one that has waited the longest first
-	// headerBytes is the sum of trackedConn.received.
-	headerBytes int64
-	open        int
-	closed      bool
-	closeOnce   sync.Once
-	closeErr    error
+	mu        sync.Mutex
+	changed   sync.Cond // of mu; told when a connection has ended or waits
+	conns     conns.Set
+	closed    bool
+	closeOnce sync.Once
+	closeErr  error
 }
 
 // Accept returns the next connection, which waits for its first request.
@@ -56,6 +55,7 @@
 		return nil, err
 	}
 	c := &trackedConn{Conn: inner, listener: l}
+	c.state.Tag = c
 	if !l.add(c) {
 		_ = inner.Close()
 		return nil, net.ErrClosed
@@ -63,80 +63,67 @@
 	return c, nil
 }
 
-const (
-	// waitingShare is the part of MaxConns that is left to waiting connections before requests in progress are ended early.
-	waitingShare = 8
-	// roomShare is the part of MaxConns for which room is made at a time. net/http keeps a connection with an unread body open for
-	// half a second after the answer, so that one at a time would let in two connections a second.
-	roomShare = 16
-)
-
 // add counts a new connection once there is room for it. It returns false if the listener was closed.
 func (l *Listener) add(c *trackedConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.changed.L = &l.mu
-	askedForRoom, roomExpected := l.MakeRoom == nil, false
-	for l.MaxConns > 0 && l.open >= l.MaxConns && !l.closed {
-		switch {
-		case l.waiting.Len() > l.MaxConns/waitingShare, l.waiting.Len() > 0 && askedForRoom && !roomExpected:
-			l.evictLocked(l.waiting.Front().Value.(*trackedConn))
-		case !askedForRoom:
-			askedForRoom = true
+	l.conns.MaxOpen, l.conns.MaxWaiting = l.MaxConns, l.MaxWaiting
+	l.conns.MaxHeaderBytes, l.conns.EndsRequests = l.MaxHeaderBytes, l.MakeRoom != nil
+	var arrival conns.Arrival
+	for !l.closed {
+		switch step, victim := l.conns.Next(&arrival); step {
+		case conns.Admit:
+			l.closeEvicted(l.conns.Add(time.Now(), &c.state))
+			l.changed.Broadcast()
+			return true
+		case conns.Evict:
+			l.closeEvicted(victim)
+		case conns.EndRequests:
+			room := l.conns.Room()
 			// The connections whose requests end need the lock.
 			l.mu.Unlock()
-			roomExpected = l.makeRoom() > 0
+			ended := l.makeRoom(room)
 			l.mu.Lock()
-		default:
+			arrival.RequestsEnded(ended)
+		case conns.AwaitChange:
 			l.changed.Wait()
 		}
 	}
-	if l.closed {
-		return false
-	}
-	l.open++
-	l.startWaitingLocked(c)
-	return true
+	return false
 }
 
-// makeRoom ends requests in progress for the room of several connections, and returns how many.
-func (l *Listener) makeRoom() int {
-	n := 0
-	for n < max(1, l.MaxConns/roomShare) && l.MakeRoom() {
-		n++
+// makeRoom ends at most n requests in progress, and returns how many it has ended.
+func (l *Listener) makeRoom(n int) int {
+	ended := 0
+	for ended < n && l.MakeRoom() {
+		ended++
 	}
 	if l.Counters != nil {
-		l.Counters.Evicted.Add(uint64(n))
+		l.Counters.Evicted.Add(uint64(ended))
 	}
-	return n
+	return ended
 }
 
-// evictLocked closes a waiting connection.
-func (l *Listener) evictLocked(c *trackedConn) {
-	c.evicted = true
-	c.endLocked()
-	if l.Counters != nil {
-		l.Counters.Evicted.Add(1)
-	}
-	reason := ReasonNoHeader
-	if c.sentHeader {
-		reason = ReasonIdle
-	}
-	l.Report.Closed(reason, c.RemoteAddr().String())
-	// Closing a TCP connection doesn't block.
-	_ = c.Conn.Close()
-}
-
-// startWaitingLocked notes that a connection waits for a request.
-func (l *Listener) startWaitingLocked(c *trackedConn) {
-	if c.element != nil || c.ended {
-		return
-	}
-	c.element = l.waiting.PushBack(c)
-	if l.MaxWaiting > 0 && l.waiting.Len() > l.MaxWaiting {
-		l.evictLocked(l.waiting.Front().Value.(*trackedConn))
+// closeEvicted closes connections that were evicted; nil ones are left out.
+func (l *Listener) closeEvicted(evicted ...*conns.Conn) {
+	for _, e := range evicted {
+		if e == nil {
+			continue
+		}
+		c := e.Tag.(*trackedConn)
+		if l.Counters != nil {
+			l.Counters.Evicted.Add(1)
+		}
+		reason := ReasonNoHeader
+		if c.sentHeader {
+			reason = ReasonIdle
+		}
+		l.Report.Closed(reason, c.RemoteAddr().String())
+		l.changed.Broadcast()
+		// Closing a TCP connection doesn't block.
+		_ = c.Conn.Close()
 	}
-	l.changed.Broadcast()
 }
 
 // Close closes the listener and ends an Accept that waits for room. Later calls return the first one's error, since a server closes
@@ -165,9 +152,11 @@
 func TrackConnState(c net.Conn, state http.ConnState) {
 	TrackHeaders(c, state)
 	if t, ok := c.(*trackedConn); ok && state == http.StateIdle {
-		t.listener.mu.Lock()
-		t.listener.startWaitingLocked(t)
-		t.listener.mu.Unlock()
+		l := t.listener
+		l.mu.Lock()
+		l.closeEvicted(l.conns.StartWaiting(time.Now(), &t.state))
+		l.changed.Broadcast()
+		l.mu.Unlock()
 	}
 }
 
@@ -199,19 +188,16 @@
 	if t, ok := c.(*trackedConn); ok {
 		t.listener.mu.Lock()
 		defer t.listener.mu.Unlock()
-		t.stopWaitingLocked()
+		t.listener.conns.StopWaiting(&t.state)
 	}
 }
 
 // trackedConn is a connection of a Listener, whose lock guards the fields.
 type trackedConn struct {
 	net.Conn
-	listener *Listener
-	// element is the connection's position in listener.waiting, nil while it doesn't wait.
-	element *list.Element
-	// received is the number of bytes received since it waits.
-	received                   int64
-	sentHeader, evicted, ended bool
+	listener   *Listener
+	state      conns.Conn
+	sentHeader bool
 }
 
 // Read reads from the connection and counts what is received while it waits.
@@ -223,24 +209,11 @@
 	return n, err
 }
 
-// countHeader counts bytes of a waiting connection. Beyond the bound it closes the one that has sent the most.
+// countHeader counts bytes of a waiting connection, and closes those that are evicted because of them.
 func (l *Listener) countHeader(c *trackedConn, n int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.element == nil {
-		return
-	}
-	c.received += n
-	l.headerBytes += n
-	for l.headerBytes > l.MaxHeaderBytes {
-		most := c
-		for e := l.waiting.Front(); e != nil; e = e.Next() {
-			if other := e.Value.(*trackedConn); other.received > most.received {
-				most = other
-			}
-		}
-		l.evictLocked(most)
-	}
+	l.closeEvicted(l.conns.Receive(&c.state, n)...)
 }
 
 // NetConn returns the underlying connection.
@@ -255,34 +228,16 @@
 	return nil
 }
 
-// stopWaitingLocked removes the connection from the waiting ones.
-func (c *trackedConn) stopWaitingLocked() {
-	if c.element != nil {
-		c.listener.waiting.Remove(c.element)
-		c.element = nil
-		c.listener.headerBytes -= c.received
-		c.received = 0
-	}
-}
-
-// endLocked notes that the connection has ended.
-func (c *trackedConn) endLocked() {
-	c.stopWaitingLocked()
-	if c.ended {
-		return
-	}
-	c.ended = true
-	c.listener.open--
-	c.listener.changed.Broadcast()
-}
-
 // Close closes the connection and counts it as unfinished if the peer closed it before a complete request header.
 func (c *trackedConn) Close() error {
 	c.listener.mu.Lock()
-	if !c.ended && !c.sentHeader && c.listener.Counters != nil {
-		c.listener.Counters.Unfinished.Add(1)
+	if c.state.IsOpen() {
+		if !c.sentHeader && c.listener.Counters != nil {
+			c.listener.Counters.Unfinished.Add(1)
+		}
+		c.listener.conns.End(&c.state)
+		c.listener.changed.Broadcast()
 	}
-	c.endLocked()
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/io/intake/listener_test.go
+++ b/io/intake/listener_test.go
@@ -43,7 +43,7 @@
 	t.Helper()
 	for end := time.Now().Add(hangTimeout); ; time.Sleep(time.Millisecond) {
 		l.mu.Lock()
-		got := l.open
+		got := l.conns.Open()
 		l.mu.Unlock()
 		if got == want {
 			return
@@ -120,7 +120,7 @@
 	t.Helper()
 	for end := time.Now().Add(hangTimeout); ; time.Sleep(time.Millisecond) {
 		l.mu.Lock()
-		got := l.waiting.Len()
+		got := l.conns.Waiting()
 		l.mu.Unlock()
 		if got == want {
 			return
@@ -229,7 +229,8 @@
 // TestRoomIsMadeForSeveralConnections checks that requests in progress are ended for several new connections at a time and that their
 // connections are counted: each stays open for half a second after its answer, so that new callers got in two a second.
 func TestRoomIsMadeForSeveralConnections(t *testing.T) {
-	const conns = 2 * roomShare
+	// Room is made for a sixteenth of the connections at a time.
+	const conns = 32
 	var asked atomic.Int32
 	ended := make(chan struct{})
 	counters := &ListenerCounters{}
