Decide in core/evac how old the set of evacuated data centres may be

Cause: io/owner decided at which age of the set placements are held, among the code that sends orders, so that its tests need processes and time.

Ruled out: the age as a method of core/evac.Set: the set is copied and replaced, and an agent's rule for it differs.

Change: core/evac.Gate has the rule, its greatest age, and when a hold begins and ends. io/owner passes the time and logs. Its tests take the age from core/evac and are unchanged otherwise.

Conclusion: no behaviour changed.

--- a/io/owner/evac_test.go
+++ b/io/owner/evac_test.go
@@ -98,7 +98,7 @@
 func TestNothingIsPlacedBeforeEvacuationsAreKnown(t *testing.T) {
 	f := newEvacuationFixture(t, &evacuations{})
 	f.expectNone("before the first listing")
-	f.learn(evacuationMaxAge + time.Minute)
+	f.learn(evac.MaxAge + time.Minute)
 	f.expectNone("by a set that is too old")
 	f.learn(0, "c1")
 	f.expectNone("in an evacuated data centre")
@@ -112,7 +112,7 @@
 	known.learn(0)
 	f := newEvacuationFixture(t, known)
 	waitFor(t, "start order", func() bool { return f.starts() > 0 })
-	f.learn(evacuationMaxAge + time.Minute)
+	f.learn(evac.MaxAge + time.Minute)
 	time.Sleep(3 * pollInterval)
 	// On a new link, starts that aren't confirmed are sent again.
 	f.agent.Close()
--- a/io/owner/evacuation.go
+++ b/io/owner/evacuation.go
@@ -1,10 +1,10 @@
 package owner
 
-import "time"
+import (
+	"time"
 
-// evacuationMaxAge bounds the age of the evacuated data centres by which tasks are placed and started. Together with the way
-// of a start to the worker it is within the 5 s from which nothing may start in an evacuated data centre.
-const evacuationMaxAge = 4500 * time.Millisecond
+	"wagtailhoist/core/evac"
+)
 
 // applyEvacuations passes the evacuated data centres to the scheduler if they may have changed.
 func (t *term) applyEvacuations(now time.Time) {
@@ -16,22 +16,21 @@
 	asOf := e.AsOf()
 	if e.Synced() {
 		set, revision := e.Snapshot()
-		if !t.evacuationsKnown || revision != t.evacuationRevision {
+		if !t.evacuations.Known() || revision != t.evacuationRevision {
 			t.scheduler.SetEvacuated(now, set.Centres())
 		}
-		t.evacuationsKnown, t.evacuationRevision, t.evacuatedAsOf = true, revision, asOf
+		t.evacuationRevision = revision
+		t.evacuations.Update(asOf)
 	}
-	switch held := !t.mayPlace(now); {
-	case held && t.heldAt.IsZero():
-		t.heldAt = now
-		t.owner.Log.Warn("placements held: the evacuated data centres aren't known", "listed", t.evacuationsKnown, "fence", t.fence)
-	case !held && !t.heldAt.IsZero():
-		t.owner.Log.Info("placements resumed: the evacuated data centres are known", "held", now.Sub(t.heldAt).Milliseconds(), "fence", t.fence)
-		t.heldAt = time.Time{}
+	switch transition, held := t.evacuations.Check(now); transition {
+	case evac.Held:
+		t.owner.Log.Warn("placements held: the evacuated data centres aren't known", "listed", t.evacuations.Known(), "fence", t.fence)
+	case evac.Resumed:
+		t.owner.Log.Info("placements resumed: the evacuated data centres are known", "held", held.Milliseconds(), "fence", t.fence)
 	}
 }
 
 // mayPlace reports whether the evacuated data centres are known well enough to place and start tasks.
 func (t *term) mayPlace(now time.Time) bool {
-	return t.owner.Evacuations == nil || t.evacuationsKnown && now.Sub(t.evacuatedAsOf) <= evacuationMaxAge
+	return t.owner.Evacuations == nil || t.evacuations.Open(now)
 }
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -8,6 +8,7 @@
 
 	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
+	"wagtailhoist/core/evac"
 	"wagtailhoist/core/model"
 	"wagtailhoist/core/pace"
 	"wagtailhoist/io/clock"
@@ -118,16 +119,13 @@
 	pausedAt      time.Time
 	pausedReports int
 	lagLoggedAt   time.Time
-	// evacuationsKnown is true once the evacuated data centres have been passed to the scheduler. They are those of the store as of
-	// evacuatedAsOf, read at evacuationRevision.
-	evacuationsKnown   bool
-	evacuatedAsOf      time.Time
+	// evacuations decides whether the evacuated data centres that the scheduler knows are current. They were read at
+	// evacuationRevision.
+	evacuations        evac.Gate
 	evacuationRevision uint64
-	// heldAt is since when nothing is placed because the evacuated data centres aren't known, zero while they are.
-	heldAt         time.Time
-	deletedAt      time.Time
-	policyRevision uint64
-	learned        learnedState
+	deletedAt          time.Time
+	policyRevision     uint64
+	learned            learnedState
 }
 
 func newTerm(o *Owner, fence uint64) *term {
