Decide in core/health whether a change is sent to a silent store

Cause: io/proxy decided among its calls, by atomic values and the clock, whether a change is sent to a store that has failed or been silent. The rule was tested only with real pauses.

Ruled out: moving only the rule for changes. It shares its state with the pause after a failed call, and two owners of one state would have to agree.

Change: core/health.Tracker has both rules and their constants; io/proxy tells it of answers and failures, under the lock that it has already. The tests of io/proxy take the constants from core/health, and one sets the time of the last answer by a method.

The new tests name the load of changes in an outage, and a property covers any sequence of events.

Conclusion: no behaviour changed. The values are read under a lock instead of one by one.

--- /dev/null
+++ b/core/health/tracker_test.go
@@ -0,0 +1,115 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// start is the time at which the tests begin.
+var start = time.Unix(1000, 0)
+
+// Under a load of changes, a store that falls silent must get no more of them than those of the first moment: each one that is sent and
+// not answered ends with an unknown outcome at its caller.
+func TestChangesAfterASilence(t *testing.T) {
+	var k Tracker
+	check := func(name string, at time.Duration, want bool) {
+		t.Helper()
+		if got := k.ChangeAllowed(start.Add(at)); got != want {
+			t.Errorf("%s: got change allowed %v, want %v", name, got, want)
+		}
+	}
+	check("before the first answer", 0, true)
+	k.Answered(start)
+	check("with a fresh answer", FreshAnswer, true)
+	check("after a silence", FreshAnswer+1, false)
+	k.ProbeAnswered(start.Add(time.Second))
+	check("after a read was answered", time.Second+FreshAnswer, true)
+	check("after the next silence", time.Second+FreshAnswer+1, false)
+	k.Answered(start.Add(2 * time.Second))
+	check("after any answer", 2*time.Second, true)
+}
+
+// Retries of changes during an outage must not end with an unknown outcome each. After a call without an answer, not even a fresh
+// answer to another call is enough: the store may leave only some calls unanswered.
+func TestChangesAfterACallWithoutAnswer(t *testing.T) {
+	var k Tracker
+	k.Failed(start, true)
+	k.Answered(start)
+	if k.ChangeAllowed(start) {
+		t.Error("got a change allowed after a call without an answer, want none")
+	}
+	// A later refusal says nothing about the call without an answer.
+	k.Failed(start, false)
+	if k.ChangeAllowed(start) {
+		t.Error("got a change allowed after a refusal, want none")
+	}
+	k.ProbeAnswered(start)
+	if !k.ChangeAllowed(start) {
+		t.Error("got no change allowed after a read was answered, want one")
+	}
+	k.Failed(start, true)
+	k.Recovered()
+	if !k.ChangeAllowed(start) || !k.CallAllowed(start) {
+		t.Error("got no change or call allowed after an answered call, want both")
+	}
+	// A refused call has a known outcome, so that changes needn't wait for a read.
+	k.Failed(start, false)
+	if !k.ChangeAllowed(start) {
+		t.Error("got no change allowed after a refused call, want one")
+	}
+}
+
+// While a store refuses a process under load, its calls go through other processes at once, instead of each failing first.
+func TestCallsPauseAfterAFailure(t *testing.T) {
+	var k Tracker
+	if !k.CallAllowed(start) {
+		t.Error("got no call allowed before any failure, want one")
+	}
+	k.Failed(start, false)
+	if k.CallAllowed(start.Add(RetryPause - 1)) {
+		t.Error("got a call allowed during the pause, want none")
+	}
+	if !k.CallAllowed(start.Add(RetryPause)) {
+		t.Error("got no call allowed after the pause, want one")
+	}
+	k.Answered(start)
+	if k.CallAllowed(start) {
+		t.Error("got a call allowed because an earlier one was answered, want none")
+	}
+}
+
+// For any sequence of events, a change is allowed only if the store answered within FreshAnswer or never did, and, after a call
+// without an answer, only once a read or a direct call was answered.
+func TestChangesNeedAnAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var k Tracker
+		now, answeredAt, unanswered := start, time.Time{}, false
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(RetryPause)).Draw(t, "pause")))
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				k.Answered(now)
+				answeredAt = now
+			case 1:
+				k.ProbeAnswered(now)
+				answeredAt, unanswered = now, false
+			case 2:
+				k.Recovered()
+				unanswered = false
+			case 3:
+				k.Failed(now, true)
+				unanswered = true
+			case 4:
+				k.Failed(now, false)
+			}
+			age := rapid.Int64Range(0, int64(2*FreshAnswer)).Draw(t, "age")
+			later := now.Add(time.Duration(age))
+			want := !unanswered && (answeredAt.IsZero() || later.Sub(answeredAt) <= FreshAnswer)
+			if got := k.ChangeAllowed(later); got != want {
+				t.Fatalf("got a change allowed %v, want %v", got, want)
+			}
+		}
+	})
+}
--- a/io/proxy/store.go
+++ b/io/proxy/store.go
@@ -8,12 +8,12 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"wagtailhoist/core/health"
 	"wagtailhoist/io/call"
 	"wagtailhoist/io/clock"
 	"wagtailhoist/io/intake"
@@ -34,14 +34,9 @@
 const (
 	// Path is the path at which a process accepts forwarded calls of the store.
 	Path = "/store"
-	// directRetryPause is how long no direct calls are made after one has failed.
-	directRetryPause = 600 * time.Millisecond
 	// hedgeDelay is how long a direct call may stay unanswered before it is forwarded as well: the store answers in 4 ms,
 	// from another region in 50 ms, and in about 300 ms when it is slow.
 	hedgeDelay = 350 * time.Millisecond
-	// freshAnswer is the age up to which the store's last answer shows that it answers. It is well above the time of a call
-	// and below the first second of an outage, in which most changes would otherwise be sent and not answered.
-	freshAnswer = 250 * time.Millisecond
 	// forwardTimeout bounds a call forwarded to one process, in addition to the wait of a watch.
 	forwardTimeout = 1200 * time.Millisecond
 	// maxPeers bounds the processes to which a call is forwarded, one after the other.
@@ -72,14 +67,9 @@
 	defaultBodies    intake.Bodies
 	setDefaultBodies sync.Once
 
-	// directRetryAt is when direct calls may be made again after a failure, on the boot-time clock in nanoseconds.
-	directRetryAt atomic.Int64
-	// directUnanswered means that the last direct call had no answer.
-	directUnanswered atomic.Bool
-	// answeredAt is when the store last answered a direct call, on the boot-time clock in nanoseconds; 0 means not yet.
-	answeredAt atomic.Int64
-
 	mu sync.Mutex
+	// health decides whether direct calls are made, by times on the boot-time clock.
+	health health.Tracker
 	// directFailed is closed when a direct call fails, so that other calls that wait, such as watches, are forwarded.
 	directFailed chan struct{}
 }
@@ -179,8 +169,7 @@
 			pending--
 			if answeredByStore(o.err) {
 				if o.direct {
-					s.directRetryAt.Store(0)
-					s.directUnanswered.Store(false)
+					s.recordRecovery()
 				}
 				return o.reply, o.err
 			}
@@ -203,20 +192,21 @@
 	return errors.As(err, &unknown)
 }
 
-// directAllowed reports whether direct calls may be made: none has failed within directRetryPause.
-func (s *Store) directAllowed() bool { return clock.Now().UnixNano() >= s.directRetryAt.Load() }
+// directAllowed reports whether direct calls may be made.
+func (s *Store) directAllowed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health.CallAllowed(clock.Now())
+}
 
-// suspendDirect stops direct calls for directRetryPause after one has failed, and has waiting calls forwarded.
+// suspendDirect stops direct calls for health.RetryPause after one has failed, and has waiting calls forwarded.
 func (s *Store) suspendDirect(q *Request, err error) {
 	if s.directAllowed() {
 		s.Log.Info("direct call of the store failed; forwarding calls through other processes", "op", string(q.Op), "error", err)
 	}
-	s.directRetryAt.Store(clock.Now().Add(directRetryPause).UnixNano())
-	if isUnknown(err) {
-		s.directUnanswered.Store(true)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.health.Failed(clock.Now(), isUnknown(err))
 	if s.directFailed != nil {
 		close(s.directFailed)
 		s.directFailed = nil
@@ -233,11 +223,13 @@
 	return s.directFailed
 }
 
-// changesAllowed reports whether a change may be committed directly: after a direct call without an answer, and after a time
-// without any answer, the store has to answer a read first. A change that is sent and not answered has an unknown outcome; one
-// that isn't sent is known not to have been applied, and can be retried.
+// changesAllowed reports whether a change may be committed directly. If health.Tracker doesn't allow it at once, the store has to
+// answer a read first.
 func (s *Store) changesAllowed(ctx context.Context) bool {
-	if !s.directUnanswered.Load() && s.answeredLately() {
+	s.mu.Lock()
+	allowed := s.health.ChangeAllowed(clock.Now())
+	s.mu.Unlock()
+	if allowed {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, hedgeDelay)
@@ -245,18 +237,23 @@
 	if _, err := s.Direct.Get(ctx, probeKey); !answeredByStore(err) {
 		return false
 	}
-	s.recordAnswer()
-	s.directUnanswered.Store(false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.ProbeAnswered(clock.Now())
 	return true
 }
 
-// answeredLately reports whether the last answer of the store is fresh. Before the first one nothing speaks against the store.
-func (s *Store) answeredLately() bool {
-	at := s.answeredAt.Load()
-	return at == 0 || clock.Now().UnixNano()-at <= freshAnswer.Nanoseconds()
+func (s *Store) recordAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Answered(clock.Now())
 }
 
-func (s *Store) recordAnswer() { s.answeredAt.Store(clock.Now().UnixNano()) }
+func (s *Store) recordRecovery() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Recovered()
+}
 
 // callDirect makes a call directly, and notes when the store has answered.
 func (s *Store) callDirect(ctx context.Context, q *Request) (Reply, error) {
--- a/io/proxy/store_test.go
+++ b/io/proxy/store_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"wagtailhoist/core/health"
+	"wagtailhoist/io/clock"
 	"wagtailhoist/io/intake"
 	"wagtailhoist/io/store"
 )
@@ -165,7 +167,7 @@
 		}
 	}
 	if got := other.calls.Load(); got != 1 {
-		t.Errorf("got %d calls by the peer within %v of its failure, want 1", got, directRetryPause)
+		t.Errorf("got %d calls by the peer within %v of its failure, want 1", got, health.RetryPause)
 	}
 }
 
@@ -219,7 +221,7 @@
 	if _, err := s.Commit(context.Background(), change); store.HadNoEffect(err) {
 		t.Errorf("got %v for a change without an answer, want an unknown outcome", err)
 	}
-	time.Sleep(directRetryPause)
+	time.Sleep(health.RetryPause)
 	if _, err := s.Commit(context.Background(), change); !store.HadNoEffect(err) {
 		t.Errorf("got %v for a change that was not sent, want one that says so", err)
 	}
@@ -227,12 +229,19 @@
 		t.Errorf("got %d changes sent, want 1", got)
 	}
 	own.err = nil
-	time.Sleep(directRetryPause)
+	time.Sleep(health.RetryPause)
 	if revision, err := s.Commit(context.Background(), change); err != nil || revision != 11 {
 		t.Errorf("got %d, %v after the store's return, want 11", revision, err)
 	}
 }
 
+// ageAnswer makes the store's last answer too old to count.
+func (s *Store) ageAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Answered(clock.Now().Add(-2 * health.FreshAnswer))
+}
+
 // After a time without any answer, a change is sent only once the store has answered a read. Otherwise the first changes in an
 // outage of a silent store, in each process, end with an unknown outcome.
 func TestChangeAfterASilenceNeedsAnAnswer(t *testing.T) {
@@ -242,7 +251,7 @@
 	if _, err := s.Commit(context.Background(), change); err != nil {
 		t.Fatalf("got %v while the store answers", err)
 	}
-	s.answeredAt.Add(-2 * freshAnswer.Nanoseconds())
+	s.ageAnswer()
 	own.delay = time.Minute
 	if _, err := s.Commit(context.Background(), change); !store.HadNoEffect(err) {
 		t.Errorf("got %v while the store is silent, want an error that promises that nothing was changed", err)
@@ -261,7 +270,7 @@
 		if _, err := s.Commit(context.Background(), change); err != nil {
 			t.Fatal(err)
 		}
-		s.answeredAt.Add(-2 * freshAnswer.Nanoseconds())
+		s.ageAnswer()
 	}
 	if commits, calls := own.commits.Load(), own.calls.Load(); commits != 2 || calls != 3 {
 		t.Errorf("got %d changes and %d calls, want 2 and 3", commits, calls)
