Let TestRoomIsMadeForSeveralConnections fail instead of hang

Cause: with room for one connection at a time, the requests of the test never end, and its new caller waited for an answer without a deadline until the time limit of the whole package.

Change: the caller's connection has the deadline that the other connections of these tests have.

Conclusion: the deadline ends only a test that would hang; what is checked is as before.

--- a/io/intake/listener_test.go
+++ b/io/intake/listener_test.go
@@ -258,6 +258,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { caller.Close() })
+	// Without room for the caller, its request would never be answered.
+	_ = caller.SetDeadline(time.Now().Add(hangTimeout))
 	get(t, caller)
 	if got := asked.Load(); got != 2 {
 		t.Errorf("got %d requests ended for a new connection, want 2", got)
