Split and explain core/check, core/learn, core/budget and io/intake

Ruled out: renaming exported names, which other people's work uses at present.

Conclusion: no behaviour changed.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -107,7 +107,7 @@
 }
 
 // findVictims chooses the bodies to evict so that body can hold n more bytes. It returns false if there aren't enough, or if it
-// would have to choose body itself.
+// would have to choose body itself. Nothing is changed until the choice is complete: holder.next and holder.freed keep it meanwhile.
 func (b *Budget) findVictims(body *Body, n int64) ([]*Body, bool) {
 	for _, h := range b.holders {
 		h.next, h.freed = h.arriving.Front(), 0
@@ -115,6 +115,7 @@
 	own := body.holder
 	var victims []*Body
 	for held := b.held; held+n > b.Limit || own.held-own.freed+n > MaxBody(b.Limit); {
+		// A holder that exceeds its share makes room by its own bodies.
 		h := own
 		if own.held-own.freed+n <= MaxBody(b.Limit) {
 			h = b.heaviest(own, n)
--- a/core/check/diff.go
+++ b/core/check/diff.go
@@ -239,7 +239,8 @@
 	d.limit("idle timeout in ms", old.IdleTimeoutMillis.Value, new.IdleTimeoutMillis.Value, "")
 }
 
-// limit adds a change of a limit; refuses says who is refused if it gets lower. How a limit that is not set compares is not known.
+// limit adds a change of a limit; refuses says who is refused if it gets lower. A limit of 0 is not set, and the default that then holds
+// is not known here, so that such a change names nobody.
 func (d *differ) limit(name string, old, new int64, refuses string) {
 	if new > old || new == 0 {
 		refuses = ""
--- a/core/check/rules.go
+++ b/core/check/rules.go
@@ -13,7 +13,7 @@
 // maxMillis bounds times, so that they can be calculated with in nanoseconds: 30 days.
 const maxMillis = 30 * 24 * 3600 * 1000
 
-// rules adds findings to a collection.
+// rules adds findings to a collection. Its methods find what is wrong with one part of a state each.
 type rules struct{ findings *Findings }
 
 func (r *rules) error(p Place, fix, format string, args ...any) {
@@ -91,7 +91,7 @@
 // jobIDStart matches what a longer prefix may have beyond a shorter one to select some of the job IDs that follow it.
 var jobIDStart = regexp.MustCompile(`^[0-9a-fA-F]{1,16}$`)
 
-// paths finds routes that other routes hide: the first of equal ones gets the requests, and otherwise the longest prefix does.
+// paths finds routes that other routes shadow: the first of equal ones gets the requests, and otherwise the longest prefix does.
 func (r *rules) paths(routes []Route) {
 	first := map[hostAndPrefix]*Route{}
 	for i := range routes {
@@ -104,7 +104,13 @@
 		}
 		first[route.selector()] = route
 	}
-	// taken has the beginnings of job IDs that longer prefixes take from a route.
+	r.takenJobIDs(routes, first)
+}
+
+// takenJobIDs finds the routes some or all of whose job IDs are taken by longer prefixes. first has the route that gets the requests of
+// each host and prefix.
+func (r *rules) takenJobIDs(routes []Route, first map[hostAndPrefix]*Route) {
+	// taken has the beginnings of the job IDs that are taken from a route.
 	taken := map[*Route][]string{}
 	for i := range routes {
 		long := &routes[i]
--- a/core/learn/hist.go
+++ b/core/learn/hist.go
@@ -7,7 +7,8 @@
 	// twenty times less to twenty times more than expected.
 	bins     = 48
 	binWidth = 0.125
-	lowest   = -bins * binWidth / 2
+	// lowest is the logarithm at which the first bin begins.
+	lowest = -bins * binWidth / 2
 )
 
 // histogram holds the weights of logarithms of actual by expected run time.
--- a/core/learn/model.go
+++ b/core/learn/model.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -103,9 +102,9 @@
 	d.mean += (z - d.mean) * weight / d.samples
 }
 
-// value returns the part of a deviation that is certain, given the mean of the deviations of its sort and the variance of a
+// shrunk returns the part of a deviation that is certain, given the mean of the deviations of its sort and the variance of a
 // sample. A deviation that may be chance counts little, and the only one of its sort nothing: it is that of the team or queue.
-func (d *deviation) value(mean, variance float64) float64 {
+func (d *deviation) shrunk(mean, variance float64) float64 {
 	if d == nil {
 		return 0
 	}
@@ -144,8 +143,8 @@
 // clamp returns value bounded to limit in either direction.
 func clamp(value, limit float64) float64 { return max(-limit, min(limit, value)) }
 
-// known returns a name, or an empty string for one that isn't told apart.
-func known(name string) string {
+// distinctName returns a name, or an empty string for one that is too long to be told apart.
+func distinctName(name string) string {
 	if len(name) > maxName {
 		return ""
 	}
@@ -176,19 +175,19 @@
 	}
 	m.uses++
 	q := m.queue(k.Queue)
-	t := m.team(q, known(k.Team))
-	q.add(t, z, weight, s.Censored, &distribution)
+	t := m.team(q, distinctName(k.Team))
+	q.addResidual(t, z, weight, s.Censored, &distribution)
 	residual := clamp(y-p.center, maxResidual*(1+firstSamples/(t.samples+1)))
-	if image := known(k.Image); image != "" {
+	if image := distinctName(k.Image); image != "" {
 		m.image(t, image).add(residual+p.imageShift, weight)
 		t.imageMean = meanDeviation(t.images)
 	}
-	if kind := known(k.Kind); kind != "" {
+	if kind := distinctName(k.Kind); kind != "" {
 		m.kind(q, kind).add(residual+p.kindShift, weight)
 		q.kindMean = meanDeviation(q.kinds)
 	}
 	// The means are of run times on all kinds of workers and of all images: their shifts stay in.
-	t.add(x, p.center+residual, weight)
+	t.addPoint(x, p.center+residual, weight)
 	q.fit()
 }
 
@@ -196,8 +195,8 @@
 // says next to nothing, and would only repeat what is expected.
 const minRuledOut = 0.1
 
-// add adds by how much a run is off what was expected to the spreads of the queue and the team.
-func (q *queue) add(t *team, z, weight float64, censored bool, distribution *histogram) {
+// addResidual adds by how much a run is off what was expected to the spreads of the queue and the team.
+func (q *queue) addResidual(t *team, z, weight float64, censored bool, distribution *histogram) {
 	q.samples = min(q.samples+weight, maxSamples)
 	// The first expectations of a queue are mostly wrong, and say little about the later ones.
 	weight *= q.samples / (q.samples + priorSamples)
@@ -223,8 +222,8 @@
 	q.variance += (square - q.variance) * weight / (q.weight + priorSamples)
 }
 
-// add adds the logarithms of an estimate and a run time.
-func (t *team) add(x, y, weight float64) {
+// addPoint adds the logarithms of an estimate and a run time to the line of the team.
+func (t *team) addPoint(x, y, weight float64) {
 	if t.samples >= maxSamples {
 		const keep = (maxSamples - 1.0) / maxSamples
 		t.samples *= keep
@@ -239,183 +238,6 @@
 	t.sumXY += weight * dx * (y - t.meanY)
 }
 
-// teamValue is a figure of a team with its weight.
-type teamValue struct{ value, weight float64 }
-
-// fit determines the line of the queue from the samples of its teams. Each team counts for the same at most, however many
-// samples it has and however far its run times are off its estimates.
-func (q *queue) fit() {
-	values := make([]teamValue, 0, len(q.teams))
-	for _, t := range q.order {
-		values = append(values, teamValue{t.sumXX, min(t.samples, maxTeamWeight)})
-	}
-	limit := math.Inf(1)
-	if len(values) > 2 {
-		limit = weightedMedian(values)
-	}
-	sumXX, sumXY, weights, pivot := priorSlope, priorSlope, 0.0, 0.0
-	for _, t := range q.order {
-		part := 1.0
-		if t.sumXX > limit {
-			part = limit / t.sumXX
-		}
-		sumXX += part * t.sumXX
-		sumXY += part * t.sumXY
-		weight := min(t.samples, maxTeamWeight)
-		weights += weight
-		pivot += weight * t.meanX
-	}
-	q.slope = sumXY / sumXX
-	q.pivot = pivot / weights
-	values = values[:0]
-	for _, t := range q.order {
-		values = append(values, teamValue{t.meanY - q.slope*(t.meanX-q.pivot), min(t.samples, maxTeamWeight)})
-	}
-	q.level = robustMean(values)
-}
-
-// weightedMedian returns the weighted median of values, which it sorts.
-func weightedMedian(values []teamValue) float64 {
-	slices.SortFunc(values, func(a, b teamValue) int {
-		return cmp.Or(cmp.Compare(a.value, b.value), cmp.Compare(a.weight, b.weight))
-	})
-	half := 0.0
-	for _, v := range values {
-		half += v.weight / 2
-	}
-	for i, v := range values {
-		if half -= v.weight; half < 0 {
-			return v.value
-		} else if half == 0 && i+1 < len(values) {
-			return (v.value + values[i+1].value) / 2
-		}
-	}
-	return values[len(values)-1].value
-}
-
-// robustMean returns the mean of values, each of which moves it by a bounded distance from their median.
-func robustMean(values []teamValue) float64 {
-	median := weightedMedian(values)
-	sum, weights := 0.0, 0.0
-	for _, v := range values {
-		sum += v.weight * clamp(v.value-median, maxShift)
-		weights += v.weight
-	}
-	return median + sum/weights
-}
-
-// queue returns what is known of a queue, which is added if necessary.
-func (m *Model) queue(name string) *queue {
-	q := m.queues[name]
-	if q == nil {
-		if m.queues == nil {
-			m.queues = map[string]*queue{}
-		}
-		if len(m.queues) >= maxQueues {
-			m.deleteQueue(oldest(m.queues, func(q *queue) uint64 { return q.used }))
-		}
-		q = &queue{teams: map[string]*team{}, kinds: map[string]*deviation{}, variance: priorSpread * priorSpread, slope: 1}
-		m.queues[name] = q
-	}
-	q.used = m.uses
-	return q
-}
-
-func (m *Model) deleteQueue(name string) {
-	q := m.queues[name]
-	for id := range q.teams {
-		m.deleteTeam(q, id)
-	}
-	delete(m.queues, name)
-}
-
-func (m *Model) deleteTeam(q *queue, name string) {
-	m.teams--
-	t := q.teams[name]
-	m.images -= len(t.images)
-	delete(q.teams, name)
-	q.order = slices.DeleteFunc(q.order, func(other *team) bool { return other == t })
-}
-
-// team returns what is known of a team in a queue. It is added if necessary, in place of the least recently used one if there
-// are too many.
-func (m *Model) team(q *queue, name string) *team {
-	t := q.teams[name]
-	if t == nil {
-		if m.teams >= maxTeams {
-			m.evictTeam()
-		}
-		t = &team{}
-		q.teams[name] = t
-		q.order = append(q.order, t)
-		m.teams++
-	}
-	t.used = m.uses
-	return t
-}
-
-// evictTeam deletes the least recently used team of all queues.
-func (m *Model) evictTeam() {
-	var from *queue
-	var name string
-	for _, id := range slices.Sorted(maps.Keys(m.queues)) {
-		q := m.queues[id]
-		if len(q.teams) == 0 {
-			continue
-		}
-		team := oldest(q.teams, func(t *team) uint64 { return t.used })
-		if from == nil || q.teams[team].used < from.teams[name].used {
-			from, name = q, team
-		}
-	}
-	m.deleteTeam(from, name)
-}
-
-// image returns what is known of an image of a team. It is added if necessary, in place of the least recently used one of the
-// team if there are too many in all. Each team may have one, so that there are at most maxImages + maxTeams.
-func (m *Model) image(t *team, name string) *deviation {
-	d := t.images[name]
-	if d == nil {
-		if t.images == nil {
-			t.images = map[string]*deviation{}
-		}
-		if m.images >= maxImages && len(t.images) > 0 {
-			delete(t.images, oldest(t.images, func(d *deviation) uint64 { return d.used }))
-			m.images--
-		}
-		d = &deviation{}
-		t.images[name] = d
-		m.images++
-	}
-	d.used = m.uses
-	return d
-}
-
-// kind returns what is known of a kind of worker in a queue, which is added if necessary.
-func (m *Model) kind(q *queue, name string) *deviation {
-	d := q.kinds[name]
-	if d == nil {
-		if len(q.kinds) >= maxKinds {
-			delete(q.kinds, oldest(q.kinds, func(d *deviation) uint64 { return d.used }))
-		}
-		d = &deviation{}
-		q.kinds[name] = d
-	}
-	d.used = m.uses
-	return d
-}
-
-// oldest returns the name of the element that was used least recently, and of those the first by name.
-func oldest[T any](all map[string]T, used func(T) uint64) string {
-	best, found := "", false
-	for name, v := range all {
-		if !found || used(v) < used(all[best]) || used(v) == used(all[best]) && name < best {
-			best, found = name, true
-		}
-	}
-	return best
-}
-
 // Changes returns a number that grows with each sample that changes the model.
 func (m *Model) Changes() uint64 { return m.uses }
 
@@ -443,7 +265,7 @@
 		p.fill(&h)
 		low, _ := h.quantileAbove(lowest, 0.1)
 		high, _ := h.quantileAbove(lowest, 0.9)
-		list = append(list, QueueSummary{name, math.Exp(q.drawn(q.level, q.pivot) - q.pivot), math.Exp(high - low), q.samples})
+		list = append(list, QueueSummary{name, math.Exp(q.shrink(q.level, q.pivot) - q.pivot), math.Exp(high - low), q.samples})
 	}
 	slices.SortFunc(list, func(a, b QueueSummary) int { return cmp.Compare(a.Queue, b.Queue) })
 	return list
--- a/core/learn/predict.go
+++ b/core/learn/predict.go
@@ -23,8 +23,8 @@
 // line returns the logarithm of the run time on the queue's line for that of an estimate.
 func (q *queue) line(x float64) float64 { return q.level + q.slope*(x-q.pivot) }
 
-// drawn returns a logarithm of the run time that is drawn towards that of the estimate, the more the less is known of the queue.
-func (q *queue) drawn(y, x float64) float64 {
+// shrink returns a logarithm of the run time, moved towards that of the estimate: the less is known of the queue, the further.
+func (q *queue) shrink(y, x float64) float64 {
 	return (q.samples*y + priorSamples*x) / (q.samples + priorSamples)
 }
 
@@ -43,13 +43,13 @@
 		own := t.meanY + slope*(x-t.meanX)
 		p.center += certainty(off, t.samples, q.variance) * (own - p.center)
 		if k.Image != "" {
-			p.imageShift = t.images[k.Image].value(t.imageMean, q.variance)
+			p.imageShift = t.images[k.Image].shrunk(t.imageMean, q.variance)
 		}
 	}
 	if k.Kind != "" {
-		p.kindShift = q.kinds[k.Kind].value(q.kindMean, q.variance)
+		p.kindShift = q.kinds[k.Kind].shrunk(q.kindMean, q.variance)
 	}
-	p.center = x + clamp(q.drawn(p.center, x)+p.imageShift+p.kindShift-x, math.Log(maxError))
+	p.center = x + clamp(q.shrink(p.center, x)+p.imageShift+p.kindShift-x, math.Log(maxError))
 	return p
 }
 
--- a/io/intake/body.go
+++ b/io/intake/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -61,75 +60,6 @@
 	header int64
 }
 
-// EvictedError reports a body that was given up in favour of others.
-type EvictedError struct{}
-
-// Error describes the eviction.
-func (e *EvictedError) Error() string {
-	return "request body given up: the memory budget for bodies is full and this one made no progress"
-}
-
-// LateError reports a body that didn't arrive in time.
-type LateError struct{ Received int64 }
-
-// Error gives the number of bytes that arrived.
-func (e *LateError) Error() string {
-	return fmt.Sprintf("request body not complete in time: %d bytes arrived", e.Received)
-}
-
-// TooLargeError reports a body that is larger than its limit.
-type TooLargeError struct{ Limit int64 }
-
-// Error gives the limit.
-func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("request body exceeds the limit of %d bytes", e.Limit)
-}
-
-// UnreadError reports a body that couldn't be read, for example because the connection broke.
-type UnreadError struct{ Cause error }
-
-// Error gives the cause.
-func (e *UnreadError) Error() string { return "request body not received: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *UnreadError) Unwrap() error { return e.Cause }
-
-// Reason returns the reason under which the refusal of a request is counted whose body couldn't be read or decoded.
-func Reason(err error) string {
-	var full *budget.FullError
-	var busy *BusyError
-	var evicted *EvictedError
-	var late *LateError
-	var large *TooLargeError
-	switch {
-	case errors.As(err, &busy):
-		return ReasonBusy
-	case errors.As(err, &full):
-		return ReasonFull
-	case errors.As(err, &evicted):
-		return ReasonEvicted
-	case errors.As(err, &late):
-		return ReasonLate
-	case errors.As(err, &large):
-		return ReasonTooLarge
-	}
-	return ReasonUnread
-}
-
-// StatusCode returns the HTTP status of the answer to a request whose body couldn't be read or decoded. 503 is for
-// those that may succeed when they are repeated.
-func StatusCode(err error) int {
-	switch Reason(err) {
-	case ReasonFull, ReasonEvicted, ReasonBusy:
-		return http.StatusServiceUnavailable
-	case ReasonLate:
-		return http.StatusRequestTimeout
-	case ReasonTooLarge:
-		return http.StatusRequestEntityTooLarge
-	}
-	return http.StatusBadRequest
-}
-
 // MaxBytes returns the largest body that fits into the budget while there is no other.
 func (b *Bodies) MaxBytes() int64 { return budget.MaxBody(b.limit()) }
 
@@ -369,22 +299,3 @@
 	defer b.bodies.mu.Unlock()
 	b.bodies.budget.Release(b.claim)
 }
-
-// bufferedBytes is the number of bytes of a request that net/http may have read ahead.
-const bufferedBytes = 4 << 10
-
-// DropBody must be called before the answer to a request whose body isn't read to its end. It keeps net/http from waiting for the
-// rest: the connection is closed after the answer, unless the whole body has arrived with the header.
-func DropBody(w http.ResponseWriter, r *http.Request) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(longAgo)
-	// A read of a body whose caller waits for "100 Continue" would send that.
-	if r.Header.Get("Expect") == "" && r.ContentLength <= bufferedBytes {
-		if _, err := io.CopyN(io.Discard, r.Body, bufferedBytes+1); err == io.EOF {
-			return
-		}
-	}
-	w.Header().Set("Connection", "close")
-}
