Notice the return of the store, and keep changes from silent processes

Two submissions ended with 504 because they were forwarded, shortly before their callers' deadlines, to processes that didn't answer: their outcome was unknown, and their callers couldn't be told that their jobs don't run.

Ruled out: longer leases (the platform bounds them); more attempts at commits (each one that isn't answered has an unknown outcome).

Change: while direct calls fail and a change is wanted, core/health has the store probed by reads every 120 ms; the first answer lets calls be made directly, also those that wait for another process. A change is forwarded to a process only if the store has answered a read through it, and if enough time is left for the answer; the process that answered lately comes first and needs no read. A renewal is repeated after 100 ms, and a series of failures is logged once.

Tests: TestOutcomes and TestChangeIsNotForwardedToASilentPeer failed on the old code; with the probes, or the direct call on return, taken out, TestReturnOfTheStoreIsNoticed and TestWaitingCallIsMadeDirectlyOnReturn fail. The case "refused, then lost" of TestOutcomes loses the change only, since a peer that loses all calls gets no change any more, which is a case of its own.

--- a/core/health/tracker.go
+++ b/core/health/tracker.go
@@ -8,6 +8,9 @@
 	// FreshAnswer is the age up to which the store's last answer shows that it answers. It is well above the time of a call
 	// and below the first second of an outage, in which most changes would otherwise be sent and not answered.
 	FreshAnswer = 250 * time.Millisecond
+	// demandTime is how long after a change was wanted the store is still probed: callers whose change was refused come back after a
+	// second.
+	demandTime = 2 * time.Second
 )
 
 // Tracker holds what the calls of a process tell about the store. In the zero value, nothing speaks against the store. It is not safe
@@ -19,6 +22,8 @@
 	unanswered bool
 	// answeredAt is when the store last answered; zero means not yet.
 	answeredAt time.Time
+	// wantedAt is when a change was last wanted; zero means never.
+	wantedAt time.Time
 }
 
 // CallAllowed reports whether a direct call may be made: none has failed within RetryPause.
@@ -48,3 +53,19 @@
 	t.retryAt = now.Add(RetryPause)
 	t.unanswered = t.unanswered || unanswered
 }
+
+// ChangeWanted notes that a change is to be made.
+func (t *Tracker) ChangeWanted(now time.Time) { t.wantedAt = now }
+
+// ProbeDue reports whether to find out by reads whether the store answers again: direct calls aren't made, and changes wait for the
+// store. Without probes they would go on to be refused for up to RetryPause after each outage.
+func (t *Tracker) ProbeDue(now time.Time) bool {
+	return !t.CallAllowed(now) && !t.wantedAt.IsZero() && now.Sub(t.wantedAt) <= demandTime
+}
+
+// ProbeFailed notes that a probe had no answer of the store, so that no calls are made directly until the next ones.
+func (t *Tracker) ProbeFailed(now time.Time) {
+	if retryAt := now.Add(RetryPause); !t.CallAllowed(now) && retryAt.After(t.retryAt) {
+		t.retryAt = retryAt
+	}
+}
--- a/core/health/tracker_test.go
+++ b/core/health/tracker_test.go
@@ -80,6 +80,42 @@
 	}
 }
 
+// In an outage beside a load of changes, the store must be probed until it answers: the owner's lease and the jobs of callers wait for
+// it. Without changes, or while calls are answered, there is nothing to find out.
+func TestProbesInAnOutage(t *testing.T) {
+	var k Tracker
+	check := func(name string, at time.Duration, want bool) {
+		t.Helper()
+		if got := k.ProbeDue(start.Add(at)); got != want {
+			t.Errorf("%s: got a probe due %v, want %v", name, got, want)
+		}
+	}
+	k.ChangeWanted(start)
+	check("before a failure", 0, false)
+	k.Failed(start, true)
+	check("after a failure", 0, true)
+	k.ProbeFailed(start.Add(RetryPause - 1))
+	check("after a failed probe", RetryPause, true)
+	if k.CallAllowed(start.Add(RetryPause)) {
+		t.Error("got a call allowed while probes fail, want none")
+	}
+	k.Recovered()
+	check("after an answer", RetryPause, false)
+	k.ProbeFailed(start.Add(RetryPause))
+	if !k.CallAllowed(start.Add(RetryPause)) {
+		t.Error("got no call allowed after an answer, because of a probe that began before it; want one")
+	}
+	for at := RetryPause; at < demandTime+RetryPause; at += RetryPause {
+		k.Failed(start.Add(at), false)
+	}
+	check("without changes", demandTime+1, false)
+	var idle Tracker
+	idle.Failed(start, true)
+	if idle.ProbeDue(start) {
+		t.Error("got a probe due although no change was ever wanted, want none")
+	}
+}
+
 // For any sequence of events, a change is allowed only if the store answered within FreshAnswer or never did, and, after a call
 // without an answer, only once a read or a direct call was answered.
 func TestChangesNeedAnAnswer(t *testing.T) {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -52,6 +52,8 @@
 	leaseTTL = 1200 * time.Millisecond
 	// renewInterval is the interval between renewals of the owner's lease.
 	renewInterval = 300 * time.Millisecond
+	// renewRetryPause is the pause after a failed renewal. The agents wait for it to extend their leases after an outage of the store.
+	renewRetryPause = 100 * time.Millisecond
 	// leaseMargin is how long before the end of its lease the owner stops deciding, so that it has stopped when the store
 	// lets the lease expire.
 	leaseMargin = 100 * time.Millisecond
@@ -233,8 +235,9 @@
 // reached, the owner stops deciding at the end of its lease; it goes on if the store, which may keep leases during its outage,
 // still has the lease afterwards. Nothing can have changed then: no other entry can become the owner while the lease exists.
 func (o *Owner) renew(ctx context.Context, fence, lease uint64) {
+	pause, failures := renewInterval, 0
 	for {
-		clock.Sleep(ctx, renewInterval)
+		clock.Sleep(ctx, pause)
 		if ctx.Err() != nil {
 			return
 		}
@@ -247,18 +250,19 @@
 		case err == nil:
 			o.leaseEnd.Store(begun.Add(leaseTTL - leaseMargin).UnixNano())
 			o.roundTrip.Store(int64(clock.Now().Sub(begun)))
+			pause, failures = renewInterval, 0
+			continue
 		case errors.As(err, &leaseErr):
 			o.Log.Warn("ownership lost: the lease has ended", "lease", lease)
 			return
 		case o.otherOwner(fence):
 			o.Log.Warn("ownership lost: another entry is the owner", "lease", lease, "fence", fence)
 			return
-		default:
-			o.Log.Warn("lease not renewed; retrying", "lease", lease, "fence", fence, "error", err)
 		}
-		if err != nil {
-			clock.Sleep(ctx, 100*time.Millisecond)
+		if failures++; failures == 1 {
+			o.Log.Warn("lease not renewed; retrying", "lease", lease, "fence", fence, "error", err)
 		}
+		pause = renewRetryPause
 	}
 }
 
--- a/io/proxy/store.go
+++ b/io/proxy/store.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,10 @@
 	forwardTimeout = 1200 * time.Millisecond
 	// maxPeers bounds the processes to which a call is forwarded, one after the other.
 	maxPeers = 2
+	// peerProbeTimeout bounds the read by which a process shows that it reaches the store, which takes 300 ms when the store is slow.
+	peerProbeTimeout = 500 * time.Millisecond
+	// probeInterval is the interval of the reads by which a process finds out that the store answers again.
+	probeInterval = 120 * time.Millisecond
 	// probeKey is read to find out whether the store answers; it need not exist.
 	probeKey = "wh/probe"
 	// maxBodyBytes bounds a forwarded call and its reply: a change has at most 32 records of a job's progress.
@@ -72,6 +77,13 @@
 	health health.Tracker
 	// directFailed is closed when a direct call fails, so that other calls that wait, such as watches, are forwarded.
 	directFailed chan struct{}
+	// directBack is closed when a probe is answered, so that calls that wait for another process are made directly, too.
+	directBack chan struct{}
+	// probing is true while the store is probed.
+	probing bool
+	// lastPeer is the process that last had an answer of the store to a forwarded call, at lastPeerAt on the boot-time clock.
+	lastPeer   string
+	lastPeerAt time.Time
 }
 
 // Get returns the item of key, or a NotFoundError.
@@ -134,12 +146,16 @@
 	results := make(chan outcome, 2)
 	pending, unknown := 0, false
 	var lastErr error
-	if s.directAllowed() {
-		pending++
-		go func() {
-			reply, err := s.callDirect(ctx, q)
-			results <- outcome{reply, err, true}
-		}()
+	called := false
+	callDirect := func() {
+		if !called {
+			called = true
+			pending++
+			go func() {
+				reply, err := s.callDirect(ctx, q)
+				results <- outcome{reply, err, true}
+			}()
+		}
 	}
 	forwarded := false
 	forward := func() {
@@ -155,7 +171,13 @@
 	timer := time.NewTimer(hedgeDelay + q.Wait)
 	defer timer.Stop()
 	failed := s.directFailure()
-	if pending == 0 {
+	if changes(q.Op) {
+		s.wantChange()
+	}
+	back := s.directReturn()
+	if s.directAllowed() {
+		callDirect()
+	} else {
 		forward()
 	}
 	for pending > 0 {
@@ -165,6 +187,9 @@
 		case <-failed:
 			failed = nil
 			forward()
+		case <-back:
+			back = nil
+			callDirect()
 		case o := <-results:
 			pending--
 			if answeredByStore(o.err) {
@@ -207,6 +232,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.health.Failed(clock.Now(), isUnknown(err))
+	s.startProbesLocked()
 	if s.directFailed != nil {
 		close(s.directFailed)
 		s.directFailed = nil
@@ -223,6 +249,70 @@
 	return s.directFailed
 }
 
+// directReturn returns a channel that is closed when a probe is answered.
+func (s *Store) directReturn() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.directBack == nil {
+		s.directBack = make(chan struct{})
+	}
+	return s.directBack
+}
+
+// changes reports whether a call changes the store.
+func changes(op Op) bool { return op == OpCommit || op == OpGrant || op == OpRenew }
+
+// wantChange notes that a change is to be made, for which the store is probed while it doesn't answer.
+func (s *Store) wantChange() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.ChangeWanted(clock.Now())
+	s.startProbesLocked()
+}
+
+// startProbesLocked begins to probe the store if that is due.
+func (s *Store) startProbesLocked() {
+	if !s.probing && s.health.ProbeDue(clock.Now()) {
+		s.probing = true
+		go s.probe()
+	}
+}
+
+// probe reads from the store every probeInterval while that is due. A read doesn't wait for the one before: a call that an outage
+// swallowed is never answered.
+func (s *Store) probe() {
+	for {
+		s.mu.Lock()
+		s.probing = s.health.ProbeDue(clock.Now())
+		probing := s.probing
+		s.mu.Unlock()
+		if !probing {
+			return
+		}
+		go s.probeOnce()
+		time.Sleep(probeInterval)
+	}
+}
+
+// probeOnce reads from the store, and lets calls be made directly again if it answers.
+func (s *Store) probeOnce() {
+	ctx, cancel := context.WithTimeout(context.Background(), hedgeDelay)
+	defer cancel()
+	_, err := s.Direct.Get(ctx, probeKey)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !answeredByStore(err) {
+		s.health.ProbeFailed(clock.Now())
+		return
+	}
+	s.health.Recovered()
+	s.health.Answered(clock.Now())
+	if s.directBack != nil {
+		close(s.directBack)
+		s.directBack = nil
+	}
+}
+
 // changesAllowed reports whether a change may be committed directly. If health.Tracker doesn't allow it at once, the store has to
 // answer a read first.
 func (s *Store) changesAllowed(ctx context.Context) bool {
@@ -294,15 +384,25 @@
 	return r, err
 }
 
-// forward forwards a call to at most maxPeers processes, one after the other, until the store has answered one of them.
+// forward forwards a call to at most maxPeers processes, one after the other, until the store has answered one of them. The one
+// that had an answer lately comes first.
 func (s *Store) forward(ctx context.Context, q *Request) (Reply, error) {
 	peers := s.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	fresh := s.freshPeer(clock.Now())
+	if i := slices.Index(peers, fresh); i > 0 {
+		peers[0], peers[i] = peers[i], peers[0]
+	}
 	var lastErr error = &store.RefusedError{Op: string(q.Op), Cause: fmt.Errorf("no other process is known to forward the call to")}
 	unknown := false
 	for _, peer := range peers[:min(maxPeers, len(peers))] {
+		if q.Op == OpCommit && peer != fresh && !s.peerAnswers(ctx, peer) {
+			lastErr = &store.RefusedError{Op: string(q.Op), Cause: fmt.Errorf("the store doesn't answer reads through %s in time", peer)}
+			continue
+		}
 		reply, err := s.postToPeer(ctx, peer, q)
 		if answeredByStore(err) {
+			s.recordPeer(peer)
 			return reply, err
 		}
 		lastErr, unknown = err, unknown || isUnknown(err)
@@ -313,6 +413,43 @@
 	return Reply{}, lastErr
 }
 
+// peerAnswers reports whether a change may be forwarded to a process: the store has to answer a read through it first, and enough
+// time has to be left. A change that was sent to a process which is cut off or suspended has an unknown outcome.
+func (s *Store) peerAnswers(ctx context.Context, peer string) bool {
+	begun := clock.Now()
+	probeCtx, cancel := context.WithTimeout(ctx, peerProbeTimeout)
+	defer cancel()
+	_, err := s.postToPeer(probeCtx, peer, &Request{Op: OpGet, Key: probeKey})
+	if !answeredByStore(err) {
+		return false
+	}
+	s.recordPeer(peer)
+	now := clock.Now()
+	deadline, limited := ctx.Deadline()
+	return !limited || enoughTime(now.Sub(begun), time.Until(deadline))
+}
+
+// enoughTime reports whether a change is likely to be answered in the time that is left, after a read that took a time: a change
+// takes up to twice that.
+func enoughTime(read, left time.Duration) bool { return left >= 2*read }
+
+// freshPeer returns the process that had an answer of the store within health.FreshAnswer, or an empty string.
+func (s *Store) freshPeer(now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.lastPeerAt) > health.FreshAnswer {
+		return ""
+	}
+	return s.lastPeer
+}
+
+// recordPeer notes that the store has answered a call that was forwarded to a process.
+func (s *Store) recordPeer(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastPeer, s.lastPeerAt = peer, clock.Now()
+}
+
 // postToPeer forwards a call to one process. The error is a RefusedError if the call was certainly not carried out.
 func (s *Store) postToPeer(ctx context.Context, peer string, q *Request) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout+q.Wait)
--- a/io/proxy/store_test.go
+++ b/io/proxy/store_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,24 +20,36 @@
 	"wagtailhoist/io/store"
 )
 
-// fakeStore answers each call with err after delay.
+// fakeStore answers each call with err after delay, but changes with commitErr if it is set.
 type fakeStore struct {
-	err   error
-	delay time.Duration
+	// mu guards err and delay.
+	mu             sync.Mutex
+	err, commitErr error
+	delay          time.Duration
 	// calls counts all calls, commits those of Commit.
 	calls, commits atomic.Int32
 }
 
 func (s *fakeStore) answer(ctx context.Context) error {
 	s.calls.Add(1)
+	s.mu.Lock()
+	delay, err := s.delay, s.err
+	s.mu.Unlock()
 	select {
-	case <-time.After(s.delay):
-		return s.err
+	case <-time.After(delay):
+		return err
 	case <-ctx.Done():
 		return &store.UnavailableError{Op: "fake", Cause: ctx.Err()}
 	}
 }
 
+// set replaces the error and the delay of later answers.
+func (s *fakeStore) set(err error, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err, s.delay = err, delay
+}
+
 func (s *fakeStore) Get(ctx context.Context, key string) (store.Item, error) {
 	return store.Item{Key: key, Version: 7, Value: []byte("v")}, s.answer(ctx)
 }
@@ -51,7 +64,10 @@
 
 func (s *fakeStore) Commit(ctx context.Context, _ store.Change) (uint64, error) {
 	s.commits.Add(1)
-	return 11, s.answer(ctx)
+	if err := s.answer(ctx); err != nil || s.commitErr == nil {
+		return 11, err
+	}
+	return 0, s.commitErr
 }
 
 func (s *fakeStore) Grant(ctx context.Context, _ time.Duration) (uint64, error) {
@@ -87,21 +103,24 @@
 	tests := []struct {
 		name       string
 		own, other error
+		// commit is the error of a change at a peer that answers reads.
+		commit error
 		// want is the type of the error, nil for success.
 		want any
 		// notDone is whether the error promises that nothing was done.
 		notDone bool
 	}{
-		{"direct", nil, lost, nil, false},
-		{"refused, then by way of the peer", refused, nil, nil, false},
-		{"lost, then by way of the peer", lost, nil, nil, false},
-		{"refused on both ways", refused, refused, &isRefused, true},
-		{"lost, then refused", lost, refused, &isUnknown, false},
-		{"refused, then lost", refused, lost, &isUnknown, false},
-		{"refused, then the store's own word", refused, &store.CheckError{Items: []store.Item{{Key: "k", Version: 3}}}, &isCheck, false},
+		{"direct", nil, lost, nil, nil, false},
+		{"refused, then by way of the peer", refused, nil, nil, nil, false},
+		{"lost, then by way of the peer", lost, nil, nil, nil, false},
+		{"refused on both ways", refused, refused, nil, &isRefused, true},
+		{"lost, then refused", lost, refused, nil, &isUnknown, false},
+		{"refused, then lost", refused, nil, lost, &isUnknown, false},
+		{"refused, then a peer without answers", refused, lost, nil, &isRefused, true},
+		{"refused, then the store's own word", refused, nil, &store.CheckError{Items: []store.Item{{Key: "k", Version: 3}}}, &isCheck, false},
 	}
 	for _, test := range tests {
-		s := newStoreWithPeer(t, &fakeStore{err: test.own}, &fakeStore{err: test.other})
+		s := newStoreWithPeer(t, &fakeStore{err: test.own}, &fakeStore{err: test.other, commitErr: test.commit})
 		version, err := s.Commit(context.Background(), store.Change{Sets: []store.Set{{Key: "k"}}})
 		if test.want == nil {
 			if err != nil || version != 11 {
@@ -228,7 +247,7 @@
 	if got := own.commits.Load(); got != 1 {
 		t.Errorf("got %d changes sent, want 1", got)
 	}
-	own.err = nil
+	own.set(nil, 0)
 	time.Sleep(health.RetryPause)
 	if revision, err := s.Commit(context.Background(), change); err != nil || revision != 11 {
 		t.Errorf("got %d, %v after the store's return, want 11", revision, err)
@@ -252,7 +271,7 @@
 		t.Fatalf("got %v while the store answers", err)
 	}
 	s.ageAnswer()
-	own.delay = time.Minute
+	own.set(nil, time.Minute)
 	if _, err := s.Commit(context.Background(), change); !store.HadNoEffect(err) {
 		t.Errorf("got %v while the store is silent, want an error that promises that nothing was changed", err)
 	}
@@ -276,3 +295,125 @@
 		t.Errorf("got %d changes and %d calls, want 2 and 3", commits, calls)
 	}
 }
+
+// newStoreWithSilentPeer returns a store that calls own directly and has one peer, which takes calls and never answers.
+func newStoreWithSilentPeer(t *testing.T, own *fakeStore) *Store {
+	t.Helper()
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	return &Store{
+		Direct: own, Peers: func() []string { return []string{silent.Addr().String()} },
+		Token: "t", HTTP: http.DefaultClient, Log: slog.New(slog.DiscardHandler),
+	}
+}
+
+// A peer that was cut off takes a change and never answers. Such changes had an unknown outcome, after which a caller can't be told
+// that its job doesn't run.
+func TestChangeIsNotForwardedToASilentPeer(t *testing.T) {
+	s := newStoreWithSilentPeer(t, &fakeStore{err: refused})
+	change := store.Change{Sets: []store.Set{{Key: "k"}}}
+	for _, limit := range []time.Duration{50 * time.Millisecond, time.Minute} {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		_, err := s.Commit(ctx, change)
+		cancel()
+		if !store.HadNoEffect(err) {
+			t.Errorf("got %v with %v left, want an error that promises that nothing was changed", err, limit)
+		}
+	}
+}
+
+// In an outage of some processes, changes follow one another: only the first one needs a read through the peer.
+func TestPeerThatAnsweredNeedsNoRead(t *testing.T) {
+	other := &fakeStore{}
+	s := newStoreWithPeer(t, &fakeStore{err: refused}, other)
+	change := store.Change{Sets: []store.Set{{Key: "k"}}}
+	for i, want := range []int32{2, 3, 5} {
+		if i == 1 {
+			// However slow the machine is, the answer counts as fresh.
+			s.lastPeerAt = clock.Now().Add(time.Hour)
+		} else {
+			s.lastPeerAt = time.Time{}
+		}
+		if _, err := s.Commit(context.Background(), change); err != nil {
+			t.Fatal(err)
+		}
+		if got := other.calls.Load(); got != want {
+			t.Errorf("calls of the store by the peer after change %d: got %d, want %d", i+1, got, want)
+		}
+	}
+}
+
+// A change that is sent shortly before its caller's deadline isn't answered in time.
+func TestChangeNeedsTimeForItsAnswer(t *testing.T) {
+	for _, test := range []struct {
+		read, left time.Duration
+		want       bool
+	}{
+		{0, 0, true},
+		{40 * time.Millisecond, 50 * time.Millisecond, false},
+		{40 * time.Millisecond, 80 * time.Millisecond, true},
+		{300 * time.Millisecond, -time.Millisecond, false},
+	} {
+		if got := enoughTime(test.read, test.left); got != test.want {
+			t.Errorf("%v left after a read of %v: got %v, want %v", test.left, test.read, got, test.want)
+		}
+	}
+}
+
+// suspend keeps calls from being made directly for an hour unless the store is found to answer.
+func (s *Store) suspend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Failed(clock.Now().Add(time.Hour), false)
+}
+
+// After an outage, changes went on to be refused until the pause after the last failed call had passed, and the owner's lease was
+// renewed 0.7 s late.
+func TestReturnOfTheStoreIsNoticed(t *testing.T) {
+	own := &fakeStore{err: refused}
+	s := newStoreWithPeer(t, own, &fakeStore{err: refused})
+	s.suspend()
+	change := store.Change{Sets: []store.Set{{Key: "k"}}}
+	if _, err := s.Commit(context.Background(), change); !store.HadNoEffect(err) {
+		t.Fatalf("got %v during the outage, want an error that promises that nothing was changed", err)
+	}
+	own.set(nil, 0)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		if _, err := s.Commit(context.Background(), change); err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("got no change through after the store's return, want one")
+		}
+	}
+}
+
+// A call that waits for a process that was cut off must be made directly once the store answers again: the renewal of the owner's lease
+// waited for its timeout.
+func TestWaitingCallIsMadeDirectlyOnReturn(t *testing.T) {
+	own := &fakeStore{err: refused}
+	s := newStoreWithSilentPeer(t, own)
+	s.suspend()
+	for range 10 {
+		own.set(refused, 0)
+		s.suspend()
+		begun := own.calls.Load()
+		returned := make(chan struct{})
+		go func() {
+			defer close(returned)
+			for own.calls.Load() == begun {
+				time.Sleep(time.Millisecond)
+			}
+			own.set(nil, 0)
+		}()
+		err := s.Renew(context.Background(), 5)
+		<-returned
+		if err == nil {
+			return
+		}
+	}
+	t.Error("got no renewal directly while a peer is silent, want one of ten")
+}
