--- a/core/check/check_test.go
+++ b/core/check/check_test.go
@@ -96,8 +96,8 @@
 		{"sum over any number", func(s *State) { secondTeam(s, func(t *Team) { t.Guarantee.Value = math.MaxInt64 }) }, "error guarantee 2"},
 		{"over the quota", func(s *State) { s.Teams[0].Guarantee.Value = 5 }, "error guarantee"},
 		{"negative guarantee", func(s *State) { s.Teams[0].Guarantee.Value = -1 }, "warning guarantee"},
-		{"body limit at the budget", func(s *State) { s.Limits.BodyBytes.Value = 1000 }, ""},
-		{"body limit over the budget", func(s *State) { s.Limits.BodyBytes.Value = 1001 }, "error body"},
+		{"body limit at a body's share of the budget", func(s *State) { s.Limits.BodyBytes.Value = 750 }, ""},
+		{"body limit over a body's share of the budget", func(s *State) { s.Limits.BodyBytes.Value = 751 }, "error body"},
 		{"smallest body limit", func(s *State) { s.Limits.BodyBytes.Value = 20 }, ""},
 		{"body limit too small", func(s *State) { s.Limits.BodyBytes.Value = 19 }, "error body"},
 		{"largest number", func(s *State) { s.Limits.BodyBytes.Value = math.MaxInt64 }, "error body"},
@@ -122,6 +122,54 @@
 	}
 }
 
+// withRoutes appends a route for each prefix.
+func withRoutes(s *State, prefixes ...string) {
+	for _, prefix := range prefixes {
+		second(s, func(r *Route) { r.Name.Value, r.Prefix.Value = prefix, prefix })
+	}
+}
+
+// behind returns a prefix followed by each digit of a job ID.
+func behind(prefix string) []string {
+	var prefixes []string
+	for _, digit := range jobIDDigits {
+		prefixes = append(prefixes, prefix+string(digit))
+	}
+	return prefixes
+}
+
+// TestRouteShadowedBySeveralPrefixes guards against a route that gets no jobs because several longer prefixes together take all job
+// IDs: none of them does by itself. A single ID that is left makes it no error.
+func TestRouteShadowedBySeveralPrefixes(t *testing.T) {
+	all := behind("/q/")
+	last := len(all) - 1
+	tests := []struct {
+		name     string
+		prefixes []string
+		want     int
+	}{
+		{"all first digits", all, 1},
+		{"all but one", all[1:], 0},
+		{"all but those in capitals", all[:16], 0},
+		{"the last digit by its second ones", append(behind(all[last]), all[:last]...), 1},
+		{"all but one second digit", append(behind(all[last])[1:], all[:last]...), 0},
+		{"both of two lengths", append(behind(all[last]), all...), 2},
+		{"paths below", append(behind("/q/x"), "/q/0/"), 0},
+	}
+	for _, test := range tests {
+		s := goodState()
+		withRoutes(s, test.prefixes...)
+		var findings Findings
+		Find(s, Bounds{}, &findings)
+		if findings.Errors != test.want {
+			t.Errorf("%s: got %d errors, want %d; the first finding is %v", test.name, findings.Errors, test.want, findings.Report().Findings[0])
+		}
+		if first := findings.Report().Findings[0]; test.want > 0 && first.Path != "prefix" && first.Path != "prefix 2" {
+			t.Errorf("%s: got the finding %v, want it at a prefix", test.name, first)
+		}
+	}
+}
+
 // TestUnknownBounds checks that a fleet and a budget that are not known give no findings.
 func TestUnknownBounds(t *testing.T) {
 	s := goodState()
--- a/core/check/rules.go
+++ b/core/check/rules.go
@@ -4,13 +4,16 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"strings"
+
+	"wagtailhoist/core/budget"
 )
 
 // maxMillis bounds times, so that they can be calculated with in nanoseconds: 30 days.
 const maxMillis = 30 * 24 * 3600 * 1000
 
-// rules adds findings to a collection.
+// rules adds findings to a collection. Its methods find what is wrong with one part of a state each.
 type rules struct{ findings *Findings }
 
 func (r *rules) error(p Place, fix, format string, args ...any) {
@@ -88,7 +91,7 @@
 // jobIDStart matches what a longer prefix may have beyond a shorter one to select some of the job IDs that follow it.
 var jobIDStart = regexp.MustCompile(`^[0-9a-fA-F]{1,16}$`)
 
-// paths finds routes that other routes hide: the first of equal ones gets the requests, and otherwise the longest prefix does.
+// paths finds routes that other routes shadow: the first of equal ones gets the requests, and otherwise the longest prefix does.
 func (r *rules) paths(routes []Route) {
 	first := map[hostAndPrefix]*Route{}
 	for i := range routes {
@@ -101,6 +104,14 @@
 		}
 		first[route.selector()] = route
 	}
+	r.takenJobIDs(routes, first)
+}
+
+// takenJobIDs finds the routes some or all of whose job IDs are taken by longer prefixes. first has the route that gets the requests of
+// each host and prefix.
+func (r *rules) takenJobIDs(routes []Route, first map[hostAndPrefix]*Route) {
+	// taken has the beginnings of the job IDs that are taken from a route.
+	taken := map[*Route][]string{}
 	for i := range routes {
 		long := &routes[i]
 		if first[long.selector()] != long {
@@ -113,9 +124,41 @@
 			if ok && strings.HasPrefix(prefix[:n], "/") && jobIDStart.MatchString(prefix[n:]) {
 				r.warn(long.Prefix.Place, "end prefixes with a slash", "takes the jobs of queue %q whose IDs begin with %q (prefix %q at line %d)",
 					short.Name.Value, prefix[n:], prefix[:n], short.Place.Line)
+				taken[short] = append(taken[short], prefix[n:])
 			}
 		}
 	}
+	for i := range routes {
+		if route := &routes[i]; coverJobIDs(taken[route]) {
+			r.error(route.Prefix.Place, "end prefixes with a slash",
+				"%d longer prefixes together take all job IDs behind prefix %q, so that queue %q gets no jobs by this route",
+				len(taken[route]), route.Prefix.Value, route.Name.Value)
+		}
+	}
+}
+
+// jobIDDigits are the characters of job IDs, which are compared as they are written.
+const jobIDDigits = "0123456789abcdefABCDEF"
+
+// coverJobIDs reports whether each job ID begins with one of the given texts, which consist of at most 16 digits each. It is so if
+// one text is empty, or if the texts with each first digit, without that digit, cover the IDs that go on from there.
+func coverJobIDs(starts []string) bool {
+	if slices.Contains(starts, "") {
+		return true
+	}
+	if len(starts) < len(jobIDDigits) {
+		return false
+	}
+	rest := map[byte][]string{}
+	for _, start := range starts {
+		rest[start[0]] = append(rest[start[0]], start[1:])
+	}
+	for _, digit := range []byte(jobIDDigits) {
+		if !coverJobIDs(rest[digit]) {
+			return false
+		}
+	}
+	return true
 }
 
 // route finds what is wrong with a route by itself.
@@ -252,9 +295,10 @@
 	// The entry reads one byte more than the limit.
 	case body.Value < b.MinBody || body.Value == math.MaxInt64:
 		r.error(body.Place, "set another limit, or 0 for the default", "with a limit of %d bytes, every job is refused", body.Value)
-	case b.BodyBudget > 0 && body.Value > b.BodyBudget:
+	case b.BodyBudget > 0 && body.Value > budget.MaxBody(b.BodyBudget):
 		r.error(body.Place, "lower the limit, or raise the budget of the entries",
-			"the limit of %d bytes exceeds the entry's memory budget for bodies, %d bytes: larger bodies are always refused", body.Value, b.BodyBudget)
+			"the limit of %d bytes exceeds %d bytes, three quarters of the entry's memory budget for bodies: larger bodies are always refused",
+			body.Value, budget.MaxBody(b.BodyBudget))
 	}
 	if l.HeaderBytes.Value < 0 {
 		r.warn(l.HeaderBytes.Place, "set a limit, or 0 for the default", "a limit of %d bytes is out of range", l.HeaderBytes.Value)
--- a/io/proxy/store.go
+++ b/io/proxy/store.go
@@ -7,13 +7,14 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"wagtailhoist/core/health"
 	"wagtailhoist/io/call"
 	"wagtailhoist/io/clock"
 	"wagtailhoist/io/intake"
@@ -34,18 +35,17 @@
 const (
 	// Path is the path at which a process accepts forwarded calls of the store.
 	Path = "/store"
-	// directRetryPause is how long no direct calls are made after one has failed.
-	directRetryPause = 600 * time.Millisecond
 	// hedgeDelay is how long a direct call may stay unanswered before it is forwarded as well: the store answers in 4 ms,
 	// from another region in 50 ms, and in about 300 ms when it is slow.
 	hedgeDelay = 350 * time.Millisecond
-	// freshAnswer is the age up to which the store's last answer shows that it answers. It is well above the time of a call
-	// and below the first second of an outage, in which most changes would otherwise be sent and not answered.
-	freshAnswer = 250 * time.Millisecond
 	// forwardTimeout bounds a call forwarded to one process, in addition to the wait of a watch.
 	forwardTimeout = 1200 * time.Millisecond
 	// maxPeers bounds the processes to which a call is forwarded, one after the other.
 	maxPeers = 2
+	// peerProbeTimeout bounds the read by which a process shows that it reaches the store, which takes 300 ms when the store is slow.
+	peerProbeTimeout = 500 * time.Millisecond
+	// probeInterval is the interval of the reads by which a process finds out that the store answers again.
+	probeInterval = 120 * time.Millisecond
 	// probeKey is read to find out whether the store answers; it need not exist.
 	probeKey = "wh/probe"
 	// maxBodyBytes bounds a forwarded call and its reply: a change has at most 32 records of a job's progress.
@@ -72,16 +72,18 @@
 	defaultBodies    intake.Bodies
 	setDefaultBodies sync.Once
 
-	// directRetryAt is when direct calls may be made again after a failure, on the boot-time clock in nanoseconds.
-	directRetryAt atomic.Int64
-	// directUnanswered means that the last direct call had no answer.
-	directUnanswered atomic.Bool
-	// answeredAt is when the store last answered a direct call, on the boot-time clock in nanoseconds; 0 means not yet.
-	answeredAt atomic.Int64
-
 	mu sync.Mutex
+	// health decides whether direct calls are made, by times on the boot-time clock.
+	health health.Tracker
 	// directFailed is closed when a direct call fails, so that other calls that wait, such as watches, are forwarded.
 	directFailed chan struct{}
+	// directBack is closed when a probe is answered, so that calls that wait for another process are made directly, too.
+	directBack chan struct{}
+	// probing is true while the store is probed.
+	probing bool
+	// lastPeer is the process that last had an answer of the store to a forwarded call, at lastPeerAt on the boot-time clock.
+	lastPeer   string
+	lastPeerAt time.Time
 }
 
 // Get returns the item of key, or a NotFoundError.
@@ -144,12 +146,16 @@
 	results := make(chan outcome, 2)
 	pending, unknown := 0, false
 	var lastErr error
-	if s.directAllowed() {
-		pending++
-		go func() {
-			reply, err := s.callDirect(ctx, q)
-			results <- outcome{reply, err, true}
-		}()
+	called := false
+	callDirect := func() {
+		if !called {
+			called = true
+			pending++
+			go func() {
+				reply, err := s.callDirect(ctx, q)
+				results <- outcome{reply, err, true}
+			}()
+		}
 	}
 	forwarded := false
 	forward := func() {
@@ -165,7 +171,13 @@
 	timer := time.NewTimer(hedgeDelay + q.Wait)
 	defer timer.Stop()
 	failed := s.directFailure()
-	if pending == 0 {
+	if changes(q.Op) {
+		s.wantChange()
+	}
+	back := s.directReturn()
+	if s.directAllowed() {
+		callDirect()
+	} else {
 		forward()
 	}
 	for pending > 0 {
@@ -175,12 +187,14 @@
 		case <-failed:
 			failed = nil
 			forward()
+		case <-back:
+			back = nil
+			callDirect()
 		case o := <-results:
 			pending--
 			if answeredByStore(o.err) {
 				if o.direct {
-					s.directRetryAt.Store(0)
-					s.directUnanswered.Store(false)
+					s.recordRecovery()
 				}
 				return o.reply, o.err
 			}
@@ -203,20 +217,22 @@
 	return errors.As(err, &unknown)
 }
 
-// directAllowed reports whether direct calls may be made: none has failed within directRetryPause.
-func (s *Store) directAllowed() bool { return clock.Now().UnixNano() >= s.directRetryAt.Load() }
+// directAllowed reports whether direct calls may be made.
+func (s *Store) directAllowed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health.CallAllowed(clock.Now())
+}
 
-// suspendDirect stops direct calls for directRetryPause after one has failed, and has waiting calls forwarded.
+// suspendDirect stops direct calls for health.RetryPause after one has failed, and has waiting calls forwarded.
 func (s *Store) suspendDirect(q *Request, err error) {
 	if s.directAllowed() {
 		s.Log.Info("direct call of the store failed; forwarding calls through other processes", "op", string(q.Op), "error", err)
 	}
-	s.directRetryAt.Store(clock.Now().Add(directRetryPause).UnixNano())
-	if isUnknown(err) {
-		s.directUnanswered.Store(true)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.health.Failed(clock.Now(), isUnknown(err))
+	s.startProbesLocked()
 	if s.directFailed != nil {
 		close(s.directFailed)
 		s.directFailed = nil
@@ -233,11 +249,77 @@
 	return s.directFailed
 }
 
-// changesAllowed reports whether a change may be committed directly: after a direct call without an answer, and after a time
-// without any answer, the store has to answer a read first. A change that is sent and not answered has an unknown outcome; one
-// that isn't sent is known not to have been applied, and can be retried.
+// directReturn returns a channel that is closed when a probe is answered.
+func (s *Store) directReturn() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.directBack == nil {
+		s.directBack = make(chan struct{})
+	}
+	return s.directBack
+}
+
+// changes reports whether a call changes the store.
+func changes(op Op) bool { return op == OpCommit || op == OpGrant || op == OpRenew }
+
+// wantChange notes that a change is to be made, for which the store is probed while it doesn't answer.
+func (s *Store) wantChange() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.ChangeWanted(clock.Now())
+	s.startProbesLocked()
+}
+
+// startProbesLocked begins to probe the store if that is due.
+func (s *Store) startProbesLocked() {
+	if !s.probing && s.health.ProbeDue(clock.Now()) {
+		s.probing = true
+		go s.probe()
+	}
+}
+
+// probe reads from the store every probeInterval while that is due. A read doesn't wait for the one before: a call that an outage
+// swallowed is never answered.
+func (s *Store) probe() {
+	for {
+		s.mu.Lock()
+		s.probing = s.health.ProbeDue(clock.Now())
+		probing := s.probing
+		s.mu.Unlock()
+		if !probing {
+			return
+		}
+		go s.probeOnce()
+		time.Sleep(probeInterval)
+	}
+}
+
+// probeOnce reads from the store, and lets calls be made directly again if it answers.
+func (s *Store) probeOnce() {
+	ctx, cancel := context.WithTimeout(context.Background(), hedgeDelay)
+	defer cancel()
+	_, err := s.Direct.Get(ctx, probeKey)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !answeredByStore(err) {
+		s.health.ProbeFailed(clock.Now())
+		return
+	}
+	s.health.Recovered()
+	s.health.Answered(clock.Now())
+	if s.directBack != nil {
+		close(s.directBack)
+		s.directBack = nil
+	}
+}
+
+// changesAllowed reports whether a change may be committed directly. If health.Tracker doesn't allow it at once, the store has to
+// answer a read first.
 func (s *Store) changesAllowed(ctx context.Context) bool {
-	if !s.directUnanswered.Load() && s.answeredLately() {
+	s.mu.Lock()
+	allowed := s.health.ChangeAllowed(clock.Now())
+	s.mu.Unlock()
+	if allowed {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, hedgeDelay)
@@ -245,18 +327,23 @@
 	if _, err := s.Direct.Get(ctx, probeKey); !answeredByStore(err) {
 		return false
 	}
-	s.recordAnswer()
-	s.directUnanswered.Store(false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.ProbeAnswered(clock.Now())
 	return true
 }
 
-// answeredLately reports whether the last answer of the store is fresh. Before the first one nothing speaks against the store.
-func (s *Store) answeredLately() bool {
-	at := s.answeredAt.Load()
-	return at == 0 || clock.Now().UnixNano()-at <= freshAnswer.Nanoseconds()
+func (s *Store) recordAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Answered(clock.Now())
 }
 
-func (s *Store) recordAnswer() { s.answeredAt.Store(clock.Now().UnixNano()) }
+func (s *Store) recordRecovery() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Recovered()
+}
 
 // callDirect makes a call directly, and notes when the store has answered.
 func (s *Store) callDirect(ctx context.Context, q *Request) (Reply, error) {
@@ -297,15 +384,25 @@
 	return r, err
 }
 
-// forward forwards a call to at most maxPeers processes, one after the other, until the store has answered one of them.
+// forward forwards a call to at most maxPeers processes, one after the other, until the store has answered one of them. The one
+// that had an answer lately comes first.
 func (s *Store) forward(ctx context.Context, q *Request) (Reply, error) {
 	peers := s.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	fresh := s.freshPeer(clock.Now())
+	if i := slices.Index(peers, fresh); i > 0 {
+		peers[0], peers[i] = peers[i], peers[0]
+	}
 	var lastErr error = &store.RefusedError{Op: string(q.Op), Cause: fmt.Errorf("no other process is known to forward the call to")}
 	unknown := false
 	for _, peer := range peers[:min(maxPeers, len(peers))] {
+		if q.Op == OpCommit && peer != fresh && !s.peerAnswers(ctx, peer) {
+			lastErr = &store.RefusedError{Op: string(q.Op), Cause: fmt.Errorf("the store doesn't answer reads through %s in time", peer)}
+			continue
+		}
 		reply, err := s.postToPeer(ctx, peer, q)
 		if answeredByStore(err) {
+			s.recordPeer(peer)
 			return reply, err
 		}
 		lastErr, unknown = err, unknown || isUnknown(err)
@@ -316,6 +413,43 @@
 	return Reply{}, lastErr
 }
 
+// peerAnswers reports whether a change may be forwarded to a process: the store has to answer a read through it first, and enough
+// time has to be left. A change that was sent to a process which is cut off or suspended has an unknown outcome.
+func (s *Store) peerAnswers(ctx context.Context, peer string) bool {
+	begun := clock.Now()
+	probeCtx, cancel := context.WithTimeout(ctx, peerProbeTimeout)
+	defer cancel()
+	_, err := s.postToPeer(probeCtx, peer, &Request{Op: OpGet, Key: probeKey})
+	if !answeredByStore(err) {
+		return false
+	}
+	s.recordPeer(peer)
+	now := clock.Now()
+	deadline, limited := ctx.Deadline()
+	return !limited || enoughTime(now.Sub(begun), time.Until(deadline))
+}
+
+// enoughTime reports whether a change is likely to be answered in the time that is left, after a read that took a time: a change
+// takes up to twice that.
+func enoughTime(read, left time.Duration) bool { return left >= 2*read }
+
+// freshPeer returns the process that had an answer of the store within health.FreshAnswer, or an empty string.
+func (s *Store) freshPeer(now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.lastPeerAt) > health.FreshAnswer {
+		return ""
+	}
+	return s.lastPeer
+}
+
+// recordPeer notes that the store has answered a call that was forwarded to a process.
+func (s *Store) recordPeer(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastPeer, s.lastPeerAt = peer, clock.Now()
+}
+
 // postToPeer forwards a call to one process. The error is a RefusedError if the call was certainly not carried out.
 func (s *Store) postToPeer(ctx context.Context, peer string, q *Request) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout+q.Wait)
