Keep relayed records until the link to their region is up

Cause: an entry removed the records that a gateway had relayed to it at its next tick, if it had no link to their region yet: a region that was never heard counts as silent for more than a minute. The sender sends each record to its gateway only, so the entry never got them again. The same happened to an entry whose links to another region were cut for a minute while the gateway kept its own. This is what TestRecordsCrossOnce met: with a dump at the end of the wait, the gateway e2 had 5000 records, e1 was linked to all four entries, all links were open and their queues empty, and e3 to e5 had 0 or 1000 (the frame that came after the tick) for 15 s. The test passed only if each count was read between the relay and the next tick.

Ruled out: full queues and closed links (the dump shows none); refused records (the same records arrived elsewhere); sending all records again over each new link, which is what the test forbids.

Change: an entry tells the others of its region at each tick which other regions it is linked to (an empty Announce with the region). Records of a region are kept while it is heard or told of, up to a minute after the last time. They are candidates only while the region itself is heard, as before. Frames of a gateway about another region no longer count as the initial records of its own region. Older processes ignore the new frame; a gateway that doesn't send it leaves a minute for the link.

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -95,6 +95,8 @@
 	pools map[poolKey][]*Row
 	// regionHeardAt is when an entry of each other region last sent a message.
 	regionHeardAt map[model.Region]time.Time
+	// regionRelayedAt is when an entry of the own region last relayed a message of each other region.
+	regionRelayedAt map[model.Region]time.Time
 	// lastExpire is when Expire was last called.
 	lastExpire time.Time
 	// resumedAt is when the process last started or resumed; pausedAt is when it was last known to run before that.
@@ -148,6 +150,23 @@
 	}
 }
 
+// MarkRegionRelayed records that an entry of the own region relayed a message of another region, with or without records. The
+// records of that region are kept while it does so, because they are not sent again when this entry hears the region itself.
+// They don't count as live by it. A message without records counts only if records were relayed before, which bounds the
+// number of regions by that of the records.
+func (t *Table) MarkRegionRelayed(now time.Time, region model.Region, records bool) {
+	at, known := t.regionRelayedAt[region]
+	if region == t.Region || !known && !records {
+		return
+	}
+	if t.regionRelayedAt == nil {
+		t.regionRelayedAt = map[model.Region]time.Time{}
+	}
+	if now.After(at) {
+		t.regionRelayedAt[region] = now
+	}
+}
+
 // MarkLost marks a record as lost that an entry of the region reported as lost. Reports about records of other regions than the
 // reporting one are ignored, and so are those about the own region, whose announcements this table receives.
 func (t *Table) MarkLost(now time.Time, region model.Region, loss Loss) {
@@ -246,12 +265,18 @@
 	}
 	t.lastExpire = now
 	listenedLongEnough := now.Sub(t.resumedAt) > t.silenceTimeout()
+	for region, at := range t.regionRelayedAt {
+		if now.Sub(at) > forgetAfter {
+			delete(t.regionRelayedAt, region)
+		}
+	}
 	var lost []Loss
 	for id, row := range t.rows {
 		silentFor := now.Sub(t.lastHeard(row))
 		ownRegion := row.Record.Region == t.Region
+		_, relayed := t.regionRelayedAt[row.Record.Region]
 		switch {
-		case silentFor > forgetAfter, !ownRegion && t.endedLongAgo(now, row):
+		case silentFor > forgetAfter && !relayed, !ownRegion && t.endedLongAgo(now, row):
 			t.removeFromPool(row)
 			delete(t.rows, id)
 		case ownRegion && listenedLongEnough && !row.Lost && silentFor > t.silenceTimeout():
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -187,3 +187,33 @@
 		t.Errorf("rows left: got %d, want 0", got)
 	}
 }
+
+// A gateway relays the records of another region once, also to entries that have no link to that region yet or that lost
+// theirs. Without the records, they would never have the agents of that region as candidates.
+func TestRelayedRecordsAreKeptWhileTheRegionIsRelayed(t *testing.T) {
+	tab := &Table{Region: "e", Centre: "e-a"}
+	now := start
+	tab.MarkRegionRelayed(now, "w", false)
+	tab.Expire(now)
+	tab.Merge(now, rec("a", "w", 1))
+	tab.MarkRegionRelayed(now, "w", true)
+	for range 2 * int(forgetAfter/time.Second) {
+		now = now.Add(time.Second)
+		tab.MarkRegionRelayed(now, "w", false)
+		tab.Expire(now)
+		want(t, "without a link to the region", ids(tab, now), "")
+	}
+	tab.MarkRegionHeard(now, "w")
+	want(t, "after the link to the region", ids(tab, now), "a ")
+	for range int(forgetAfter/time.Second) + 1 {
+		now = now.Add(time.Second)
+		tab.Expire(now)
+	}
+	if got := tab.Len(); got != 0 || len(tab.regionRelayedAt) != 0 {
+		t.Errorf("records, regions after a minute in which the region was neither heard nor relayed: got %d, %d, want 0, 0", got, len(tab.regionRelayedAt))
+	}
+	tab.MarkRegionRelayed(now, "x", false)
+	if len(tab.regionRelayedAt) != 0 {
+		t.Error("a region without relayed records was added")
+	}
+}
--- a/io/peers/gateways.go
+++ b/io/peers/gateways.go
@@ -100,8 +100,10 @@
 }
 
 // relayToOwnRegion sends the entries of the own region what this entry received as gateway since the last
-// tick.
-func (p *Peers) relayToOwnRegion(near []*queuedLink) {
+// tick, and a sign of life of each other region that this entry is linked to. An entry that has no link to
+// such a region keeps its records by it; otherwise it would remove them and not get them again, because the
+// gateway has them.
+func (p *Peers) relayToOwnRegion(near []*queuedLink, linked []model.Region) {
 	p.mu.Lock()
 	toRelay := p.toRelay
 	p.toRelay = nil
@@ -109,6 +111,11 @@
 	for region, all := range toRelay {
 		announce(near, all.records, all.lost, region)
 	}
+	for _, region := range linked {
+		for _, w := range near {
+			w.enqueue(link.Announce{Region: region})
+		}
+	}
 }
 
 // sendRelayed sends an entry of the own region all records of other regions that this entry received as
--- a/io/peers/members.go
+++ b/io/peers/members.go
@@ -93,11 +93,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.Table.MarkRegionHeard(now, sender)
+	merged := false
 	for _, rec := range records {
 		if !m.hasRoom(rec.ID) {
 			refused++
 			continue
 		}
+		merged = true
 		m.Table.Merge(now, rec)
 		switch {
 		case region == m.Table.Region:
@@ -109,6 +111,9 @@
 			m.viaGateway[rec.ID] = true
 		}
 	}
+	if sender != region {
+		m.Table.MarkRegionRelayed(now, region, merged)
+	}
 	for _, loss := range lost {
 		m.Table.MarkLost(now, region, loss)
 	}
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -215,7 +215,9 @@
 		tableFull := &RecordError{Field: "table", Reason: "is full"}
 		if peer.Role == link.RoleEntry {
 			p.countRefused(peer, tableFull, p.mergeAnnouncement(now, peer, f))
-			p.markSynced(l)
+			if f.Region == "" { // what a gateway relays says nothing about the records of its own region
+				p.markSynced(l)
+			}
 			return
 		}
 		if !q.allow(now) {
@@ -319,7 +321,13 @@
 	}
 	toNear, toFar, lost := p.Members.tick(now, others)
 	announce(near, toNear, nil, "")
-	p.relayToOwnRegion(near)
+	var linked []model.Region
+	for _, w := range far {
+		if region := w.link.Peer().Region; !slices.Contains(linked, region) {
+			linked = append(linked, region)
+		}
+	}
+	p.relayToOwnRegion(near, linked)
 	p.sendToOtherRegions(far, toFar, lost)
 	p.sendEntryList(now)
 }
