List the workers every second whatever the last call took

Cause: the pause after a list of the workers was 50 times the duration of the call and of what followed it, so that calls take at most a fiftieth of the time. The duration grows with the load of either machine, too: a call of 20 ms already made the pause longer than the second that the bound of 9 s for moving a guarantee counts with, and one without an answer (500 ms) made it 25 s. TestGuaranteeMovesToAnotherCentre had taken 24.3 s. On a trial copy that logs calls of more than 20 ms, the owner logged one of 302.5 ms at 06:25:24.77; the worker was lost 0.7 s before, the next list came 15.1 s later, at 06:25:39.9, and the guarantee moved right after it, 15.8 s after the loss. Usage had the same fault.

Ruled out: changes of the owner, none in that run; a slow write of the revision (10 ms in the log).

Change: the pause follows from the size of the answer, as for usage: 1 s up to 8,000 workers, 3.7 s for 30,000 (1 MiB/s). It is 1 s after a first failure and doubles after further ones, up to 8 s. The pause of usage is unchanged.

TestWorkerListPause is new.

Conclusion: the cause of the time beyond the bound that was listed is mended.

--- a/io/sched/sched.go
+++ b/io/sched/sched.go
@@ -24,10 +24,16 @@
 	// that processes of the cell's own region come first. Together with the owner's lease of 1 s, the delay leaves the new
 	// owner time to renew the grants of 2 s.
 	otherRegionDelay = 300 * time.Millisecond
-	// workerListInterval is the time between lists of the workers. After a slow call it is longer, so that the calls
-	// take at most 1/callTimeDivisor of the time.
+	// workerListInterval is the time between lists of the workers. The bound within which a guarantee leaves a cell that has
+	// lost a worker counts on it (docs/CELLS.md).
 	workerListInterval = time.Second
-	callTimeDivisor    = 50
+	// workerListBytesPerSecond bounds the mean load of the answers: after a large answer the pause is longer. 30,000 workers
+	// (3.9 MB) are listed every 3.7 s.
+	workerListBytesPerSecond = 1 << 20
+	// workerBytes is the approximate size of the JSON of one worker.
+	workerBytes = 130
+	// maxWorkerListPause is the longest pause while calls fail.
+	maxWorkerListPause = 8 * time.Second
 	// maxGangTasks is the number of tasks of the largest gang.
 	maxGangTasks = 64
 	// drainTimeout bounds the wait for the next owner when the process drains.
@@ -111,20 +117,34 @@
 func (s *Sched) Run(ctx context.Context) {
 	s.goroutines.Go(func() { s.watchUsage(ctx) })
 	s.loadLayout(ctx)
+	failures := 0
 	for ctx.Err() == nil {
-		started := time.Now()
-		if workers, err := s.Works.Workers(ctx); err != nil {
+		workers, err := s.Works.Workers(ctx)
+		if err != nil {
+			failures++
 			s.logger().Warn("listing workers at the worker service failed; the former list stays in use", "error", err.Error())
 		} else {
+			failures = 0
 			s.updateWorkers(ctx, assign.SetCells(s.Layout, workers))
 			s.logUnknownEvacuated()
 			s.startReassignment(ctx)
 		}
-		pause(ctx, max(workerListInterval, callTimeDivisor*time.Since(started)))
+		pause(ctx, workerListPause(failures, len(workers)))
 	}
 	s.goroutines.Wait()
 }
 
+// workerListPause returns the pause after a call for the list of the workers, from the number of calls that have failed since
+// the last answer and of the workers in the answer. The duration of the call doesn't count, since it also grows with the load
+// of either machine: when a pause was 50 times as long, a call that got no answer for 500 ms let 25 s pass before the loss of a
+// worker was noticed.
+func workerListPause(failures, workers int) time.Duration {
+	if failures > 0 {
+		return min(workerListInterval<<min(failures-1, 10), maxWorkerListPause)
+	}
+	return max(workerListInterval, time.Duration(workers*workerBytes)*time.Second/workerListBytesPerSecond)
+}
+
 // updateWorkers replaces the list of workers and starts a controller for each new cell. A worker that is no longer listed
 // is kept and marked as down.
 func (s *Sched) updateWorkers(ctx context.Context, workers []model.Worker) {
--- a/io/sched/usage.go
+++ b/io/sched/usage.go
@@ -23,6 +23,8 @@
 	// usageBytesPerSecond bounds the mean load of the answers: after a large answer the pause is longer. Reports of 95,000
 	// tasks (13 MB) are read every 50 s, which is within plan.UsageStaleAfter.
 	usageBytesPerSecond = 256 << 10
+	// callTimeDivisor bounds the part of the time that the calls take: 1/callTimeDivisor.
+	callTimeDivisor = 50
 	// maxUsagePause is the longest pause after failed reads: the time for the largest answer that io/works accepts, at
 	// usageBytesPerSecond. An answer that is too large fails only after it has been sent.
 	maxUsagePause = 64 * time.Second
--- a/io/sched/usage_test.go
+++ b/io/sched/usage_test.go
@@ -142,3 +142,24 @@
 		t.Errorf("slots after a note of %d bytes: got %+v, want those of the later placement", len(out.Note), got)
 	}
 }
+
+// The lost workers of a guarantee must be noticed within a second at the sizes for which the bound of 9 s is documented. When
+// the pause followed the duration of the call, one call without an answer delayed the list by 25 s.
+func TestWorkerListPause(t *testing.T) {
+	for _, tc := range []struct {
+		name              string
+		failures, workers int
+		want              time.Duration
+	}{
+		{"answer", 0, 6, workerListInterval},
+		{"answer with the workers of three large cells", 0, 6000, workerListInterval},
+		{"large answer", 0, 30_000, 3 * time.Second},
+		{"one failure", 1, 0, workerListInterval},
+		{"second failure", 2, 0, 2 * time.Second},
+		{"many failures", 1000, 0, maxWorkerListPause},
+	} {
+		if got := workerListPause(tc.failures, tc.workers).Truncate(time.Second); got != tc.want {
+			t.Errorf("%s: got %s, want %s", tc.name, got, tc.want)
+		}
+	}
+}
