Count a shortfall of a guarantee across changes of the owner

Cause: a guarantee leaves its cell after 5 s in shortfall. The start of the shortfall was in the note of the plan only if the periodic note (every 30 s) happened to be written during it, so that each new owner counted anew. A guarantee would have stayed in a cell whose owner changes more often than every 5 s. In a run of TestGuaranteeMovesToAnotherCentre at a load of 78, the owners of two clusters lost their leases at 06:24:51.0 (ownership lost, epochs 2 and 3 in the logs), and the guarantees moved 5.9 s after that, 12.0 and 11.6 s after the loss of the worker.

Change: the note is due as soon as a shortfall begins or ends. Its times have microseconds instead of seconds, since a truncated start would move a guarantee up to a second early; earlier processes read both.

Result: TestShortfallIsCountedAcrossOwners is new.

Conclusion: a change of the owner during the shortfall adds the time to the next decision, no longer the 5 s.

--- a/io/sched/decider.go
+++ b/io/sched/decider.go
@@ -26,6 +26,8 @@
 	// lastNoteDue is when the last note was due, and note is the latest encoded note.
 	lastNoteDue time.Time
 	note        []byte
+	// notedShortfalls holds the start of the shortfall of each guarantee, in microseconds, according to the note.
+	notedShortfalls map[plan.Ref]int64
 	// lastUsage is the last batch that was applied to the state; notedPeak holds the peaks in the note of an earlier owner.
 	lastUsage *UsageBatch
 	notedPeak map[model.JobID]notedPeak
@@ -62,10 +64,26 @@
 		// The note with the size for the next placement is due now, so that it is written together with the stop.
 		d.lastNoteDue = time.Time{}
 	}
+	if shortfalls := shortfallStarts(d.state.Anchors); !maps.Equal(shortfalls, d.notedShortfalls) {
+		// Without the note, the next owner would count the time of the shortfall anew, and a guarantee would not leave a
+		// cell whose owner changes more often than every reassignAfter.
+		d.notedShortfalls, d.lastNoteDue = shortfalls, time.Time{}
+	}
 	out.Note, out.Capacity = d.encodeNote(now), d.state.FreeCapacity(now)
 	return out
 }
 
+// shortfallStarts returns the start of the shortfall of each guarantee, in microseconds.
+func shortfallStarts(anchors []plan.Anchor) map[plan.Ref]int64 {
+	out := map[plan.Ref]int64{}
+	for _, a := range anchors {
+		if a.Shortfall != nil {
+			out[plan.Ref{Team: a.Team, Guarantee: a.Guarantee.Name}] = a.Shortfall.Since.UnixMicro()
+		}
+	}
+	return out
+}
+
 // toCellAction converts an action of core/plan. It returns false for an action that changes nothing in the cell's plan.
 func toCellAction(a plan.Action) (cell.Action, bool) {
 	switch a.Verb {
@@ -97,7 +115,7 @@
 		d.state = &plan.State{Cell: in.Cell}
 		var note noteContent
 		if len(in.Plan.Note) > 0 && cbor.Unmarshal(in.Plan.Note, &note) == nil {
-			d.state, d.notedPeak = &note.State, note.Peaks
+			d.state, d.notedPeak, d.notedShortfalls = &note.State, note.Peaks, shortfallStarts(note.Anchors)
 		}
 		d.note, d.lastNoteDue = in.Plan.Note, now
 	}
@@ -275,7 +293,8 @@
 		}
 	}
 	noteState.Jobs = jobsForNote(noteState.Jobs)
-	mode, err := cbor.EncOptions{Sort: cbor.SortCanonical}.EncMode()
+	// The start of a shortfall needs more than the seconds that are the default.
+	mode, err := cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeUnixMicro}.EncMode()
 	if err != nil {
 		return nil
 	}
--- a/io/sched/usage_test.go
+++ b/io/sched/usage_test.go
@@ -163,3 +163,42 @@
 		}
 	}
 }
+
+// A guarantee leaves a cell after reassignAfter in shortfall. If each owner counted anew, it would stay in shortfall for as long
+// as the owner changes more often than that.
+func TestShortfallIsCountedAcrossOwners(t *testing.T) {
+	start := time.Now()
+	in := usageInput(start)
+	in.Plan.Jobs = nil
+	in.Declaration.Teams[0].Guarantees = []model.Guarantee{{Name: "g", Shape: model.Shape{Tasks: 2, GPUs: 8}, Grace: time.Second}}
+	first := &planDecider{}
+	first.Decide(start, in)
+	if out := first.Decide(start.Add(time.Second), in); len(out.Shortfalls) > 0 {
+		t.Fatalf("with both workers: got %+v, want no shortfall", out.Shortfalls)
+	}
+	lost := start.Add(2 * time.Second)
+	in.Workers[1].Up = false
+	out := first.Decide(lost, in)
+	if len(out.Shortfalls) != 1 || out.Note == nil {
+		t.Fatalf("decision after the loss: got %+v and a note of %d bytes, want a shortfall and its note", out.Shortfalls, len(out.Note))
+	}
+	in.Plan.Note = out.Note
+	if out = first.Decide(lost.Add(time.Second), in); out.Note != nil {
+		t.Error("an unchanged shortfall was noted again at once")
+	}
+	second := &planDecider{}
+	out = second.Decide(lost.Add(3*time.Second), in)
+	if len(out.Shortfalls) != 1 || out.Shortfalls[0].Since.Sub(lost).Abs() > time.Millisecond {
+		t.Fatalf("shortfall at the next owner: got %+v, want one since %v", out.Shortfalls, lost)
+	}
+	in.Workers[1].Up = true
+	if out = second.Decide(lost.Add(4*time.Second), in); len(out.Shortfalls) > 0 || out.Note == nil {
+		t.Fatalf("decision after the return of the worker: got %+v and a note of %d bytes, want a note without shortfall",
+			out.Shortfalls, len(out.Note))
+	}
+	in.Plan.Note, in.Workers[1].Up = out.Note, false
+	again := lost.Add(5 * time.Second)
+	if out = (&planDecider{}).Decide(again, in); len(out.Shortfalls) != 1 || out.Shortfalls[0].Since.Sub(again).Abs() > time.Millisecond {
+		t.Errorf("second loss, at a later owner: got %+v, want a shortfall since %v", out.Shortfalls, again)
+	}
+}
