Don't complete a renewal that is written too late

Cause: a grant may be renewed for 3/4 of a control interval after the list of tasks that shows the whole gang; the rest of the interval is left for the way to the service. The time was compared before the call only.

Ruled out: ending the call at the deadline, since an owner in another region would then close its connection at each renewal; a write deadline of the connection, which it would keep for the next request.

Change: call.SendBefore makes the body of a request unreadable from a time on. The HTTP client reads it when it writes, and an incomplete request isn't executed. Works.Renew takes that time.

Conclusion: of the delays between the list and the renewal's arrival, those in the owner are now within the bound.

--- a/io/call/call.go
+++ b/io/call/call.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -25,6 +26,31 @@
 	return http.NewRequestWithContext(ctx, method, url, reader)
 }
 
+// SendBefore makes the request fail if its body has not been written before the time at. The client may write it long after Do
+// was called, for example because it had to open a connection or because the machine is busy. The service receives at most the
+// header then, and an HTTP server doesn't execute an incomplete request.
+func SendBefore(req *http.Request, at time.Time) {
+	getBody := req.GetBody
+	req.Body = timedBody{req.Body, at}
+	req.GetBody = func() (io.ReadCloser, error) {
+		body, err := getBody()
+		return timedBody{body, at}, err
+	}
+}
+
+// timedBody is a body that can't be read from a time on.
+type timedBody struct {
+	io.ReadCloser
+	before time.Time
+}
+
+func (b timedBody) Read(p []byte) (int, error) {
+	if !time.Now().Before(b.before) {
+		return 0, errors.Newf("not sent before %s", b.before.Format(time.RFC3339Nano))
+	}
+	return b.ReadCloser.Read(p)
+}
+
 // NotSent reports whether err means that no connection was made, so that the service has certainly not received the request.
 func NotSent(err error) bool {
 	var op *net.OpError
--- a/io/sched/executor.go
+++ b/io/sched/executor.go
@@ -187,7 +187,8 @@
 	case cell.GrantTasks:
 		a.ID, err = x.works.Grant(ctx, x.workerCommand(e.Command), e.TTL)
 	case cell.RenewTasks:
-		err = x.works.Renew(ctx, e.Grant, x.workerCommand(e.Command))
+		before := time.Now().Add(e.Deadline.Sub(x.now()))
+		err = x.works.Renew(ctx, e.Grant, x.workerCommand(e.Command), before)
 	case cell.RevokeTasks:
 		err = x.works.Revoke(ctx, e.Grant, x.workerCommand(e.Command))
 	case cell.PrepareTask:
--- a/io/works/client.go
+++ b/io/works/client.go
@@ -112,11 +112,12 @@
 	return out.ID, err
 }
 
-// Renew extends a grant by its ttl, or returns a GrantError or FencedError.
-func (c *Client) Renew(ctx context.Context, grant uint64, cmd Command) error {
+// Renew extends a grant by its ttl, or returns a GrantError or FencedError. Unless it is sent before the given time, it fails
+// without effect.
+func (c *Client) Renew(ctx context.Context, grant uint64, cmd Command, before time.Time) error {
 	return c.call(ctx, request{
 		op: "renew", method: http.MethodPost, path: fmt.Sprintf("/grants/%d/renew", grant),
-		body: cmd, cmd: cmd, grant: grant,
+		body: cmd, cmd: cmd, grant: grant, before: before,
 	}, nil)
 }
 
@@ -151,6 +152,8 @@
 	cmd              Command
 	task             string
 	grant            uint64
+	// before is the time before which the request must be sent; zero means that there is none.
+	before time.Time
 	// maxBytes bounds the answer; 0 means maxAnswerBytes.
 	maxBytes int64
 }
@@ -167,6 +170,9 @@
 	if err != nil {
 		return err
 	}
+	if !r.before.IsZero() {
+		call.SendBefore(req, r.before)
+	}
 	status, data, err := call.Do(c.HTTP, req, cmp.Or(r.maxBytes, maxAnswerBytes))
 	if err != nil {
 		return &UnavailableError{Op: r.op, Cause: err}
--- a/io/works/works.go
+++ b/io/works/works.go
@@ -77,8 +77,8 @@
 	Stop(ctx context.Context, id string, cmd Command) (Task, error)
 	// Grant creates a lease that tasks can run under, and returns its identifier.
 	Grant(ctx context.Context, cmd Command, ttl time.Duration) (uint64, error)
-	// Renew extends a grant by its ttl.
-	Renew(ctx context.Context, grant uint64, cmd Command) error
+	// Renew extends a grant by its ttl. Unless it is sent before the given time, it fails without effect.
+	Renew(ctx context.Context, grant uint64, cmd Command, before time.Time) error
 	// Revoke ends a grant and the tasks that run under it.
 	Revoke(ctx context.Context, grant uint64, cmd Command) error
 	// Usage returns the usage of the tasks that the service has measured.
--- a/stand/plat/works_test.go
+++ b/stand/plat/works_test.go
@@ -77,7 +77,7 @@
 			task := b.task(t, "j-1-0", "lausanne-w1", 8)
 			task.Lease, _ = b.Tasks.Grant(tasks.Command{Cell: "lausanne", Epoch: 1}, time.Minute, time.Now().Add(-30*time.Second))
 			must[works.Task](t)(b.works.Prepare(b.ctx, task))
-			return func() error { return b.works.Renew(b.ctx, task.Lease, firstTerm) }, func() bool {
+			return func() error { return b.works.Renew(b.ctx, task.Lease, firstTerm, time.Now().Add(time.Minute)) }, func() bool {
 				b.Tasks.Advance(time.Now().Add(45 * time.Second))
 				return b.taskByID(task.ID).State == tasks.Prepared
 			}
@@ -103,7 +103,7 @@
 		"checkpoint": func() error { _, err := b.works.Checkpoint(b.ctx, task.ID, firstTerm); return err },
 		"stop":       func() error { _, err := b.works.Stop(b.ctx, task.ID, firstTerm); return err },
 		"grant":      func() error { _, err := b.works.Grant(b.ctx, firstTerm, time.Minute); return err },
-		"renew":      func() error { return b.works.Renew(b.ctx, task.Lease, firstTerm) },
+		"renew":      func() error { return b.works.Renew(b.ctx, task.Lease, firstTerm, time.Now().Add(time.Minute)) },
 		"revoke":     func() error { return b.works.Revoke(b.ctx, task.Lease, firstTerm) },
 	} {
 		var fenced *works.FencedError
@@ -141,7 +141,7 @@
 	if _, err := b.works.Prepare(b.ctx, short); !errors.As(err, &ended) || ended.Grant != short.Lease {
 		t.Errorf("preparing: got %v, want a grant error", err)
 	}
-	if err := b.works.Renew(b.ctx, short.Lease, firstTerm); !errors.As(err, &ended) {
+	if err := b.works.Renew(b.ctx, short.Lease, firstTerm, time.Now().Add(time.Minute)); !errors.As(err, &ended) {
 		t.Errorf("renewing: got %v, want a grant error", err)
 	}
 }
