Bound the frames on the links of desk and runner

Cause: link.Settings.Frames was set for entry and agent only. A desk held the frames of all its links, each up to 8 MiB of buffer, and frames up to 128 KiB weren't counted: 1,500 of them have 192 MB, more than the VM of a desk.

Ruled out: counting from the first byte (a small frame would take the lock of the budget for nothing); a smaller bound on links.

FrameBudget.Free sets the size up to which a frame isn't counted, 4 KiB for both; entry and agent keep 128 KiB. A buffer has its memory of the budget before it grows rather than after, and isn't larger than the largest frame. desk exports frame_bytes and broken_links, as entry does.

With -race, io/link and cmds passed. In the root package, TestScripts/evacuate failed in 4 of 8 runs (a log line of entry was missing), and once in 8 runs of the code before this change; load 24 to 50.

Conclusion: the evacuate script depends on the order of events under load, on the former code too. It isn't changed here.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -47,6 +47,9 @@
 	// minBodyBudget leaves room for one body of the largest published size, which may take five times that when it is decoded;
 	// maxBodyBudget is the memory of the smallest VM that an idle process and its connections leave.
 	minBodyBudget, maxBodyBudget = 4 << 20, 64 << 20
+	// freeLinkFrameBytes is the size up to which the frames on the links of a desk or runner aren't counted: with 1,500 links they
+	// take 6 MB. An agent's report has under 500 bytes without runs, and about 100 more for each run.
+	freeLinkFrameBytes = 4 << 10
 	// minConnections is below any useful number. maxDeskConnections leaves 400 of a VM's 3,900 descriptors without files for links,
 	// the store and agents.
 	minConnections, maxDeskConnections = 8, 3500
@@ -90,6 +93,7 @@
 	Drain   time.Duration `default:"2200ms" help:"Time that the balancer needs to see that the entry is not ready."`
 
 	BodyBudget     int `default:"12582912" help:"Bytes of memory for all callers' bodies in progress."`
+	FrameBudget    int `default:"16777216" help:"Bytes of memory for all frames that are received over links at the same time."`
 	MaxConnections int `default:"2048" help:"Largest number of callers' connections."`
 }
 
@@ -111,6 +115,7 @@
 	k.duration("keep", c.Keep, time.Second, 24*time.Hour)
 	k.duration("drain", c.Drain, 0, time.Minute)
 	k.count("body-budget", c.BodyBudget, minBodyBudget, maxBodyBudget)
+	k.count("frame-budget", c.FrameBudget, link.MinFrameBudget, maxBodyBudget)
 	k.count("max-connections", c.MaxConnections, minConnections, maxDeskConnections)
 	if c.Remote < 1 {
 		k.failFlag("remote", "", "a number of at least 1")
@@ -254,7 +259,8 @@
 		_, _, synced := p.Mirror.Status()
 		return synced && p.Watcher.Desired() != nil && !stopping.Load()
 	}))
-	links := newDeskLinkServer(c, p)
+	settings := newDeskLinkSettings(c)
+	links := newDeskLinkServer(settings, p)
 	var loops sync.WaitGroup
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -271,7 +277,9 @@
 			go serveHTTP(links, &intake.Listener{Listener: open[2], MaxConns: maxLinkConns, Report: report}, log)
 			go runPeriodically(ctx, gaugeInterval, func(time.Time) {
 				p.Meter.Gauge("body_bytes", float64(front.Bodies.Held()))
+				p.Meter.Gauge("frame_bytes", float64(settings.Frames.Held()))
 			})
+			go runPeriodically(ctx, metricsInterval, addCounts(p.Meter, brokenLinkSources(settings.Counters)))
 			loops.Go(func() { p.Watcher.Run(ctx) })
 			loops.Go(func() { p.Evacuations.Run(ctx) })
 			loops.Go(func() { p.Mirror.Run(ctx) })
@@ -307,14 +315,21 @@
 	}
 }
 
-// newDeskLinkServer returns the server of the link listener, which accepts links of agents, store calls that this
-// entry proxies for other processes, and job notifications from other entries.
-func newDeskLinkServer(c *deskCmd, p deskParts) *http.Server {
+// newDeskLinkSettings returns the settings of all links to agents.
+func newDeskLinkSettings(c *deskCmd) link.Settings {
 	self := link.Hello{
 		Node: model.NodeID(c.ID), Incarnation: entryIncarnation(time.Now()), Role: link.RoleEntry,
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: c.Link,
 	}
-	s := link.Settings{Self: self, Token: c.Token, SilenceTimeout: linkSilenceTimeout}
+	return link.Settings{
+		Self: self, Token: c.Token, SilenceTimeout: linkSilenceTimeout, Counters: new(link.Counters),
+		Frames: &link.FrameBudget{Limit: int64(c.FrameBudget), Free: freeLinkFrameBytes},
+	}
+}
+
+// newDeskLinkServer returns the server of the link listener, which accepts links of agents, store calls that this
+// entry proxies for other processes, and job notifications from other entries.
+func newDeskLinkServer(s link.Settings, p deskParts) *http.Server {
 	server := linkServer(s, p.Owner.ServeAgent, func() bool { return true })
 	server.ConnState = intake.TrackRequests
 	router := mux.NewRouter()
--- a/cmds/metrics.go
+++ b/cmds/metrics.go
@@ -12,6 +12,7 @@
 	"wagtailhoist/core/route"
 	"wagtailhoist/io/claims"
 	"wagtailhoist/io/front"
+	"wagtailhoist/io/link"
 	"wagtailhoist/io/meter"
 )
 
@@ -125,24 +126,43 @@
 	r.Router.Report(now, id, result)
 }
 
-// addLinkCounts returns a function that adds to the metrics by how much the counters of the links and of the claims
-// writer w, which may be nil, have grown since its last call.
-func addLinkCounts(m *meter.Meter, self *entrySelf, pool *front.Pool, w *claims.Writer) func(time.Time) {
-	type source struct {
-		counter            *atomic.Uint64
-		name, label, value string
-		last               uint64
-	}
-	links := self.settings.Counters
-	sources := []*source{
-		{counter: &links.Sent, name: "link_bytes", label: "direction", value: "sent"},
-		{counter: &links.Received, name: "link_bytes", label: "direction", value: "received"},
+// countSource is a counter that is kept outside the meter, and the metric that it is copied to.
+type countSource struct {
+	counter            *atomic.Uint64
+	name, label, value string
+	last               uint64
+}
+
+// brokenLinkSources returns the counters of links that were closed or refused.
+func brokenLinkSources(links *link.Counters) []*countSource {
+	return []*countSource{
 		{counter: &links.Malformed, name: "broken_links", label: "cause", value: "malformed"},
 		{counter: &links.Silent, name: "broken_links", label: "cause", value: "silent"},
 		{counter: &links.NoRoom, name: "broken_links", label: "cause", value: "no room"},
 		{counter: &links.Late, name: "broken_links", label: "cause", value: "late frame"},
 		{counter: &links.Denied, name: "broken_links", label: "cause", value: "denied"},
 		{counter: &links.WithoutHello, name: "broken_links", label: "cause", value: "no hello"},
+	}
+}
+
+// addCounts returns a function that adds to the metrics by how much the counters have grown since its last call.
+func addCounts(m *meter.Meter, sources []*countSource) func(time.Time) {
+	return func(time.Time) {
+		for _, s := range sources {
+			now := s.counter.Load()
+			m.Count(s.name, s.label, s.value, int64(now-s.last))
+			s.last = now
+		}
+	}
+}
+
+// addLinkCounts returns a function that adds to the metrics by how much the counters of the links and of the claims
+// writer w, which may be nil, have grown since its last call.
+func addLinkCounts(m *meter.Meter, self *entrySelf, pool *front.Pool, w *claims.Writer) func(time.Time) {
+	links := self.settings.Counters
+	sources := append(brokenLinkSources(links), []*countSource{
+		{counter: &links.Sent, name: "link_bytes", label: "direction", value: "sent"},
+		{counter: &links.Received, name: "link_bytes", label: "direction", value: "received"},
 		{counter: &links.RefusedRecords, name: "refused_records", label: "kind", value: "record"},
 		{counter: &links.UnauthenticatedConns.Evicted, name: "refused_connections", label: "cause", value: "link evicted"},
 		{counter: &links.UnauthenticatedConns.Unfinished, name: "refused_connections", label: "cause", value: "link unfinished"},
@@ -151,23 +171,17 @@
 		{counter: &self.adminConns.Evicted, name: "refused_connections", label: "cause", value: "operator evicted"},
 		{counter: &self.adminConns.Unfinished, name: "refused_connections", label: "cause", value: "operator unfinished"},
 		{counter: &pool.UnmatchedFrames, name: "late_answers", label: "kind", value: "dropped"},
-	}
+	}...)
 	if w != nil {
 		c := &w.Counters
 		sources = append(sources,
-			&source{counter: &c.Claims, name: "claims", label: "outcome", value: "granted"},
-			&source{counter: &c.Reads, name: "claim_calls", label: "kind", value: "read"},
-			&source{counter: &c.Writes, name: "claim_calls", label: "kind", value: "write"},
-			&source{counter: &c.Conflicts, name: "claim_calls", label: "kind", value: "conflict"},
-			&source{counter: &c.Unanswered, name: "claim_calls", label: "kind", value: "unanswered"},
-			&source{counter: &c.Bytes, name: "claim_bytes", label: "direction", value: "written"},
+			&countSource{counter: &c.Claims, name: "claims", label: "outcome", value: "granted"},
+			&countSource{counter: &c.Reads, name: "claim_calls", label: "kind", value: "read"},
+			&countSource{counter: &c.Writes, name: "claim_calls", label: "kind", value: "write"},
+			&countSource{counter: &c.Conflicts, name: "claim_calls", label: "kind", value: "conflict"},
+			&countSource{counter: &c.Unanswered, name: "claim_calls", label: "kind", value: "unanswered"},
+			&countSource{counter: &c.Bytes, name: "claim_bytes", label: "direction", value: "written"},
 		)
 	}
-	return func(time.Time) {
-		for _, s := range sources {
-			now := s.counter.Load()
-			m.Count(s.name, s.label, s.value, int64(now-s.last))
-			s.last = now
-		}
-	}
+	return addCounts(m, sources)
 }
--- a/cmds/runner.go
+++ b/cmds/runner.go
@@ -46,6 +46,7 @@
 	Store  string `required:"" help:"IP:port of the platform's store."`
 
 	BodyBudget     int `default:"8388608" help:"Bytes of memory for all status reports in progress."`
+	FrameBudget    int `default:"12582912" help:"Bytes of memory for all frames that are received over links at the same time."`
 	MaxConnections int `default:"512" help:"Largest number of connections of the worker."`
 }
 
@@ -55,6 +56,7 @@
 	k.join("worker", []string{c.Worker})
 	k.join("store", []string{c.Store})
 	k.count("body-budget", c.BodyBudget, minReportBudget, maxBodyBudget)
+	k.count("frame-budget", c.FrameBudget, link.MinFrameBudget, maxBodyBudget)
 	k.count("max-connections", c.MaxConnections, minConnections, maxRunnerConnections)
 }
 
@@ -82,10 +84,13 @@
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: c.Listen,
 	}
 	r := &runner.Runner{
-		Worker:   &platform.Minion{Address: c.Worker, HTTP: platform.NewHTTP(), Log: log},
-		Node:     c.ID,
-		Settings: link.Settings{Self: self, Token: c.Token, SilenceTimeout: linkSilenceTimeout},
-		Owner:    ownerMirror.Owner, OwnerChanged: ownerMirror.Wake(),
+		Worker: &platform.Minion{Address: c.Worker, HTTP: platform.NewHTTP(), Log: log},
+		Node:   c.ID,
+		Settings: link.Settings{
+			Self: self, Token: c.Token, SilenceTimeout: linkSilenceTimeout,
+			Frames: &link.FrameBudget{Limit: int64(c.FrameBudget), Free: freeLinkFrameBytes},
+		},
+		Owner: ownerMirror.Owner, OwnerChanged: ownerMirror.Wake(),
 		Log: log,
 	}
 	r.Evacuated = func() bool {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -270,28 +270,53 @@
 		return nil, &MalformedError{Cause: fmt.Errorf("message is text, not binary")}
 	}
 	begun := time.Now()
-	var buf bytes.Buffer
-	for {
-		_, err := io.CopyN(&buf, r, 16<<10)
-		l.lastReceived.Store(time.Now().UnixNano())
-		if err == io.EOF {
-			return buf.Bytes(), nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		if err := l.frames.hold(l, int64(buf.Cap())); err != nil {
+	var buf []byte
+	for partEnd := framePart; ; partEnd = len(buf) + framePart {
+		if buf, err = l.readPart(r, buf, partEnd); err != nil {
+			l.lastReceived.Store(time.Now().UnixNano())
+			if err == io.EOF {
+				return buf, nil
+			}
 			return nil, err
 		}
 		now := time.Now()
+		l.lastReceived.Store(now.UnixNano())
 		if now.Sub(begun) > maxFrameTime {
 			l.counters.Late.Add(1)
 			return nil, errFrameLate
 		}
+		if err := l.frames.hold(l, int64(cap(buf))); err != nil {
+			return nil, err
+		}
 		_ = l.ws.SetReadDeadline(now.Add(maxSilence))
 	}
 }
 
+// readPart appends to buf until it has at least end bytes. The buffer holds its memory of the budget before it grows.
+func (l *Link) readPart(r io.Reader, buf []byte, end int) ([]byte, error) {
+	for len(buf) < end {
+		if len(buf) > maxFrameBytes {
+			return buf, websocket.ErrReadLimit
+		}
+		if len(buf) == cap(buf) {
+			// With a byte beyond the largest frame there is room for a read that returns its end.
+			size := max(firstFrameBuffer, min(2*cap(buf), maxFrameBytes+1))
+			if err := l.frames.hold(l, int64(size)); err != nil {
+				return buf, err
+			}
+			grown := make([]byte, len(buf), size)
+			copy(grown, buf)
+			buf = grown
+		}
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if err != nil {
+			return buf, err
+		}
+	}
+	return buf, nil
+}
+
 // heartbeat sends a ping whenever no other frame was sent for the ping interval, until the link is closed.
 // It does not depend on received frames, so that each end detects the silence of the other on its own.
 func (l *Link) heartbeat() {
--- a/io/link/room.go
+++ b/io/link/room.go
@@ -12,11 +12,15 @@
 const (
 	// DefaultFrameBudget is the default of FrameBudget.Limit: eight frames of the largest size at a time.
 	DefaultFrameBudget = 32 << 20
-	// MinFrameBudget is the least limit with which a single frame of the largest size fits, whose buffer may have twice its size.
+	// MinFrameBudget is the least limit with which a single frame of the largest size fits, which is copied once while its buffer
+	// grows.
 	MinFrameBudget = 12 << 20
-	// freeFrameBytes is the size up to which the buffer of a frame isn't counted: a frame with a part of a body has 64 KiB and a
-	// header, and many links may receive one at the same time.
+	// freeFrameBytes is the default of FrameBudget.Free: a frame with a part of a body has 64 KiB and a header, and many links may
+	// receive one at the same time.
 	freeFrameBytes = 128 << 10
+	// firstFrameBuffer is the size of a frame's first buffer; most frames have less. framePart is the number of received bytes after
+	// which a frame counts as making progress.
+	firstFrameBuffer, framePart = 512, 16 << 10
 	// maxFrameTime bounds the arrival of a frame. 4 MiB take 30 s at 1.1 Mbit/s; without the bound a byte every few seconds would hold
 	// the memory of a frame for ever.
 	maxFrameTime = 30 * time.Second
@@ -28,6 +32,9 @@
 type FrameBudget struct {
 	// Limit is the number of bytes that all frames may hold; 0 means DefaultFrameBudget. It is set before the first use.
 	Limit int64
+	// Free is the size up to which the buffer of a frame isn't counted; 0 means 128 KiB. It bounds the frames of a process with
+	// many links only if it is small. It is set before the first use.
+	Free int64
 
 	mu     sync.Mutex
 	budget budget.Budget
@@ -46,7 +53,7 @@
 
 // hold sets the number of bytes that the frame in progress on a link holds. It returns a FrameRoomError if the link has to be closed.
 func (f *FrameBudget) hold(l *Link, bytes int64) error {
-	if f == nil || bytes <= freeFrameBytes {
+	if f == nil || bytes <= f.free() {
 		return nil
 	}
 	victims, err := f.grow(l, bytes)
@@ -62,6 +69,13 @@
 	return nil
 }
 
+func (f *FrameBudget) free() int64 {
+	if f.Free > 0 {
+		return f.Free
+	}
+	return freeFrameBytes
+}
+
 func (f *FrameBudget) grow(l *Link, bytes int64) ([]*budget.Body, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/link/room_test.go
+++ b/io/link/room_test.go
@@ -60,3 +60,44 @@
 		t.Errorf("frame beyond the budget: got %v, want a FrameRoomError", err)
 	}
 }
+
+// Frames that are each short must be bounded together where many links are open: 1,500 frames of 128 KiB exceed the memory of the
+// smallest machine.
+func TestShortFramesAreCounted(t *testing.T) {
+	const limit, frameBytes, links = 1 << 20, 100 << 10, 16
+	s := Settings{Token: "t", Counters: new(Counters), Frames: &FrameBudget{Limit: limit, Free: 4 << 10}}
+	begin := append([]byte{0x82, 0x80 | 127}, binary.BigEndian.AppendUint64(nil, frameBytes)...)
+	begin = append(begin, make([]byte, 4+frameBytes-1)...)
+	for range links {
+		near, far := pair(t, s)
+		go func() { _, _ = far.Receive() }()
+		// The far end may close the link meanwhile.
+		_, _ = near.ws.NetConn().Write(begin)
+	}
+	for end := time.Now().Add(10 * time.Second); s.Counters.NoRoom.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("links closed for lack of room: got none, want some; %d bytes held", s.Frames.Held())
+		}
+	}
+	if got := s.Frames.Held(); got > limit {
+		t.Errorf("bytes held: got %d, want at most %d", got, limit)
+	}
+}
+
+// The buffer of a frame must have its memory of the budget before it grows, and must not be larger than the largest frame.
+func TestBufferHoldsItsMemoryBeforeItGrows(t *testing.T) {
+	const limit = 1 << 20
+	s := Settings{Token: "t", Frames: &FrameBudget{Limit: limit, Free: 4 << 10}}
+	_, far := pair(t, s)
+	// One holder gets three quarters of the limit, so that the buffer can't grow to the whole of it.
+	buf, err := far.readPart(bytes.NewReader(make([]byte, limit)), nil, limit)
+	if !errors.As(err, new(*FrameRoomError)) || cap(buf) > limit/2 {
+		t.Errorf("frame beyond the budget: got a buffer of %d bytes and %v, want at most %d and a FrameRoomError", cap(buf), err, limit/2)
+	}
+	far.frames.release(far)
+	far.frames = nil
+	buf, err = far.readPart(bytes.NewReader(make([]byte, maxFrameBytes)), nil, maxFrameBytes)
+	if err != nil || len(buf) != maxFrameBytes || cap(buf) > maxFrameBytes+1 {
+		t.Errorf("largest frame: got %d bytes in a buffer of %d and %v, want %d", len(buf), cap(buf), err, maxFrameBytes)
+	}
+}
