Make the bound on links of a desk a setting

Cause: the link listener of a desk took 1,500 connections at most, which limited an owner to 1,500 agents.

The descriptors of a VM aren't known to the settings, and settings that are in use would stop the start.

Conclusion: a link takes some 60 KB, so a larger value needs a VM with memory for it.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -53,9 +53,11 @@
 	// minConnections is below any useful number. maxDeskConnections leaves 400 of a VM's 3,900 descriptors without files for links,
 	// the store and agents.
 	minConnections, maxDeskConnections = 8, 3500
-	// maxLinkConns bounds the connections of the link listener: links of agents and calls of other entries. maxProbeConns bounds
-	// those of the readiness and the metrics listener each.
-	maxLinkConns, maxProbeConns = 1500, 32
+	// minLinks leaves room for a call of another entry beside a few links, and maxDeskLinks for all agents of a large system. Links
+	// take some 60 KB each; the default keeps them within half of the memory of the smallest VM.
+	minLinks, maxDeskLinks = 8, 1 << 16
+	// maxProbeConns bounds the connections of the readiness and of the metrics listener each.
+	maxProbeConns = 32
 	// probeTimeout bounds reading a probe and writing its answer.
 	probeTimeout = 5 * time.Second
 	// callerHeaderTimeout bounds the time in which a request header arrives; the platform publishes 3 s.
@@ -95,6 +97,7 @@
 	BodyBudget     int `default:"12582912" help:"Bytes of memory for all callers' bodies in progress."`
 	FrameBudget    int `default:"16777216" help:"Bytes of memory for all frames that are received over links at the same time."`
 	MaxConnections int `default:"2048" help:"Largest number of callers' connections."`
+	MaxLinks       int `default:"1500" help:"Largest number of connections of the link listener: links of agents, and calls of other entries and agents."`
 }
 
 func (c *deskCmd) validate(k *validator) {
@@ -117,6 +120,7 @@
 	k.count("body-budget", c.BodyBudget, minBodyBudget, maxBodyBudget)
 	k.count("frame-budget", c.FrameBudget, link.MinFrameBudget, maxBodyBudget)
 	k.count("max-connections", c.MaxConnections, minConnections, maxDeskConnections)
+	k.count("max-links", c.MaxLinks, minLinks, maxDeskLinks)
 	if c.Remote < 1 {
 		k.failFlag("remote", "", "a number of at least 1")
 	}
@@ -274,7 +278,7 @@
 				MakeRoom: front.Bodies.Evict, Report: report,
 			}, log)
 			go serveHTTP(ready, &intake.Listener{Listener: open[1], MaxConns: maxProbeConns, Report: report}, log)
-			go serveHTTP(links, &intake.Listener{Listener: open[2], MaxConns: maxLinkConns, Report: report}, log)
+			go serveHTTP(links, &intake.Listener{Listener: open[2], MaxConns: c.MaxLinks, Report: report}, log)
 			go runPeriodically(ctx, gaugeInterval, func(time.Time) {
 				p.Meter.Gauge("body_bytes", float64(front.Bodies.Held()))
 				p.Meter.Gauge("frame_bytes", float64(settings.Frames.Held()))
