Share one budget among the calls of other processes

Cause: forwarded calls of the store and notifications had a budget each, 24 and 12 MiB, which couldn't be set. A forwarded call released its memory once it was decoded, so that a slow store made a desk hold the changes of all peers, each up to 16 MiB, without a bound; and a list of empty elements takes up to 48 times its text when it is decoded.

Ruled out: a budget for each of both kinds (the sum counts, and notifications are few); a bound on the elements of a change (its size is a setting of the sender).

Refusals are counted and logged by reason, and the gauge peer_bytes shows what is held. All limits of a desk share one log line.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -96,6 +96,7 @@
 
 	BodyBudget     int `default:"12582912" help:"Bytes of memory for all callers' bodies in progress."`
 	FrameBudget    int `default:"16777216" help:"Bytes of memory for all frames that are received over links at the same time."`
+	PeerBudget     int `default:"25165824" help:"Bytes of memory for all calls of other entries and agents in progress: forwarded calls of the store, and notifications."`
 	MaxConnections int `default:"2048" help:"Largest number of callers' connections."`
 	MaxLinks       int `default:"1500" help:"Largest number of connections of the link listener: links of agents, and calls of other entries and agents."`
 }
@@ -119,6 +120,7 @@
 	k.duration("drain", c.Drain, 0, time.Minute)
 	k.count("body-budget", c.BodyBudget, minBodyBudget, maxBodyBudget)
 	k.count("frame-budget", c.FrameBudget, link.MinFrameBudget, maxBodyBudget)
+	k.count("peer-budget", c.PeerBudget, proxy.MinBudget, maxBodyBudget)
 	k.count("max-connections", c.MaxConnections, minConnections, maxDeskConnections)
 	k.count("max-links", c.MaxLinks, minLinks, maxDeskLinks)
 	if c.Remote < 1 {
@@ -133,14 +135,16 @@
 func (c *deskCmd) Run(s streams) error {
 	return serveBounded(s, c.Level, c.ID,
 		fx.Supply(c),
-		fx.Provide(newDeskStore, newWatcher, newDeskEvacuations, newOwner, newNotifier, newJobService, newDeskMeter),
+		fx.Provide(newPeerBodies, newDeskStore, newWatcher, newDeskEvacuations, newOwner, newNotifier, newJobService, newDeskMeter, newDeskReporter),
 		fx.Invoke(startDesk),
 	)
 }
 
 // newDeskStore returns a store client that can reach the store through other entries, and the mirror that lists them.
-func newDeskStore(c *deskCmd, log *slog.Logger) (*proxy.Store, *mirror.Mirror) {
-	return newProxiedStore(c.Store, c.Token, &mirror.Mirror{Wait: storeWatchTimeout, Log: log}, c.Link, log)
+func newDeskStore(c *deskCmd, peers *intake.Bodies, log *slog.Logger) (*proxy.Store, *mirror.Mirror) {
+	s, m := newProxiedStore(c.Store, c.Token, &mirror.Mirror{Wait: storeWatchTimeout, Log: log}, c.Link, log)
+	s.Bodies = peers
+	return s, m
 }
 
 // newProxiedStore returns a client of the store at address that falls back to the entries in mirror m as proxies, and
@@ -191,8 +195,18 @@
 	}
 }
 
-func newNotifier(c *deskCmd, m *mirror.Mirror, log *slog.Logger) *jobs.Notifier {
-	return &jobs.Notifier{Mirror: m, Self: c.Link, Token: c.Token, HTTP: platform.NewHTTP(), Log: log}
+func newNotifier(c *deskCmd, m *mirror.Mirror, peers *intake.Bodies, log *slog.Logger) *jobs.Notifier {
+	return &jobs.Notifier{Mirror: m, Self: c.Link, Token: c.Token, HTTP: platform.NewHTTP(), Log: log, Bodies: peers}
+}
+
+// newPeerBodies returns the reader of the calls of other processes, which share a memory budget.
+func newPeerBodies(c *deskCmd, report *intake.Reporter) *intake.Bodies {
+	return &intake.Bodies{Limit: int64(c.PeerBudget), Report: report}
+}
+
+// newDeskReporter returns the reporter of all limits of the process, which share its log line.
+func newDeskReporter(m *meter.Meter, log *slog.Logger) *intake.Reporter {
+	return &intake.Reporter{Log: log, Meter: m}
 }
 
 func newJobService(s *proxy.Store, m *mirror.Mirror, n *jobs.Notifier) *jobs.Service {
@@ -242,6 +256,8 @@
 	Owner       *owner.Owner
 	Notifier    *jobs.Notifier
 	Jobs        *jobs.Service
+	PeerBodies  *intake.Bodies
+	Report      *intake.Reporter
 	Meter       *meter.Meter
 }
 
@@ -255,7 +271,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ownerCtx, stopOwner := context.WithCancel(ctx)
 	var stopping atomic.Bool
-	report := &intake.Reporter{Log: log, Meter: p.Meter}
+	report := p.Report
 	front := &platform.JobHandler{Jobs: p.Jobs, Desired: p.Watcher.Desired, Refresh: p.Watcher.Refresh, Log: log, Meter: p.Meter, Report: report}
 	front.Bodies.Limit, front.Bodies.Report = int64(c.BodyBudget), report
 	callers := callerServer(front)
@@ -281,6 +297,7 @@
 			go serveHTTP(links, &intake.Listener{Listener: open[2], MaxConns: c.MaxLinks, Report: report}, log)
 			go runPeriodically(ctx, gaugeInterval, func(time.Time) {
 				p.Meter.Gauge("body_bytes", float64(front.Bodies.Held()))
+				p.Meter.Gauge("peer_bytes", float64(p.PeerBodies.Held()))
 				p.Meter.Gauge("frame_bytes", float64(settings.Frames.Held()))
 			})
 			go runPeriodically(ctx, metricsInterval, addCounts(p.Meter, brokenLinkSources(settings.Counters)))
--- a/io/proxy/store.go
+++ b/io/proxy/store.go
@@ -50,8 +50,9 @@
 	probeKey = "wh/probe"
 	// maxBodyBytes bounds a forwarded call and its reply: a change has at most 32 records of a job's progress.
 	maxBodyBytes = 16 << 20
-	// DefaultBudget is the memory budget of a Store that sets none, in bytes: the largest call may take three quarters of it.
-	DefaultBudget = 24 << 20
+	// DefaultBudget is the memory budget of a Store that sets none, in bytes, and MinBudget the least one into which the largest call
+	// fits while it is alone: one holder gets three quarters.
+	DefaultBudget, MinBudget = 24 << 20, 22 << 20
 	// bodyTimeout bounds the arrival of a forwarded call, which its sender gives up after forwardTimeout.
 	bodyTimeout = 2 * forwardTimeout
 )
@@ -71,6 +72,8 @@
 
 	defaultBodies    intake.Bodies
 	setDefaultBodies sync.Once
+	// decoding bounds the forwarded calls that are decoded at a time: lists of empty elements take up to 30 times their text.
+	decoding intake.Gate
 
 	// directRetryAt is when direct calls may be made again after a failure, on the boot-time clock in nanoseconds.
 	directRetryAt atomic.Int64
@@ -367,19 +370,18 @@
 		http.Error(w, err.Error(), intake.StatusCode(err))
 		return
 	}
-	var q Request
-	err = cbor.Unmarshal(body.Bytes(), &q)
-	// The decoded call has copies of its parts. A watch lasts for seconds, and needs no body meanwhile.
-	body.Release()
+	// The call stays charged until it is answered: a store that is slow holds up the changes of all peers.
+	defer body.Release()
+	q, err := s.decodeCall(r, body)
 	if err != nil {
-		http.Error(w, "forwarded call can't be decoded", http.StatusBadRequest)
+		http.Error(w, err.Error(), intake.StatusCode(err))
 		return
 	}
 	reply := Reply{Kind: errorNotAttempted, Detail: "the peer's direct calls of the store have failed too"}
 	if s.directAllowed() {
-		answer, err := s.callDirect(r.Context(), &q)
+		answer, err := s.callDirect(r.Context(), q)
 		if !answeredByStore(err) && r.Context().Err() == nil {
-			s.suspendDirect(&q, err)
+			s.suspendDirect(q, err)
 		}
 		reply = newReply(answer.Items, answer.Number, err)
 	}
@@ -392,3 +394,23 @@
 		s.Log.Info("reply to a forwarded call not sent", "op", string(q.Op), "error", err)
 	}
 }
+
+// decodeCall decodes a forwarded call and charges the memory of the call in place of its body.
+func (s *Store) decodeCall(r *http.Request, body *intake.Body) (*Request, error) {
+	report, holder := s.bodies().Report, intake.Address(r)
+	if err := s.decoding.Enter(r.Context()); err != nil {
+		report.Refused(intake.Reason(err), holder)
+		return nil, err
+	}
+	defer s.decoding.Leave()
+	var q Request
+	if err := cbor.Unmarshal(body.Bytes(), &q); err != nil {
+		report.Refused(intake.ReasonInvalid, holder)
+		return nil, errors.Wrap(err, "forwarded call can't be decoded")
+	}
+	if err := body.Replace(q.size()); err != nil {
+		report.Refused(intake.Reason(err), holder)
+		return nil, err
+	}
+	return &q, nil
+}
--- a/io/proxy/store_test.go
+++ b/io/proxy/store_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"wagtailhoist/io/intake"
 	"wagtailhoist/io/store"
 )
@@ -210,6 +213,63 @@
 	}
 }
 
+// A forwarded change must stay charged while the store doesn't answer: otherwise a slow store makes a process hold the changes of all
+// its peers. One that finds no room must not have been made.
+func TestChangeInProgressIsCharged(t *testing.T) {
+	bodies := &intake.Bodies{Limit: 256 << 10}
+	own := &fakeStore{delay: time.Hour}
+	server := httptest.NewServer(&Store{Direct: own, Token: "t", Log: slog.New(slog.DiscardHandler), Bodies: bodies})
+	t.Cleanup(server.Close)
+	s := &Store{
+		Direct: &fakeStore{err: refused}, Peers: func() []string { return []string{server.Listener.Addr().String()} },
+		Token: "t", HTTP: http.DefaultClient, Log: slog.New(slog.DiscardHandler),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	change := store.Change{Sets: []store.Set{{Key: "k", Value: make([]byte, 100<<10)}}}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = s.Commit(ctx, change)
+	}()
+	for end := time.Now().Add(10 * time.Second); own.commits.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the peer has not made the call within 10 s")
+		}
+	}
+	if got, want := bodies.Held(), int64(100<<10); got < want {
+		t.Errorf("bytes held by a call that the store doesn't answer: got %d, want at least %d", got, want)
+	}
+	cancel()
+	<-ended
+	for end := time.Now().Add(10 * time.Second); bodies.Held() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("bytes held after the call: got %d, want 0", bodies.Held())
+		}
+	}
+	// 60,000 empty sets have 60 KB as text and 2.9 MB decoded.
+	sets := make([]map[string]int, 60_000)
+	for i := range sets {
+		sets[i] = map[string]int{}
+	}
+	body, err := cbor.Marshal(map[int]any{1: OpCommit, 5: map[string]any{"Sets": sets}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPost, server.URL+Path, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer t")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || own.commits.Load() != 1 {
+		t.Errorf("change without room: got status %d and %d changes made, want 503 and 1", resp.StatusCode, own.commits.Load())
+	}
+}
+
 // After a call without an answer, a change is sent only once the store has answered a read. Otherwise each retry of a caller
 // would end with an unknown outcome again.
 func TestChangeIsNotSentToASilentStore(t *testing.T) {
--- a/io/proxy/wire.go
+++ b/io/proxy/wire.go
@@ -34,6 +34,25 @@
 	TTL    time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
+// checkBytes, setBytes and deleteBytes are the memory of an element of a change beside its text.
+const checkBytes, setBytes, deleteBytes = 24, 48, 16
+
+// size returns about the memory that the request takes.
+func (q *Request) size() int64 {
+	c := &q.Change
+	n := len(q.Key) + cap(c.Checks)*checkBytes + cap(c.Sets)*setBytes + cap(c.Deletes)*deleteBytes
+	for i := range c.Checks {
+		n += len(c.Checks[i].Key)
+	}
+	for i := range c.Sets {
+		n += len(c.Sets[i].Key) + len(c.Sets[i].Value)
+	}
+	for _, key := range c.Deletes {
+		n += len(key)
+	}
+	return int64(n)
+}
+
 // ErrorKind is the type of the error of a call, or empty for success.
 type ErrorKind string
 
