Bound the answers to forwarded calls of the store

Cause: a desk made any number of forwarded calls at a time, and held each answer, up to 8 MiB a page, as text, decoded and encoded, until its peer had read it or 5 s had passed.

Ruled out: a bound on the number of calls (a watch lasts for seconds, and answers differ by a factor of thousands); charging an answer once it is complete (the calls in progress hold the most); a gate for calls whose answer arrives (a slow store would hold it).

A reply is written item by item rather than encoded as a whole; peers of earlier versions read it, since its array has an indefinite length, which CBOR decoders take by default. A read without room is refused with 503; a change has an unknown outcome. Direct calls aren't suspended by it.

Conclusion: the number of calls of the store that a desk makes for others is bounded only by its links.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -97,6 +97,7 @@
 	BodyBudget     int `default:"12582912" help:"Bytes of memory for all callers' bodies in progress."`
 	FrameBudget    int `default:"16777216" help:"Bytes of memory for all frames that are received over links at the same time."`
 	PeerBudget     int `default:"25165824" help:"Bytes of memory for all calls of other entries and agents in progress: forwarded calls of the store, and notifications."`
+	AnswerBudget   int `default:"37748736" help:"Bytes of memory for all answers of the store to forwarded calls that aren't passed on yet."`
 	MaxConnections int `default:"2048" help:"Largest number of callers' connections."`
 	MaxLinks       int `default:"1500" help:"Largest number of connections of the link listener: links of agents, and calls of other entries and agents."`
 }
@@ -121,6 +122,7 @@
 	k.count("body-budget", c.BodyBudget, minBodyBudget, maxBodyBudget)
 	k.count("frame-budget", c.FrameBudget, link.MinFrameBudget, maxBodyBudget)
 	k.count("peer-budget", c.PeerBudget, proxy.MinBudget, maxBodyBudget)
+	k.count("answer-budget", c.AnswerBudget, proxy.MinAnswerBudget, maxBodyBudget)
 	k.count("max-connections", c.MaxConnections, minConnections, maxDeskConnections)
 	k.count("max-links", c.MaxLinks, minLinks, maxDeskLinks)
 	if c.Remote < 1 {
@@ -141,9 +143,9 @@
 }
 
 // newDeskStore returns a store client that can reach the store through other entries, and the mirror that lists them.
-func newDeskStore(c *deskCmd, peers *intake.Bodies, log *slog.Logger) (*proxy.Store, *mirror.Mirror) {
+func newDeskStore(c *deskCmd, peers *intake.Bodies, report *intake.Reporter, log *slog.Logger) (*proxy.Store, *mirror.Mirror) {
 	s, m := newProxiedStore(c.Store, c.Token, &mirror.Mirror{Wait: storeWatchTimeout, Log: log}, c.Link, log)
-	s.Bodies = peers
+	s.Bodies, s.Answers = peers, &proxy.Answers{Limit: int64(c.AnswerBudget), Report: report}
 	return s, m
 }
 
@@ -298,6 +300,7 @@
 			go runPeriodically(ctx, gaugeInterval, func(time.Time) {
 				p.Meter.Gauge("body_bytes", float64(front.Bodies.Held()))
 				p.Meter.Gauge("peer_bytes", float64(p.PeerBodies.Held()))
+				p.Meter.Gauge("answer_bytes", float64(p.Store.Answers.Held()))
 				p.Meter.Gauge("frame_bytes", float64(settings.Frames.Held()))
 			})
 			go runPeriodically(ctx, metricsInterval, addCounts(p.Meter, brokenLinkSources(settings.Counters)))
--- a/io/call/call.go
+++ b/io/call/call.go
@@ -42,9 +42,42 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(resp.Body, limit))
+	reader := io.LimitReader(resp.Body, limit)
+	if received, ok := req.Context().Value(receivedKey{}).(func(int64) error); ok {
+		reader = &countingReader{reader: reader, received: received}
+	}
+	body, err = io.ReadAll(reader)
 	if err != nil {
 		return 0, nil, err
 	}
 	return resp.StatusCode, body, nil
 }
+
+// receivedKey is the context key under which WithReceived stores its function.
+type receivedKey struct{}
+
+// WithReceived returns a context with which Do calls received with the number of bytes of the answer's body that have arrived so far,
+// each time that some have. An error from it ends Do.
+func WithReceived(ctx context.Context, received func(bytes int64) error) context.Context {
+	return context.WithValue(ctx, receivedKey{}, received)
+}
+
+// countingReader reports the number of bytes read so far.
+type countingReader struct {
+	reader   io.Reader
+	received func(bytes int64) error
+	bytes    int64
+}
+
+// Read reads a part and reports the bytes read so far.
+func (c *countingReader) Read(b []byte) (int, error) {
+	n, err := c.reader.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.bytes += int64(n)
+	if roomErr := c.received(c.bytes); roomErr != nil {
+		return n, roomErr
+	}
+	return n, err
+}
--- a/io/proxy/store.go
+++ b/io/proxy/store.go
@@ -69,7 +69,10 @@
 	Log   *slog.Logger
 	// Bodies reads forwarded calls within a memory budget; nil means one with the limit DefaultBudget.
 	Bodies *intake.Bodies
+	// Answers bounds the memory of answers to forwarded calls; nil means with the limit DefaultAnswerBudget.
+	Answers *Answers
 
+	defaultAnswers   Answers
 	defaultBodies    intake.Bodies
 	setDefaultBodies sync.Once
 	// decoding bounds the forwarded calls that are decoded at a time: lists of empty elements take up to 30 times their text.
@@ -377,24 +380,49 @@
 		http.Error(w, err.Error(), intake.StatusCode(err))
 		return
 	}
-	reply := Reply{Kind: errorNotAttempted, Detail: "the peer's direct calls of the store have failed too"}
-	if s.directAllowed() {
-		answer, err := s.callDirect(r.Context(), q)
-		if !answeredByStore(err) && r.Context().Err() == nil {
-			s.suspendDirect(q, err)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	answer := s.answers().newAnswer(intake.Address(r), cancel)
+	defer answer.release()
+	reply := s.answerCall(ctx, r, q, answer)
+	// A read has no effect, so that its refusal is true. The outcome of another call without an answer is unknown.
+	if !answer.startWriting(http.NewResponseController(w)) {
+		if q.isRead() {
+			http.Error(w, errAnswerRoom.Error(), http.StatusServiceUnavailable)
+			return
 		}
-		reply = newReply(answer.Items, answer.Number, err)
+		reply = &Reply{Kind: errorUnavailable, Detail: errAnswerRoom.Error()}
 	}
-	out, err := cbor.Marshal(reply)
-	if err != nil {
-		http.Error(w, "reply can't be encoded", http.StatusInternalServerError)
-		return
-	}
-	if _, err := w.Write(out); err != nil {
+	if err := reply.writeTo(answerWriter{w, answer}); err != nil {
 		s.Log.Info("reply to a forwarded call not sent", "op", string(q.Op), "error", err)
 	}
 }
 
+// answers returns the memory budget of answers.
+func (s *Store) answers() *Answers {
+	if s.Answers != nil {
+		return s.Answers
+	}
+	return &s.defaultAnswers
+}
+
+// answerCall makes a forwarded call directly, if direct calls are made, and charges its answer. It returns nil if the answer is given up.
+func (s *Store) answerCall(ctx context.Context, r *http.Request, q *Request, answer *answer) *Reply {
+	if !s.directAllowed() {
+		return &Reply{Kind: errorNotAttempted, Detail: "the peer's direct calls of the store have failed too"}
+	}
+	result, err := s.callDirect(call.WithReceived(ctx, answer.received), q)
+	reply := newReply(result.Items, result.Number, err)
+	if answer.decoded(reply.Items) != nil {
+		// The store isn't the cause, so that direct calls go on.
+		return nil
+	}
+	if !answeredByStore(err) && r.Context().Err() == nil {
+		s.suspendDirect(q, err)
+	}
+	return &reply
+}
+
 // decodeCall decodes a forwarded call and charges the memory of the call in place of its body.
 func (s *Store) decodeCall(r *http.Request, body *intake.Body) (*Request, error) {
 	report, holder := s.bodies().Report, intake.Address(r)
--- a/io/proxy/store_test.go
+++ b/io/proxy/store_test.go
@@ -255,7 +255,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	req, err := http.NewRequest(http.MethodPost, server.URL+Path, bytes.NewReader(body))
+	// A call that is made would last until the store answers.
+	ctx, cancel = context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+Path, bytes.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/proxy/wire.go
+++ b/io/proxy/wire.go
@@ -1,9 +1,12 @@
 package proxy
 
 import (
+	"bufio"
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 
 	"wagtailhoist/io/store"
 )
@@ -34,6 +37,9 @@
 	TTL    time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
+// isRead reports whether the request has no effect.
+func (q *Request) isRead() bool { return q.Op == OpGet || q.Op == OpList || q.Op == OpWatch }
+
 // checkBytes, setBytes and deleteBytes are the memory of an element of a change beside its text.
 const checkBytes, setBytes, deleteBytes = 24, 48, 16
 
@@ -108,6 +114,47 @@
 	return r
 }
 
+// writeTo writes the encoded reply item by item, so that it isn't in memory a second time.
+func (r *Reply) writeTo(w io.Writer) error {
+	buffered := bufio.NewWriterSize(w, replyBuffer)
+	enc := cbor.NewEncoder(buffered)
+	rest := *r
+	rest.Items = nil
+	fields, err := cbor.Marshal(rest)
+	if err != nil {
+		return err
+	}
+	if len(r.Items) == 0 {
+		_, err = w.Write(fields)
+		return err
+	}
+	// The fields other than the items are a map of less than 24 pairs, whose first byte has their number. The items are one more.
+	if err := buffered.WriteByte(fields[0] + 1); err != nil {
+		return err
+	}
+	if err := enc.Encode(itemsKey); err != nil {
+		return err
+	}
+	if err := enc.StartIndefiniteArray(); err != nil {
+		return err
+	}
+	for i := range r.Items {
+		if err := enc.Encode(&r.Items[i]); err != nil {
+			return err
+		}
+	}
+	if err := enc.EndIndefinite(); err != nil {
+		return err
+	}
+	if _, err := buffered.Write(fields[1:]); err != nil {
+		return err
+	}
+	return buffered.Flush()
+}
+
+// itemsKey is the key of Reply.Items on the wire, and replyBuffer the size of the buffer for small items.
+const itemsKey, replyBuffer = 1, 4 << 10
+
 // err returns the error that the peer's call of the store ended with.
 func (r *Reply) err(q *Request) error {
 	switch r.Kind {
