--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -47,12 +47,17 @@
 	// minBodyBudget leaves room for one body of the largest published size, which may take five times that when it is decoded;
 	// maxBodyBudget is the memory of the smallest VM that an idle process and its connections leave.
 	minBodyBudget, maxBodyBudget = 4 << 20, 64 << 20
+	// freeLinkFrameBytes is the size up to which the frames on the links of a desk or runner aren't counted: with 1,500 links they
+	// take 6 MB. An agent's report has under 500 bytes without runs, and about 100 more for each run.
+	freeLinkFrameBytes = 4 << 10
 	// minConnections is below any useful number. maxDeskConnections leaves 400 of a VM's 3,900 descriptors without files for links,
 	// the store and agents.
 	minConnections, maxDeskConnections = 8, 3500
-	// maxLinkConns bounds the connections of the link listener: links of agents and calls of other entries. maxProbeConns bounds
-	// those of the readiness and the metrics listener each.
-	maxLinkConns, maxProbeConns = 1500, 32
+	// minLinks leaves room for a call of another entry beside a few links, and maxDeskLinks for all agents of a large system. Links
+	// take some 60 KB each; the default keeps them within half of the memory of the smallest VM.
+	minLinks, maxDeskLinks = 8, 1 << 16
+	// maxProbeConns bounds the connections of the readiness and of the metrics listener each.
+	maxProbeConns = 32
 	// probeTimeout bounds reading a probe and writing its answer.
 	probeTimeout = 5 * time.Second
 	// callerHeaderTimeout bounds the time in which a request header arrives; the platform publishes 3 s.
@@ -90,7 +95,11 @@
 	Drain   time.Duration `default:"2200ms" help:"Time that the balancer needs to see that the entry is not ready."`
 
 	BodyBudget     int `default:"12582912" help:"Bytes of memory for all callers' bodies in progress."`
+	FrameBudget    int `default:"16777216" help:"Bytes of memory for all frames that are received over links at the same time."`
+	PeerBudget     int `default:"25165824" help:"Bytes of memory for all calls of other entries and agents in progress: forwarded calls of the store, and notifications."`
+	AnswerBudget   int `default:"37748736" help:"Bytes of memory for all answers of the store to forwarded calls that aren't passed on yet."`
 	MaxConnections int `default:"2048" help:"Largest number of callers' connections."`
+	MaxLinks       int `default:"1500" help:"Largest number of connections of the link listener: links of agents, and calls of other entries and agents."`
 }
 
 func (c *deskCmd) validate(k *validator) {
@@ -111,7 +120,11 @@
 	k.duration("keep", c.Keep, time.Second, 24*time.Hour)
 	k.duration("drain", c.Drain, 0, time.Minute)
 	k.count("body-budget", c.BodyBudget, minBodyBudget, maxBodyBudget)
+	k.count("frame-budget", c.FrameBudget, link.MinFrameBudget, maxBodyBudget)
+	k.count("peer-budget", c.PeerBudget, proxy.MinBudget, maxBodyBudget)
+	k.count("answer-budget", c.AnswerBudget, proxy.MinAnswerBudget, maxBodyBudget)
 	k.count("max-connections", c.MaxConnections, minConnections, maxDeskConnections)
+	k.count("max-links", c.MaxLinks, minLinks, maxDeskLinks)
 	if c.Remote < 1 {
 		k.failFlag("remote", "", "a number of at least 1")
 	}
@@ -124,14 +137,16 @@
 func (c *deskCmd) Run(s streams) error {
 	return serveBounded(s, c.Level, c.ID,
 		fx.Supply(c),
-		fx.Provide(newDeskStore, newWatcher, newDeskEvacuations, newOwner, newNotifier, newJobService, newDeskMeter),
+		fx.Provide(newPeerBodies, newDeskStore, newWatcher, newDeskEvacuations, newOwner, newNotifier, newJobService, newDeskMeter, newDeskReporter),
 		fx.Invoke(startDesk),
 	)
 }
 
 // newDeskStore returns a store client that can reach the store through other entries, and the mirror that lists them.
-func newDeskStore(c *deskCmd, log *slog.Logger) (*proxy.Store, *mirror.Mirror) {
-	return newProxiedStore(c.Store, c.Token, &mirror.Mirror{Wait: storeWatchTimeout, Log: log}, c.Link, log)
+func newDeskStore(c *deskCmd, peers *intake.Bodies, report *intake.Reporter, log *slog.Logger) (*proxy.Store, *mirror.Mirror) {
+	s, m := newProxiedStore(c.Store, c.Token, &mirror.Mirror{Wait: storeWatchTimeout, Log: log}, c.Link, log)
+	s.Bodies, s.Answers = peers, &proxy.Answers{Limit: int64(c.AnswerBudget), Report: report}
+	return s, m
 }
 
 // newProxiedStore returns a client of the store at address that falls back to the entries in mirror m as proxies, and
@@ -182,8 +197,18 @@
 	}
 }
 
-func newNotifier(c *deskCmd, m *mirror.Mirror, log *slog.Logger) *jobs.Notifier {
-	return &jobs.Notifier{Mirror: m, Self: c.Link, Token: c.Token, HTTP: platform.NewHTTP(), Log: log}
+func newNotifier(c *deskCmd, m *mirror.Mirror, peers *intake.Bodies, log *slog.Logger) *jobs.Notifier {
+	return &jobs.Notifier{Mirror: m, Self: c.Link, Token: c.Token, HTTP: platform.NewHTTP(), Log: log, Bodies: peers}
+}
+
+// newPeerBodies returns the reader of the calls of other processes, which share a memory budget.
+func newPeerBodies(c *deskCmd, report *intake.Reporter) *intake.Bodies {
+	return &intake.Bodies{Limit: int64(c.PeerBudget), Report: report}
+}
+
+// newDeskReporter returns the reporter of all limits of the process, which share its log line.
+func newDeskReporter(m *meter.Meter, log *slog.Logger) *intake.Reporter {
+	return &intake.Reporter{Log: log, Meter: m}
 }
 
 func newJobService(s *proxy.Store, m *mirror.Mirror, n *jobs.Notifier) *jobs.Service {
@@ -233,6 +258,8 @@
 	Owner       *owner.Owner
 	Notifier    *jobs.Notifier
 	Jobs        *jobs.Service
+	PeerBodies  *intake.Bodies
+	Report      *intake.Reporter
 	Meter       *meter.Meter
 }
 
@@ -246,7 +273,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ownerCtx, stopOwner := context.WithCancel(ctx)
 	var stopping atomic.Bool
-	report := &intake.Reporter{Log: log, Meter: p.Meter}
+	report := p.Report
 	front := &platform.JobHandler{Jobs: p.Jobs, Desired: p.Watcher.Desired, Refresh: p.Watcher.Refresh, Log: log, Meter: p.Meter, Report: report}
 	front.Bodies.Limit, front.Bodies.Report = int64(c.BodyBudget), report
 	callers := callerServer(front)
@@ -254,7 +281,8 @@
 		_, _, synced := p.Mirror.Status()
 		return synced && p.Watcher.Desired() != nil && !stopping.Load()
 	}))
-	links := newDeskLinkServer(c, p)
+	settings := newDeskLinkSettings(c)
+	links := newDeskLinkServer(settings, p)
 	var loops sync.WaitGroup
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -268,10 +296,14 @@
 				MakeRoom: front.Bodies.Evict, Report: report,
 			}, log)
 			go serveHTTP(ready, &intake.Listener{Listener: open[1], MaxConns: maxProbeConns, Report: report}, log)
-			go serveHTTP(links, &intake.Listener{Listener: open[2], MaxConns: maxLinkConns, Report: report}, log)
+			go serveHTTP(links, &intake.Listener{Listener: open[2], MaxConns: c.MaxLinks, Report: report}, log)
 			go runPeriodically(ctx, gaugeInterval, func(time.Time) {
 				p.Meter.Gauge("body_bytes", float64(front.Bodies.Held()))
+				p.Meter.Gauge("peer_bytes", float64(p.PeerBodies.Held()))
+				p.Meter.Gauge("answer_bytes", float64(p.Store.Answers.Held()))
+				p.Meter.Gauge("frame_bytes", float64(settings.Frames.Held()))
 			})
+			go runPeriodically(ctx, metricsInterval, addCounts(p.Meter, brokenLinkSources(settings.Counters)))
 			loops.Go(func() { p.Watcher.Run(ctx) })
 			loops.Go(func() { p.Evacuations.Run(ctx) })
 			loops.Go(func() { p.Mirror.Run(ctx) })
@@ -307,14 +339,21 @@
 	}
 }
 
-// newDeskLinkServer returns the server of the link listener, which accepts links of agents, store calls that this
-// entry proxies for other processes, and job notifications from other entries.
-func newDeskLinkServer(c *deskCmd, p deskParts) *http.Server {
+// newDeskLinkSettings returns the settings of all links to agents.
+func newDeskLinkSettings(c *deskCmd) link.Settings {
 	self := link.Hello{
 		Node: model.NodeID(c.ID), Incarnation: entryIncarnation(time.Now()), Role: link.RoleEntry,
 		Region: model.Region(c.Region), Centre: model.Centre(c.Centre), Address: c.Link,
 	}
-	s := link.Settings{Self: self, Token: c.Token, SilenceTimeout: linkSilenceTimeout}
+	return link.Settings{
+		Self: self, Token: c.Token, SilenceTimeout: linkSilenceTimeout, Counters: new(link.Counters),
+		Frames: &link.FrameBudget{Limit: int64(c.FrameBudget), Free: freeLinkFrameBytes},
+	}
+}
+
+// newDeskLinkServer returns the server of the link listener, which accepts links of agents, store calls that this
+// entry proxies for other processes, and job notifications from other entries.
+func newDeskLinkServer(s link.Settings, p deskParts) *http.Server {
 	server := linkServer(s, p.Owner.ServeAgent, func() bool { return true })
 	server.ConnState = intake.TrackRequests
 	router := mux.NewRouter()
--- a/io/proxy/store.go
+++ b/io/proxy/store.go
@@ -50,8 +50,9 @@
 	probeKey = "wh/probe"
 	// maxBodyBytes bounds a forwarded call and its reply: a change has at most 32 records of a job's progress.
 	maxBodyBytes = 16 << 20
-	// DefaultBudget is the memory budget of a Store that sets none, in bytes: the largest call may take three quarters of it.
-	DefaultBudget = 24 << 20
+	// DefaultBudget is the memory budget of a Store that sets none, in bytes, and MinBudget the least one into which the largest call
+	// fits while it is alone: one holder gets three quarters.
+	DefaultBudget, MinBudget = 24 << 20, 22 << 20
 	// bodyTimeout bounds the arrival of a forwarded call, which its sender gives up after forwardTimeout.
 	bodyTimeout = 2 * forwardTimeout
 )
@@ -68,9 +69,14 @@
 	Log   *slog.Logger
 	// Bodies reads forwarded calls within a memory budget; nil means one with the limit DefaultBudget.
 	Bodies *intake.Bodies
+	// Answers bounds the memory of answers to forwarded calls; nil means with the limit DefaultAnswerBudget.
+	Answers *Answers
 
+	defaultAnswers   Answers
 	defaultBodies    intake.Bodies
 	setDefaultBodies sync.Once
+	// decoding bounds the forwarded calls that are decoded at a time: lists of empty elements take up to 30 times their text.
+	decoding intake.Gate
 
 	mu sync.Mutex
 	// health decides whether direct calls are made, by times on the boot-time clock.
@@ -501,28 +507,72 @@
 		http.Error(w, err.Error(), intake.StatusCode(err))
 		return
 	}
-	var q Request
-	err = cbor.Unmarshal(body.Bytes(), &q)
-	// The decoded call has copies of its parts. A watch lasts for seconds, and needs no body meanwhile.
-	body.Release()
+	// The call stays charged until it is answered: a store that is slow holds up the changes of all peers.
+	defer body.Release()
+	q, err := s.decodeCall(r, body)
 	if err != nil {
-		http.Error(w, "forwarded call can't be decoded", http.StatusBadRequest)
+		http.Error(w, err.Error(), intake.StatusCode(err))
 		return
 	}
-	reply := Reply{Kind: errorNotAttempted, Detail: "the peer's direct calls of the store have failed too"}
-	if s.directAllowed() {
-		answer, err := s.callDirect(r.Context(), &q)
-		if !answeredByStore(err) && r.Context().Err() == nil {
-			s.suspendDirect(&q, err)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	answer := s.answers().newAnswer(intake.Address(r), cancel)
+	defer answer.release()
+	reply := s.answerCall(ctx, r, q, answer)
+	// A read has no effect, so that its refusal is true. The outcome of another call without an answer is unknown.
+	if !answer.startWriting(http.NewResponseController(w)) {
+		if q.isRead() {
+			http.Error(w, errAnswerRoom.Error(), http.StatusServiceUnavailable)
+			return
 		}
-		reply = newReply(answer.Items, answer.Number, err)
+		reply = &Reply{Kind: errorUnavailable, Detail: errAnswerRoom.Error()}
 	}
-	out, err := cbor.Marshal(reply)
-	if err != nil {
-		http.Error(w, "reply can't be encoded", http.StatusInternalServerError)
-		return
-	}
-	if _, err := w.Write(out); err != nil {
+	if err := reply.writeTo(answerWriter{w, answer}); err != nil {
 		s.Log.Info("reply to a forwarded call not sent", "op", string(q.Op), "error", err)
 	}
 }
+
+// answers returns the memory budget of answers.
+func (s *Store) answers() *Answers {
+	if s.Answers != nil {
+		return s.Answers
+	}
+	return &s.defaultAnswers
+}
+
+// answerCall makes a forwarded call directly, if direct calls are made, and charges its answer. It returns nil if the answer is given up.
+func (s *Store) answerCall(ctx context.Context, r *http.Request, q *Request, answer *answer) *Reply {
+	if !s.directAllowed() {
+		return &Reply{Kind: errorNotAttempted, Detail: "the peer's direct calls of the store have failed too"}
+	}
+	result, err := s.callDirect(call.WithReceived(ctx, answer.received), q)
+	reply := newReply(result.Items, result.Number, err)
+	if answer.decoded(reply.Items) != nil {
+		// The store isn't the cause, so that direct calls go on.
+		return nil
+	}
+	if !answeredByStore(err) && r.Context().Err() == nil {
+		s.suspendDirect(q, err)
+	}
+	return &reply
+}
+
+// decodeCall decodes a forwarded call and charges the memory of the call in place of its body.
+func (s *Store) decodeCall(r *http.Request, body *intake.Body) (*Request, error) {
+	report, holder := s.bodies().Report, intake.Address(r)
+	if err := s.decoding.Enter(r.Context()); err != nil {
+		report.Refused(intake.Reason(err), holder)
+		return nil, err
+	}
+	defer s.decoding.Leave()
+	var q Request
+	if err := cbor.Unmarshal(body.Bytes(), &q); err != nil {
+		report.Refused(intake.ReasonInvalid, holder)
+		return nil, errors.Wrap(err, "forwarded call can't be decoded")
+	}
+	if err := body.Replace(q.size()); err != nil {
+		report.Refused(intake.Reason(err), holder)
+		return nil, err
+	}
+	return &q, nil
+}
--- a/io/proxy/store_test.go
+++ b/io/proxy/store_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -14,18 +15,21 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"wagtailhoist/core/health"
 	"wagtailhoist/io/clock"
 	"wagtailhoist/io/intake"
 	"wagtailhoist/io/store"
 )
 
-// fakeStore answers each call with err after delay, but changes with commitErr if it is set.
+// fakeStore answers each call with err after delay, and changes with commitErr after commitDelay if these are set.
 type fakeStore struct {
 	// mu guards err and delay.
 	mu             sync.Mutex
 	err, commitErr error
 	delay          time.Duration
+	commitDelay    time.Duration
 	// calls counts all calls, commits those of Commit.
 	calls, commits atomic.Int32
 }
@@ -64,10 +68,15 @@
 
 func (s *fakeStore) Commit(ctx context.Context, _ store.Change) (uint64, error) {
 	s.commits.Add(1)
-	if err := s.answer(ctx); err != nil || s.commitErr == nil {
-		return 11, err
+	if err := s.answer(ctx); err != nil {
+		return 0, err
+	}
+	select {
+	case <-time.After(s.commitDelay):
+		return 11, s.commitErr
+	case <-ctx.Done():
+		return 0, &store.UnavailableError{Op: "fake", Cause: ctx.Err()}
 	}
-	return 0, s.commitErr
 }
 
 func (s *fakeStore) Grant(ctx context.Context, _ time.Duration) (uint64, error) {
@@ -231,6 +240,66 @@
 	}
 }
 
+// A forwarded change must stay charged while the store doesn't answer: otherwise a slow store makes a process hold the changes of all
+// its peers. One that finds no room must not have been made.
+func TestChangeInProgressIsCharged(t *testing.T) {
+	bodies := &intake.Bodies{Limit: 256 << 10}
+	own := &fakeStore{commitDelay: time.Hour}
+	server := httptest.NewServer(&Store{Direct: own, Token: "t", Log: slog.New(slog.DiscardHandler), Bodies: bodies})
+	t.Cleanup(server.Close)
+	s := &Store{
+		Direct: &fakeStore{err: refused}, Peers: func() []string { return []string{server.Listener.Addr().String()} },
+		Token: "t", HTTP: http.DefaultClient, Log: slog.New(slog.DiscardHandler),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	change := store.Change{Sets: []store.Set{{Key: "k", Value: make([]byte, 100<<10)}}}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = s.Commit(ctx, change)
+	}()
+	for end := time.Now().Add(10 * time.Second); own.commits.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the peer has not made the call within 10 s")
+		}
+	}
+	if got, want := bodies.Held(), int64(100<<10); got < want {
+		t.Errorf("bytes held by a call that the store doesn't answer: got %d, want at least %d", got, want)
+	}
+	cancel()
+	<-ended
+	for end := time.Now().Add(10 * time.Second); bodies.Held() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("bytes held after the call: got %d, want 0", bodies.Held())
+		}
+	}
+	// 60,000 empty sets have 60 KB as text and 2.9 MB decoded.
+	sets := make([]map[string]int, 60_000)
+	for i := range sets {
+		sets[i] = map[string]int{}
+	}
+	body, err := cbor.Marshal(map[int]any{1: OpCommit, 5: map[string]any{"Sets": sets}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A call that is made would last until the store answers.
+	ctx, cancel = context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+Path, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer t")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || own.commits.Load() != 1 {
+		t.Errorf("change without room: got status %d and %d changes made, want 503 and 1", resp.StatusCode, own.commits.Load())
+	}
+}
+
 // After a call without an answer, a change is sent only once the store has answered a read. Otherwise each retry of a caller
 // would end with an unknown outcome again.
 func TestChangeIsNotSentToASilentStore(t *testing.T) {
