Let teams take turns in core/alloc

Cause: within a priority, waiting steps were ordered by deadline regardless of their team, so that a burst of one team delays the jobs of all others.

Change: the setting TeamOrder. With share, and only for the steps of several teams in a rank and service whose waiting work exceeds the free capacity, the team with the lowest usage by weight goes first. A step past half of its objective isn't held back for what its team has used, and past one and a half objectives (half of the time in which it is of use) nothing newer goes before it. Usage is what runs hold, charged at each plan and at their end; a new owner starts with none. The placement reason names the order where the setting is share; by deadline it is unchanged.

Conclusion: the default is the order by deadline, with the decisions of before.

--- a/core/alloc/equal_test.go
+++ b/core/alloc/equal_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wagtailhoist/core/batch"
+	"wagtailhoist/core/model"
 )
 
 // randomStep returns a step with some of the restrictions that a step may have.
@@ -36,10 +37,12 @@
 	return s
 }
 
-// playRandomLoad lets a scheduler with the given plan function serve a random load, and returns its decisions by plan.
-func playRandomLoad(t *testing.T, seed int64, plan func(s *Scheduler, now, wall time.Time)) []string {
+// playRandomLoad lets a scheduler with the given plan function serve a random load of some teams, and returns its decisions by
+// plan. The load of one team doesn't depend on the order.
+func playRandomLoad(t *testing.T, seed int64, order TeamOrder, teams []model.Team, plan func(s *Scheduler, now, wall time.Time)) []string {
 	rng := rand.New(rand.NewSource(seed))
 	f := newFixture(t, batch.Team{Name: "a", Guarantee: int64(rng.Intn(40))})
+	f.scheduler.Settings.TeamOrder = order
 	var decisions []string
 	f.scheduler.Trace = func(e Event) { decisions = append(decisions, fmt.Sprint(e.Kind, e.Run, e.Worker, e.Centre, e.Detail)) }
 	racks := 1 + rng.Intn(4)
@@ -66,7 +69,12 @@
 			}
 		}
 		for range rng.Intn(4) {
-			f.submit(fmt.Sprintf("p%d", rng.Intn(3)), "a", randomStep(rng, racks), batch.Step{
+			team := teams[0]
+			if len(teams) > 1 {
+				// The first team submits half of all jobs.
+				team = teams[max(0, rng.Intn(2*len(teams)-2)-len(teams)+2)]
+			}
+			f.submit(fmt.Sprintf("p%d", rng.Intn(3)), team, randomStep(rng, racks), batch.Step{
 				Count: 2, After: []int{0}, Need: batch.Amount{CPU: 1000, GPU: 1}, Estimate: time.Second,
 			})
 		}
@@ -99,13 +107,24 @@
 // Plan must decide as the reference does, which compares each step with all workers: its caches and its knowledge of what
 // doesn't fit must not change a placement, a stop or a reservation.
 func TestPlanDecidesLikeTheReference(t *testing.T) {
-	placements, stops := 0, 0
+	for _, tc := range []struct {
+		order TeamOrder
+		teams []model.Team
+	}{{ByDeadline, []model.Team{"a"}}, {ByShare, []model.Team{"a", "b", "c", "d"}}} {
+		t.Run(string(tc.order), func(t *testing.T) { comparePlans(t, tc.order, tc.teams) })
+	}
+}
+
+// comparePlans compares the decisions of Plan with those of the reference.
+func comparePlans(t *testing.T, order TeamOrder, teams []model.Team) {
+	placements, stops, turns := 0, 0, 0
 	for seed := range int64(50) {
-		want := playRandomLoad(t, seed, referencePlanOf)
-		got := playRandomLoad(t, seed, func(s *Scheduler, now, wall time.Time) { s.Plan(now, wall) })
+		want := playRandomLoad(t, seed, order, teams, referencePlanOf)
+		got := playRandomLoad(t, seed, order, teams, planOf)
 		for i := range want {
 			placements += strings.Count(want[i], "placed")
 			stops += strings.Count(want[i], "room for")
+			turns += strings.Count(want[i], "by share (turn ") - strings.Count(want[i], "by share (turn 0)")
 			if got[i] != want[i] {
 				t.Fatalf("seed %d, plan %d:\ngot\n%s\nwant\n%s", seed, i, got[i], want[i])
 			}
@@ -114,4 +133,10 @@
 	if placements < 1000 || stops < 50 {
 		t.Errorf("got %d placements and %d stops, want at least 1000 and 50 for the comparison to mean something", placements, stops)
 	}
+	if order == ByShare && turns < 100 {
+		t.Errorf("got %d placements whose order the share has changed, want at least 100 for the comparison to mean something", turns)
+	}
 }
+
+// planOf is Plan as a plan function.
+func planOf(s *Scheduler, now, wall time.Time) { s.Plan(now, wall) }
--- a/core/alloc/finish.go
+++ b/core/alloc/finish.go
@@ -15,6 +15,7 @@
 	delete(w.runs, id)
 	stopOrdered := t.mustStop
 	s.learnRun(now, w, t, cause)
+	s.chargeEnded(now, t)
 	t.resetRun()
 	j.markChanged()
 	step := &j.job.Steps[t.Step]
@@ -53,6 +54,7 @@
 				f.keepUntil = now.Add(unlistedRunTime)
 			}
 			w.foreign[batch.RunID{Task: m.id(j), Run: m.Run}] = f
+			s.chargeEnded(now, m)
 			m.resetRun()
 		}
 		m.Phase = batch.TaskDone
@@ -139,7 +141,7 @@
 	for _, id := range w.sortedRuns() {
 		if t := w.runs[id]; t != nil {
 			s.trace("lost", batch.RunID{Task: id, Run: t.Run}, w.ID, reason)
-			// finishRun uses now only for runs that ended by themselves, so that none is passed.
+			// finishRun uses now only for runs that ended by themselves, and for usage since the last plan, so that none is passed.
 			s.finishRun(time.Time{}, wall, w, t, batch.EndWorkerLost)
 		}
 	}
--- a/core/alloc/job.go
+++ b/core/alloc/job.go
@@ -58,6 +58,8 @@
 	checkpointedAt time.Time
 	// lastFailedRun is the last run whose failure was counted for all members of the gang.
 	lastFailedRun int
+	// chargedAt is up to when the run is counted in its team's usage.
+	chargedAt time.Time
 }
 
 func newJob(record *batch.JobRecord, now, wall time.Time, updates *updateQueue) *job {
@@ -99,7 +101,7 @@
 	t.Worker = ""
 	t.startSent, t.confirmed, t.sent, t.proven, t.mustStop = false, false, false, false, false
 	t.stopSent, t.startedAt, t.progressedAt, t.checkpointedAt, t.unconfirmedSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}, time.Time{}
-	t.percent = 0
+	t.percent, t.chargedAt = 0, time.Time{}
 }
 
 // markChanged schedules the job's progress to be stored.
--- a/core/alloc/pending.go
+++ b/core/alloc/pending.go
@@ -25,6 +25,12 @@
 	deadline time.Time
 	// estimate is the expected run time of a task.
 	estimate time.Duration
+	// waited is the time since acceptance or the due time, as a multiple of the objective.
+	waited float64
+	// turn is the place of the step's team among those that take turns, the lowest first. order is by what the step was ordered
+	// within its rank; it is empty where teams never take turns.
+	turn  int
+	order TeamOrder
 }
 
 // timeliness says whether a job can still meet its latency objective.
@@ -85,6 +91,9 @@
 	}
 	objective := ps.queue.Objective(s.criticalPath(&j.job))
 	ps.deadline = objectiveStart.Add(objective)
+	if objective > 0 {
+		ps.waited = float64(now.Sub(objectiveStart)) / float64(objective)
+	}
 	switch {
 	case ps.step.LongRunning:
 		// A long-running task stays of use to its users however late it starts.
@@ -96,7 +105,8 @@
 	return ps
 }
 
-// precedes reports whether ps comes before other: by guarantee, then by rank, then by deadline.
+// precedes reports whether ps comes before other: by guarantee, then by rank, then by the turn of its
+// team, then by deadline.
 func (ps *pendingStep) precedes(other *pendingStep) bool {
 	if ps.guaranteed != other.guaranteed {
 		return ps.guaranteed
@@ -104,6 +114,9 @@
 	if x, y := ps.rank(), other.rank(); x != y {
 		return x < y
 	}
+	if ps.turn != other.turn {
+		return ps.turn < other.turn
+	}
 	return ps.deadline.Before(other.deadline)
 }
 
@@ -132,7 +145,14 @@
 	if ps.guaranteed {
 		kind = "guaranteed"
 	}
-	return fmt.Sprintf("%s, priority %d, %d ms to the objective", kind, ps.queue.Priority, ps.deadline.Sub(now).Milliseconds())
+	reason := fmt.Sprintf("%s, priority %d, %d ms to the objective", kind, ps.queue.Priority, ps.deadline.Sub(now).Milliseconds())
+	switch ps.order {
+	case ByShare:
+		reason += fmt.Sprintf(", by share (turn %d)", ps.turn)
+	case ByDeadline:
+		reason += ", by deadline"
+	}
+	return reason
 }
 
 // guaranteedJobs returns the due jobs of priority 0 that fit into their team's guarantee. Older jobs are counted first.
--- a/core/alloc/plan.go
+++ b/core/alloc/plan.go
@@ -101,6 +101,9 @@
 func (s *Scheduler) Plan(now, wall time.Time) {
 	s.needsPlan = false
 	s.adviceQueries = nil
+	if s.Settings.TeamOrder == ByShare {
+		s.chargeRuns(now)
+	}
 	guaranteedJobs := s.guaranteedJobs(wall)
 	pendingSteps := s.pendingSteps(now, wall, guaranteedJobs)
 	if len(pendingSteps) == 0 {
@@ -127,6 +130,9 @@
 			}
 		}
 	}
+	if s.Settings.TeamOrder == ByShare {
+		p.takeTurns(pendingSteps)
+	}
 	for _, ps := range pendingSteps {
 		p.placeStep(ps)
 	}
@@ -420,6 +426,7 @@
 		t.resetRun()
 		t.partial = t.Checkpoint != "" && ps.step.Checkpoints
 		t.Phase, t.Run, t.Worker, t.placedGeneration = batch.TaskPlaced, run, w.ID, j.generation
+		t.chargedAt = p.now
 		w.runs[t.id(j)] = t
 		p.subtract(ps, w)
 		p.expected[w.index] = nil
--- a/core/alloc/reference_test.go
+++ b/core/alloc/reference_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"wagtailhoist/core/batch"
+	"wagtailhoist/core/model"
 )
 
 // referencePlan is the plan as it was before it kept slices by worker, cached candidates and known misfits: each step is
@@ -22,6 +24,9 @@
 // referencePlanOf is Plan with a referencePlan.
 func referencePlanOf(s *Scheduler, now, wall time.Time) {
 	s.needsPlan = false
+	if s.Settings.TeamOrder == ByShare {
+		s.chargeRuns(now)
+	}
 	pendingSteps := s.pendingSteps(now, wall, s.guaranteedJobs(wall))
 	p := &referencePlan{
 		plan: &plan{Scheduler: s, now: now, wall: wall}, now: now, wall: wall, workers: s.sorted,
@@ -36,11 +41,70 @@
 			}
 		}
 	}
+	if s.Settings.TeamOrder == ByShare {
+		pendingSteps = p.inTurns(pendingSteps)
+	}
 	for _, ps := range pendingSteps {
 		p.placeStep(ps)
 	}
 }
 
+// inTurns returns the steps in the order in which teams take turns. It compares each step with all others, and decides by usage
+// and weight alone.
+func (p *referencePlan) inTurns(steps []*pendingStep) []*pendingStep {
+	var ordered []*pendingStep
+	for _, ps := range steps {
+		ps.order, ps.turn = ByDeadline, 0
+		var teams []model.Team
+		need, free := batch.Amount{}, batch.Amount{}
+		for _, other := range steps {
+			if other.queue.Service != ps.queue.Service {
+				continue
+			}
+			for range other.tasks {
+				need = need.Add(other.step.Allocation())
+			}
+			if other.rank() == ps.rank() && other.ownRank() && !slices.Contains(teams, other.job.job.Team) {
+				teams = append(teams, other.job.job.Team)
+			}
+		}
+		for _, w := range p.workers {
+			if w.usable(p.now, ps.queue.Service) {
+				free = free.Add(p.free[w])
+			}
+		}
+		if ps.ownRank() && len(teams) > 1 && !free.Contains(need) {
+			slices.Sort(teams)
+			ps.order = ByShare
+			ps.turn = p.usage.Rank(p.now, ps.job.job.Team) - p.usage.CommonRank(p.now, teams)
+			objective := ps.queue.Objective(p.criticalPath(&ps.job.job))
+			late := p.now.Sub(ps.deadline)
+			if ps.turn > 0 && late > -objective/2 {
+				ps.turn = 0
+			}
+			if late > objective/2 {
+				ps.turn = firstTurn
+			}
+		}
+		at := len(ordered)
+		for at > 0 && ps.before(ordered[at-1]) {
+			at--
+		}
+		ordered = slices.Insert(ordered, at, ps)
+	}
+	return ordered
+}
+
+// ownRank reports whether a step is neither guaranteed nor long-running nor of no use, which have ranks of their own.
+func (ps *pendingStep) ownRank() bool {
+	return !ps.guaranteed && !ps.step.LongRunning && ps.timeliness != tooLate
+}
+
+// before reports whether a step comes before one that follows it by deadline.
+func (ps *pendingStep) before(other *pendingStep) bool {
+	return ps.ownRank() && other.ownRank() && ps.queue.Priority == other.queue.Priority && ps.turn < other.turn
+}
+
 // placeStep places the tasks of a step, and makes room for those that don't fit.
 func (p *referencePlan) placeStep(ps *pendingStep) {
 	if !ps.step.Gang {
@@ -256,7 +320,7 @@
 	for i, t := range tasks {
 		w := assigned[i]
 		t.resetRun()
-		t.Phase, t.Run, t.Worker, t.placedGeneration = batch.TaskPlaced, run, w.ID, j.generation
+		t.Phase, t.Run, t.Worker, t.placedGeneration, t.chargedAt = batch.TaskPlaced, run, w.ID, j.generation, p.now
 		w.runs[t.id(j)] = t
 		p.free[w] = p.free[w].Sub(j.job.Steps[t.Step].Allocation())
 		p.freeAfterStops[w] = p.freeAfterStops[w].Sub(j.job.Steps[t.Step].Allocation())
--- a/core/alloc/scheduler.go
+++ b/core/alloc/scheduler.go
@@ -8,6 +8,7 @@
 	"wagtailhoist/core/batch"
 	"wagtailhoist/core/learn"
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/share"
 )
 
 // Settings configures a Scheduler.
@@ -20,6 +21,8 @@
 	RemoteSlowdown float64
 	// Retention is how long the records of a job are kept after its end; 0 means 3 minutes.
 	Retention time.Duration
+	// TeamOrder is how the waiting work of different teams is ordered.
+	TeamOrder TeamOrder
 }
 
 const (
@@ -53,6 +56,8 @@
 	updates updateQueue
 	// learned is what was learned about run times.
 	learned learn.Model
+	// usage is what teams have used recently, if they take turns.
+	usage share.Usage
 	// termStart is when the owner's term began. Runs on workers that have not reported since may go on for a lease from then.
 	termStart time.Time
 	// needsPlan is set when the state has changed in a way that may allow or require other placements.
@@ -129,6 +134,8 @@
 	s.jobs, s.active = map[model.JobID]*job{}, map[model.JobID]*job{}
 	s.workers, s.byNode = map[string]*worker{}, map[string][]*worker{}
 	s.sorted, s.touched, s.updates, s.learned = nil, nil, updateQueue{}, learn.Model{}
+	s.usage = share.Usage{}
+	s.setWeights()
 	s.termStart = now
 	s.evacuated, s.racks, s.shortTeams = nil, map[string]string{}, nil
 	for id := range cache.Jobs {
@@ -140,6 +147,7 @@
 // SetPolicy replaces the declared queues and teams.
 func (s *Scheduler) SetPolicy(declared batch.Policy) {
 	s.policy = declared
+	s.setWeights()
 	s.needsPlan = true
 }
 
--- a/core/alloc/simulation_test.go
+++ b/core/alloc/simulation_test.go
@@ -19,8 +19,10 @@
 type simulation struct {
 	*rapid.T
 	scheduler Scheduler
-	cache     batch.Cache
-	now       time.Time
+	// order is the setting of all owners.
+	order TeamOrder
+	cache batch.Cache
+	now   time.Time
 	// version counts the writes to the store, which is the cache.
 	version uint64
 	session uint64
@@ -361,7 +363,7 @@
 }
 
 func newSimulation(t *rapid.T) *simulation {
-	sim := &simulation{T: t, now: startTime, session: 1, done: map[batch.TaskID]bool{}}
+	sim := &simulation{T: t, order: rapid.SampledFrom([]TeamOrder{ByDeadline, ByShare}).Draw(t, "order"), now: startTime, session: 1, done: map[batch.TaskID]bool{}}
 	sim.acknowledgedDone, sim.failures, sim.lastStart = map[batch.TaskID]int{}, map[batch.TaskID]int{}, map[batch.TaskID]int{}
 	sim.evacuated = map[string]time.Time{}
 	for i := range 3 {
@@ -384,7 +386,7 @@
 
 // replaceOwner replaces the owner by a new one that starts from the store. Progress that wasn't stored is lost.
 func (sim *simulation) replaceOwner() {
-	sim.scheduler = Scheduler{}
+	sim.scheduler = Scheduler{Settings: Settings{TeamOrder: sim.order}}
 	sim.scheduler.StartTerm(sim.now, sim.now, &sim.cache)
 	sim.scheduler.SetPolicy(batch.Policy{Teams: map[model.Team]batch.Team{"a": {Name: "a", Guarantee: 8}}})
 	sim.readEvacuations()
@@ -409,8 +411,9 @@
 	}
 	id := model.JobID(fmt.Sprintf("%016x", len(sim.jobs)+1))
 	queue := batch.Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, Priority: rapid.IntRange(0, 2).Draw(sim.T, "priority")}
+	team := model.Team(rapid.SampledFrom([]string{"a", "b"}).Draw(sim.T, "team"))
 	sim.jobs = append(sim.jobs, id)
-	sim.write(batch.JobKey(id), &batch.Job{ID: id, Queue: "q", Team: "a", Steps: steps, Accepted: sim.now.UnixMilli(), QueueConfig: queue, Spec: "spec of " + string(id)})
+	sim.write(batch.JobKey(id), &batch.Job{ID: id, Queue: "q", Team: team, Steps: steps, Accepted: sim.now.UnixMilli(), QueueConfig: queue, Spec: "spec of " + string(id)})
 }
 
 // advance lets time pass. Runs end when the lease of their worker expires.
