--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -89,6 +89,8 @@
 	Share   float64       `default:"0" help:"Share of processor time of this VM in cores; entries with a large share are elected first. 0 means unknown."`
 	Drain   time.Duration `default:"2200ms" help:"Time that the balancer needs to see that the entry is not ready."`
 
+	TeamOrder string `default:"deadline" enum:"deadline,share" help:"Order of waiting work of one priority: by deadline, or by what its team has used recently while capacity is short."`
+
 	BodyBudget     int `default:"12582912" help:"Bytes of memory for all callers' bodies in progress."`
 	MaxConnections int `default:"2048" help:"Largest number of callers' connections."`
 }
@@ -172,6 +174,7 @@
 		Advisor: advisor, Evacuations: e, Store: s, Mirror: m, Self: mirror.EntryInfo{ID: c.ID, Address: c.Link, Share: c.Share}, Log: log, Meter: metrics,
 		Settings: alloc.Settings{
 			Lease: c.Hold - leaseMargin, EarlyStart: c.Early / 2, RemoteSlowdown: c.Remote, Retention: c.Keep + c.Keep/2,
+			TeamOrder: alloc.TeamOrder(c.TeamOrder),
 		},
 		Policy: func() (batch.Policy, uint64) {
 			if d := w.Desired(); d != nil {
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -177,6 +177,15 @@
 	scope.Gauge("run_time_samples").Update(samples)
 }
 
+// TeamUsage sets what a team has used recently, in accelerator seconds. NaN means that this process doesn't decide any more.
+func (m *Meter) TeamUsage(team model.Team, value float64) {
+	if m == nil {
+		return
+	}
+	name := m.teams.value("", string(team))
+	m.scope.Tagged(map[string]string{"team": name}).Gauge("team_usage").Update(value)
+}
+
 // timing records d once by team and once by class, in separate metrics: a series for each pair would multiply the 380
 // teams by the number of classes.
 func (m *Meter) timing(name string, team model.Team, class string, d time.Duration) {
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -128,6 +128,7 @@
 	deletedAt      time.Time
 	policyRevision uint64
 	learned        learnedState
+	usage          usageState
 }
 
 func newTerm(o *Owner, fence uint64) *term {
@@ -180,6 +181,7 @@
 	t.applyEvacuations(now)
 	t.loadLearned(now)
 	defer t.endLearnedMetrics()
+	defer t.endUsageMetrics()
 	t.checkedAt = now
 	t.polledAt = now
 	ticker := time.NewTicker(pollInterval)
@@ -244,6 +246,7 @@
 	t.scheduler.ExpireLeases(now, wall)
 	t.scheduler.PreemptStalled(now)
 	t.scheduler.Evacuate(now)
+	t.reportUsage(now)
 }
 
 // recordPause logs when the owner stops deciding because its lease wasn't renewed in time, and when it goes on.
