Replay a burst of a large team beside small ones, in both orders

Cause: none of the load patterns has teams of different sizes, so that none shows what the order by share is for.

Ruled out: a team for each event; a class that some teams submit says the same and can have its own sizes.

--- a/stand/replay/command.go
+++ b/stand/replay/command.go
@@ -9,6 +9,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"wagtailhoist/core/alloc"
 )
 
 // Command holds the flags of stand replay.
@@ -16,6 +18,7 @@
 	Load    string `arg:"" type:"existingfile" help:"File with the load pattern."`
 	Days    int    `default:"20" help:"Number of days, each with a seed of its own."`
 	First   int64  `default:"1" help:"Seed of the first day."`
+	Order   string `default:"deadline" enum:"deadline,share" help:"Order of the waiting work of different teams, as for desk --team-order."`
 	Workers int    `default:"0" help:"Number of workers; 0 means that of the load pattern."`
 	Out     string `help:"File for the results as JSON."`
 	Against string `type:"existingfile" help:"File with the results of another version on the same days; the paired difference is printed."`
@@ -33,6 +36,7 @@
 	if c.Workers > 0 {
 		load.Fleet.Workers = c.Workers
 	}
+	load.Order = alloc.TeamOrder(c.Order)
 	results := Play(load, c.First, c.Days)
 	if err := printTable(os.Stdout, results); err != nil {
 		return err
@@ -100,5 +104,17 @@
 			return err
 		}
 	}
+	return compareClasses(out, results, bySeed)
+}
+
+// compareClasses prints the paired difference of the worth and of the share in time of each class.
+func compareClasses(out io.Writer, results []Result, bySeed map[int64]*Result) error {
+	for i, c := range results[0].Classes {
+		worth, halfWorth := meanSpread(results, func(r *Result) float64 { return r.Classes[i].Worth - bySeed[r.Seed].Classes[i].Worth })
+		inTime, halfTime := meanSpread(results, func(r *Result) float64 { return r.Classes[i].TimelyShare - bySeed[r.Seed].Classes[i].TimelyShare })
+		if _, err := fmt.Fprintf(out, "%-8s %+.4f ±%.4f, in time %+.4f ±%.4f\n", c.Name, worth, halfWorth, inTime, halfTime); err != nil {
+			return err
+		}
+	}
 	return nil
 }
--- a/stand/replay/day.go
+++ b/stand/replay/day.go
@@ -83,7 +83,7 @@
 		byID: map[string]*worker{}, due: map[int64][]func(){}, storeDelay: seconds(l.Fleet.Store), committing: map[model.JobID]bool{},
 	}
 	d.now = d.start
-	d.scheduler.Settings.RemoteSlowdown = l.Fleet.Remote
+	d.scheduler.Settings.RemoteSlowdown, d.scheduler.Settings.TeamOrder = l.Fleet.Remote, l.Order
 	d.scheduler.StartTerm(d.now, d.now, &batch.Cache{})
 	d.scheduler.SetPolicy(l.policy())
 	for i := range l.Fleet.Workers {
@@ -157,7 +157,7 @@
 	if d.rng.Float64() < c.Cancel {
 		j.cancelAt = at.Add(time.Duration(d.rng.Int63n(int64(2 * time.Second))))
 	}
-	team := d.rng.Intn(d.load.Teams)
+	team := d.drawTeam(c)
 	if team < c.Lying {
 		step.Estimate = time.Duration(float64(step.Estimate) * math.Exp(c.Lie))
 	}
@@ -168,6 +168,14 @@
 	return j
 }
 
+// drawTeam returns the number of a random team that submits jobs of a class.
+func (d *day) drawTeam(c *Class) int {
+	if len(c.Teams) > 0 {
+		return c.Teams[d.rng.Intn(len(c.Teams))]
+	}
+	return d.rng.Intn(d.load.Teams)
+}
+
 func (d *day) cancel(j *submitted) {
 	if j.completed.IsZero() {
 		j.cancelled = true
--- a/stand/replay/load.go
+++ b/stand/replay/load.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 
+	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
 )
 
@@ -26,6 +27,8 @@
 	Guarantee int64   `yaml:"guarantee"`
 	Classes   []Class `yaml:"classes"`
 	Events    []Event `yaml:"events"`
+	// Order is the order of the waiting work of different teams; it is a setting of the scheduler, not of the pattern.
+	Order alloc.TeamOrder `yaml:"-"`
 }
 
 // Fleet describes the workers and how long their platform takes.
@@ -68,6 +71,8 @@
 type Class struct {
 	Name     string `yaml:"name"`
 	Priority int    `yaml:"priority"`
+	// Teams are the numbers of the teams that submit its jobs, from 0; empty means all.
+	Teams []int `yaml:"teams"`
 	// Rate is the number of jobs in a second.
 	Rate float64 `yaml:"rate"`
 	// Width is the number of tasks, Work the run time of a task.
@@ -161,6 +166,11 @@
 			return fmt.Errorf("class %s: width, work, gpus, stretch and worth must be positive", c.Name)
 		}
 	}
+	for _, c := range l.Classes {
+		if slices.ContainsFunc(c.Teams, func(team int) bool { return team < 0 || team >= l.Teams }) {
+			return fmt.Errorf("class %s: teams must be numbers from 0 to %d", c.Name, l.Teams-1)
+		}
+	}
 	for i, e := range l.Events {
 		if !kinds[e.Kind] || !names[e.Class] {
 			return fmt.Errorf("events[%d]: kind %q or class %q is not known", i, e.Kind, e.Class)
--- a/stand/replay/replay_test.go
+++ b/stand/replay/replay_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
 )
 
@@ -87,6 +88,8 @@
 		{"length: 1\nfleet: {workers: 0}", "fleet"},
 		{"length: 1\nteams: 1\nfleet: {workers: 1, rack: 1, cores: 1, memory: 1}", "classes"},
 		{"length: 1\nteams: 1\nfleet: {workers: 1, rack: 1, cores: 1, memory: 1, speeds: [1, 0]}", "speeds"},
+		{"length: 1\nteams: 2\nfleet: {workers: 1, rack: 1, cores: 1, memory: 1}\nclasses: [{name: a, teams: [2], width: {mean: 1}, work: {mean: 1}, " +
+			"gpus: [1], stretch: 1, worth: 1}]", "class a: teams"},
 	} {
 		if _, err := parseLoad([]byte(tc.text)); err == nil || !strings.Contains(err.Error(), tc.want) {
 			t.Errorf("%q: got error %v, want one that names %q", tc.text, err, tc.want)
@@ -94,6 +97,42 @@
 	}
 }
 
+// The burst of a large team delayed the jobs of all small teams, although these ask for a quarter of the capacity. Their callers need
+// nearly all jobs in time, as beside no burst; the large team, which has asked for too much, loses no more than a tenth of its worth,
+// and all jobs are still served.
+func TestSmallTeamsAreServedBesideABurst(t *testing.T) {
+	l, err := ReadLoad("loads/teams.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	type figures struct{ smallInTime, large, served float64 }
+	play := func(order alloc.TeamOrder) figures {
+		l.Order = order
+		results := Play(l, 1, 4)
+		mean := func(value func(*Result) float64) float64 {
+			m, _ := meanSpread(results, value)
+			return m
+		}
+		return figures{
+			mean(func(r *Result) float64 { return r.Classes[1].TimelyShare }), mean(func(r *Result) float64 { return r.Classes[0].Worth }),
+			mean(func(r *Result) float64 { return r.Served }),
+		}
+	}
+	byDeadline, byShare := play(alloc.ByDeadline), play(alloc.ByShare)
+	if byDeadline.smallInTime > 0.8 {
+		t.Errorf("jobs of small teams in time by deadline: got %.3f, want at most 0.8 for the load to show something", byDeadline.smallInTime)
+	}
+	if byShare.smallInTime < 0.95 {
+		t.Errorf("jobs of small teams in time by share: got %.3f, want at least 0.95", byShare.smallInTime)
+	}
+	if byShare.large < byDeadline.large-0.1 {
+		t.Errorf("worth of the large team by share: got %.3f, want at most 0.1 below that by deadline, %.3f", byShare.large, byDeadline.large)
+	}
+	if byShare.served < 0.99 {
+		t.Errorf("jobs served by share: got %.3f, want at least 0.99", byShare.served)
+	}
+}
+
 // The interval of a paired difference must be that of the differences, not of the days.
 func TestComparePairsDays(t *testing.T) {
 	var a, b []Result
--- a/stand/replay/result.go
+++ b/stand/replay/result.go
@@ -27,6 +27,8 @@
 	Jobs, InTime, Late   int     `json:"-"`
 	Owed, Earned, Median float64 `json:"-"`
 	Worth                float64 `json:"worth"`
+	// TimelyShare is the share of its jobs that completed within their objective.
+	TimelyShare float64 `json:"timelyShare"`
 }
 
 // Result is what a day earned.
@@ -119,6 +121,7 @@
 			result.Median = times[len(times)/2]
 		}
 		result.Worth = share{result.Owed, result.Earned}.ratio()
+		result.TimelyShare = share{float64(result.Jobs), float64(result.InTime)}.ratio()
 		owed += result.Owed
 		earned += result.Earned
 		r.Classes = append(r.Classes, result)
@@ -212,6 +215,11 @@
 		mean, _ := meanSpread(results, f.value)
 		fmt.Fprintf(w, "%s\t%.4f\t\n", f.name, mean)
 	}
+	for i, c := range results[0].Classes {
+		worth, _ := meanSpread(results, func(r *Result) float64 { return r.Classes[i].Worth })
+		inTime, _ := meanSpread(results, func(r *Result) float64 { return r.Classes[i].TimelyShare })
+		fmt.Fprintf(w, "%s: worth\t%.4f\tin time\t%.4f\t\n", c.Name, worth, inTime)
+	}
 	return w.Flush()
 }
 
