--- a/core/alloc/pending.go
+++ b/core/alloc/pending.go
@@ -147,10 +147,12 @@
 		kind = "guaranteed"
 	}
 	reason := fmt.Sprintf("%s, priority %d, %d ms to the objective", kind, ps.queue.Priority, ps.deadline.Sub(now).Milliseconds())
-	switch ps.order {
-	case ByShare:
+	switch {
+	case ps.order == ByShare && ps.turn == firstTurn:
+		reason += ", by share (waited longest)"
+	case ps.order == ByShare:
 		reason += fmt.Sprintf(", by share (turn %d)", ps.turn)
-	case ByDeadline:
+	case ps.order == ByDeadline:
 		reason += ", by deadline"
 	}
 	return reason
