Charge runs where a plan visits them

Ruled out: charging less often than every 100 ms; short runs would be charged mostly at their end.

Change: the loop in which a plan looks for runs that are being stopped also charges them, if that is due. Without waiting steps, a plan charges nothing; the runs are charged later.

--- a/core/alloc/plan.go
+++ b/core/alloc/plan.go
@@ -101,7 +101,6 @@
 func (s *Scheduler) Plan(now, wall time.Time) {
 	s.needsPlan = false
 	s.adviceQueries = nil
-	s.chargeForPlan(now)
 	guaranteedJobs := s.guaranteedJobs(wall)
 	pendingSteps := s.pendingSteps(now, wall, guaranteedJobs)
 	if len(pendingSteps) == 0 {
@@ -113,6 +112,7 @@
 		free: make([]batch.Amount, n), freeAfterStops: make([]batch.Amount, n), reserved: make([]time.Time, n),
 		expected: make([][]expectedEnd, n), candidateLists: map[candidateKey][]*worker{}, victimLists: map[string][]victim{},
 	}
+	used := s.dueCharges(now)
 	for i, w := range p.workers {
 		p.free[i] = w.freeCapacity()
 		p.freeAfterStops[i] = p.free[i]
@@ -123,12 +123,16 @@
 			p.cold[i] = true
 		}
 		for _, t := range w.runs {
+			if used != nil {
+				used[t.job.team] += t.uncharged(now)
+			}
 			if t.mustStop {
 				p.freeAfterStops[i] = p.freeAfterStops[i].Add(t.job.job.Steps[t.Step].Allocation())
 			}
 		}
 	}
 	if s.Settings.TeamOrder == ByShare {
+		s.charge(now, used)
 		p.takeTurns(pendingSteps)
 	}
 	for _, ps := range pendingSteps {
--- a/core/alloc/turns.go
+++ b/core/alloc/turns.go
@@ -59,13 +59,20 @@
 
 // chargeRuns adds what all runs have used to the usage of their teams.
 func (s *Scheduler) chargeRuns(now time.Time) {
-	s.chargedAt = now
 	used := make([]int64, len(s.teamNames))
 	for _, w := range s.sorted {
 		for _, t := range w.runs {
 			used[t.job.team] += t.uncharged(now)
 		}
 	}
+	s.charge(now, used)
+}
+
+// charge adds what runs have used, by number of their team, to the usage of their teams.
+func (s *Scheduler) charge(now time.Time, used []int64) {
+	if used != nil {
+		s.chargedAt = now
+	}
 	for number, amount := range used {
 		if amount > 0 {
 			s.usage.Use(now, s.teamNames[number], float64(amount)/usageUnit)
@@ -73,11 +80,13 @@
 	}
 }
 
-// chargeForPlan charges all runs unless that was done just before.
-func (s *Scheduler) chargeForPlan(now time.Time) {
-	if s.Settings.TeamOrder == ByShare && now.Sub(s.chargedAt) >= chargeInterval {
-		s.chargeRuns(now)
+// dueCharges returns a slice for what a plan finds that runs have used, by number of their team, or nil if all runs were charged
+// just before. A plan charges them where it visits them anyhow.
+func (s *Scheduler) dueCharges(now time.Time) []int64 {
+	if s.Settings.TeamOrder != ByShare || now.Sub(s.chargedAt) < chargeInterval {
+		return nil
 	}
+	return make([]int64, len(s.teamNames))
 }
 
 // chargeEnded adds what a run that has ended used to the usage of its team. A zero time adds nothing.
