--- a/core/alloc/plan.go
+++ b/core/alloc/plan.go
@@ -112,6 +112,7 @@
 		free: make([]batch.Amount, n), freeAfterStops: make([]batch.Amount, n), reserved: make([]time.Time, n),
 		expected: make([][]expectedEnd, n), candidateLists: map[candidateKey][]*worker{}, victimLists: map[string][]victim{},
 	}
+	used := s.dueCharges(now)
 	for i, w := range p.workers {
 		p.free[i] = w.freeCapacity()
 		p.freeAfterStops[i] = p.free[i]
@@ -122,11 +123,18 @@
 			p.cold[i] = true
 		}
 		for _, t := range w.runs {
+			if used != nil {
+				used[t.job.team] += t.uncharged(now)
+			}
 			if t.mustStop {
 				p.freeAfterStops[i] = p.freeAfterStops[i].Add(t.job.job.Steps[t.Step].Allocation())
 			}
 		}
 	}
+	if s.Settings.TeamOrder == ByShare {
+		s.charge(now, used)
+		p.takeTurns(pendingSteps)
+	}
 	for _, ps := range pendingSteps {
 		p.placeStep(ps)
 	}
@@ -420,6 +428,7 @@
 		t.resetRun()
 		t.partial = t.Checkpoint != "" && ps.step.Checkpoints
 		t.Phase, t.Run, t.Worker, t.placedGeneration = batch.TaskPlaced, run, w.ID, j.generation
+		t.chargedAt = p.now
 		w.runs[t.id(j)] = t
 		p.subtract(ps, w)
 		p.expected[w.index] = nil
