Forecast when waiting work can start

Cause: a job that can't start while its result is of use was accepted and held until it was useless. Nothing said at its submission how long it would wait.

Ruled out: a simulation of the scheduler's order on summed capacity. With backfilling, work of another size may start first, so that such a simulation exceeds the real start on some states.

--- a/core/alloc/plan.go
+++ b/core/alloc/plan.go
@@ -103,6 +103,7 @@
 	s.adviceQueries = nil
 	guaranteedJobs := s.guaranteedJobs(wall)
 	pendingSteps := s.pendingSteps(now, wall, guaranteedJobs)
+	s.planned = pendingSteps
 	if len(pendingSteps) == 0 {
 		return
 	}
--- a/core/alloc/scheduler.go
+++ b/core/alloc/scheduler.go
@@ -57,6 +57,8 @@
 	termStart time.Time
 	// needsPlan is set when the state has changed in a way that may allow or require other placements.
 	needsPlan bool
+	// planned holds the steps that waited at the last plan, in its order.
+	planned []*pendingStep
 	// adviceQueries are the queries for tickets that the last plan lacked, the most urgent step first.
 	adviceQueries []AdviceQuery
 	// evacuated holds the evacuated data centres, racks the data centre in which each rack was last reported.
@@ -131,6 +133,7 @@
 	s.sorted, s.touched, s.updates, s.learned = nil, nil, updateQueue{}, learn.Model{}
 	s.termStart = now
 	s.evacuated, s.racks, s.shortTeams = nil, map[string]string{}, nil
+	s.planned = nil
 	for id := range cache.Jobs {
 		s.UpdateJob(now, wall, id, cache.Jobs[id])
 	}
--- /dev/null
+++ b/core/room/codec.go
@@ -0,0 +1,184 @@
+package room
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"wagtailhoist/core/batch"
+	"wagtailhoist/core/model"
+)
+
+// MaxEncoded is the largest encoded size of a forecast, in bytes.
+const MaxEncoded = 4 << 10
+
+// Forecast says when work of each queue could start at the earliest. It is the answer of the owner to a notification.
+type Forecast struct {
+	// Fence is that of the owner, Number counts its forecasts.
+	Fence  uint64
+	Number uint64
+	// Age is how long ago it was made when it is sent.
+	Age    time.Duration
+	Queues []QueueForecast
+	Teams  []TeamShare
+}
+
+// QueueForecast holds lower bounds of the time until the start of a queue's tasks.
+type QueueForecast struct {
+	Name string
+	// Needs and Objectives are the points for which Waits holds the bounds, by need and then by objective.
+	Needs      []batch.Amount
+	Objectives []time.Duration
+	Waits      []time.Duration
+}
+
+// TeamShare is the capacity that a team uses, as a share of that of the team with the highest use.
+type TeamShare struct {
+	Team  model.Team
+	Share float64
+}
+
+// Wait returns the lower bound for tasks of a need whose job has an objective: that of the points which need no more and have no
+// longer objective. Without such a point it is 0.
+func (f *Forecast) Wait(queue string, need batch.Amount, objective time.Duration) time.Duration {
+	wait := time.Duration(0)
+	for i := range f.Queues {
+		q := &f.Queues[i]
+		if q.Name != queue {
+			continue
+		}
+		for n := range q.Needs {
+			for o := range q.Objectives {
+				if need.Contains(q.Needs[n]) && objective >= q.Objectives[o] {
+					wait = max(wait, q.Waits[n*len(q.Objectives)+o])
+				}
+			}
+		}
+	}
+	return wait
+}
+
+type encodedForecast struct {
+	_             struct{} `cbor:",toarray"`
+	Fence, Number uint64
+	Age           int64
+	Queues        []encodedQueue
+	Teams         []encodedTeam
+}
+
+// encodedQueue has times in milliseconds. Waits are the differences to the one before of the same need.
+type encodedQueue struct {
+	_          struct{} `cbor:",toarray"`
+	Name       string
+	Needs      [][resources]int64
+	Objectives []int64
+	Waits      []int64
+}
+
+// encodedTeam has the share in percent.
+type encodedTeam struct {
+	_     struct{} `cbor:",toarray"`
+	Team  string
+	Share int
+}
+
+// Encode returns the encoded form of the forecast, of at most MaxEncoded bytes. If necessary, it leaves out the teams and then the
+// last queues, whose jobs are then accepted.
+func (f *Forecast) Encode() ([]byte, error) {
+	e := encodedForecast{Fence: f.Fence, Number: f.Number, Age: f.Age.Milliseconds()}
+	for i := range f.Queues {
+		e.Queues = append(e.Queues, f.Queues[i].encoded())
+	}
+	for _, t := range f.Teams {
+		e.Teams = append(e.Teams, encodedTeam{Team: string(t.Team), Share: int(t.Share * 100)})
+	}
+	for {
+		data, err := cbor.Marshal(e)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode forecast")
+		}
+		switch {
+		case len(data) <= MaxEncoded:
+			return data, nil
+		case len(e.Teams) > 0:
+			e.Teams = nil
+		default:
+			e.Queues = e.Queues[:len(e.Queues)-1]
+		}
+	}
+}
+
+func (q *QueueForecast) encoded() encodedQueue {
+	e := encodedQueue{Name: q.Name}
+	for _, n := range q.Needs {
+		e.Needs = append(e.Needs, [resources]int64{n.CPU, n.Memory, n.GPU})
+	}
+	for _, o := range q.Objectives {
+		e.Objectives = append(e.Objectives, o.Milliseconds())
+	}
+	for i, w := range q.Waits {
+		ms := w.Milliseconds()
+		if i%len(q.Objectives) > 0 {
+			ms -= q.Waits[i-1].Milliseconds()
+		}
+		e.Waits = append(e.Waits, ms)
+	}
+	return e
+}
+
+// Decode returns an encoded forecast.
+func Decode(data []byte) (Forecast, error) {
+	if len(data) > MaxEncoded {
+		return Forecast{}, fmt.Errorf("decode forecast: got %d bytes, allowed %d", len(data), MaxEncoded)
+	}
+	var e encodedForecast
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return Forecast{}, errors.Wrap(err, "decode forecast")
+	}
+	if e.Age < 0 || e.Age > maxWait.Milliseconds() {
+		return Forecast{}, fmt.Errorf("decode forecast: age is %d ms", e.Age)
+	}
+	f := Forecast{Fence: e.Fence, Number: e.Number, Age: time.Duration(e.Age) * time.Millisecond}
+	for i := range e.Queues {
+		q, err := e.Queues[i].decoded()
+		if err != nil {
+			return Forecast{}, err
+		}
+		f.Queues = append(f.Queues, q)
+	}
+	for _, t := range e.Teams {
+		f.Teams = append(f.Teams, TeamShare{model.Team(t.Team), float64(min(max(t.Share, 0), 100)) / 100})
+	}
+	return f, nil
+}
+
+func (e *encodedQueue) decoded() (QueueForecast, error) {
+	q := QueueForecast{Name: e.Name}
+	if len(e.Waits) != len(e.Needs)*len(e.Objectives) {
+		return q, fmt.Errorf("decode forecast of queue %q: got %d values for %d points", e.Name, len(e.Waits), len(e.Needs)*len(e.Objectives))
+	}
+	for _, n := range e.Needs {
+		q.Needs = append(q.Needs, batch.Amount{CPU: n[0], Memory: n[1], GPU: n[2]})
+	}
+	for _, o := range e.Objectives {
+		// Longer objectives than this are cut before they are compared.
+		q.Objectives = append(q.Objectives, time.Duration(min(max(o, 0), maxObjective.Milliseconds()))*time.Millisecond)
+	}
+	ms := int64(0)
+	for i, w := range e.Waits {
+		if i%len(e.Objectives) == 0 {
+			ms = 0
+		}
+		if w < -maxWait.Milliseconds() || w > maxWait.Milliseconds() {
+			return q, fmt.Errorf("decode forecast of queue %q: a wait of %d ms", e.Name, w)
+		}
+		ms = min(max(ms+w, 0), maxWait.Milliseconds())
+		q.Waits = append(q.Waits, time.Duration(ms)*time.Millisecond)
+	}
+	return q, nil
+}
+
+// maxObjective bounds the objectives that are told apart.
+const maxObjective = 1000 * 24 * time.Hour
