Refuse jobs that can't start while they are of use

Cause: each entry accepted any job, also one that the owner knows to have no room for, and its caller waited for a result that came too late or never.

Ruled out: asking the store with a read before a refusal. Between the read and the answer, another entry may store the job, and a commit of an earlier attempt whose answer was lost may be applied afterwards; a refused job would then run.

Before it refuses, it writes a mark under a lease, on condition that the job isn't stored. Submissions depend on the version of the mark that the mirror had when they began, so that none of an earlier attempt is stored after the refusal. Without the store's answer nothing is refused. Metrics by team and queue, the age of the forecast, and the counted log line of io/intake.

Conclusion: a refusal is true for all attempts that began before it.

--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -91,6 +91,8 @@
 
 	BodyBudget     int `default:"12582912" help:"Bytes of memory for all callers' bodies in progress."`
 	MaxConnections int `default:"2048" help:"Largest number of callers' connections."`
+
+	RefuseLate bool `help:"Refuse jobs that can't start while their result is of use. Set it on all entries."`
 }
 
 func (c *deskCmd) validate(k *validator) {
@@ -124,7 +126,7 @@
 func (c *deskCmd) Run(s streams) error {
 	return serveBounded(s, c.Level, c.ID,
 		fx.Supply(c),
-		fx.Provide(newDeskStore, newWatcher, newDeskEvacuations, newOwner, newNotifier, newJobService, newDeskMeter),
+		fx.Provide(newDeskStore, newWatcher, newDeskEvacuations, newOwner, newNotifier, newJobGate, newJobService, newDeskMeter),
 		fx.Invoke(startDesk),
 	)
 }
@@ -170,6 +172,7 @@
 	}
 	return &owner.Owner{
 		Advisor: advisor, Evacuations: e, Store: s, Mirror: m, Self: mirror.EntryInfo{ID: c.ID, Address: c.Link, Share: c.Share}, Log: log, Meter: metrics,
+		Forecasts: c.RefuseLate,
 		Settings: alloc.Settings{
 			Lease: c.Hold - leaseMargin, EarlyStart: c.Early / 2, RemoteSlowdown: c.Remote, Retention: c.Keep + c.Keep/2,
 		},
@@ -182,12 +185,24 @@
 	}
 }
 
-func newNotifier(c *deskCmd, m *mirror.Mirror, log *slog.Logger) *jobs.Notifier {
-	return &jobs.Notifier{Mirror: m, Self: c.Link, Token: c.Token, HTTP: platform.NewHTTP(), Log: log}
+func newNotifier(c *deskCmd, m *mirror.Mirror, o *owner.Owner, g *jobs.Gate, log *slog.Logger) *jobs.Notifier {
+	n := &jobs.Notifier{Mirror: m, Self: c.Link, Token: c.Token, HTTP: platform.NewHTTP(), Log: log}
+	if g != nil {
+		n.Forecast, n.TakeForecast = o.Forecast, g.TakeForecast
+	}
+	return n
+}
+
+// newJobGate returns nil, which accepts all jobs, unless jobs are refused for lack of capacity.
+func newJobGate(c *deskCmd, s *proxy.Store, m *mirror.Mirror, o *owner.Owner, metrics *meter.Meter, log *slog.Logger) *jobs.Gate {
+	if !c.RefuseLate {
+		return nil
+	}
+	return &jobs.Gate{Store: s, Leases: s, Mirror: m, Policy: o.Policy, Own: o.Forecast, Log: log, Meter: metrics}
 }
 
-func newJobService(s *proxy.Store, m *mirror.Mirror, n *jobs.Notifier) *jobs.Service {
-	return &jobs.Service{Store: s, Mirror: m, Notify: n.Notify}
+func newJobService(s *proxy.Store, m *mirror.Mirror, n *jobs.Notifier, g *jobs.Gate) *jobs.Service {
+	return &jobs.Service{Store: s, Mirror: m, Notify: n.Notify, Gate: g}
 }
 
 // newDeskMeter returns nil, a meter that records nothing, if there is no metrics listener.
@@ -233,6 +248,7 @@
 	Owner       *owner.Owner
 	Notifier    *jobs.Notifier
 	Jobs        *jobs.Service
+	Gate        *jobs.Gate
 	Meter       *meter.Meter
 }
 
@@ -271,6 +287,7 @@
 			go serveHTTP(links, &intake.Listener{Listener: open[2], MaxConns: maxLinkConns, Report: report}, log)
 			go runPeriodically(ctx, gaugeInterval, func(time.Time) {
 				p.Meter.Gauge("body_bytes", float64(front.Bodies.Held()))
+				p.Gate.ReportAge()
 			})
 			loops.Go(func() { p.Watcher.Run(ctx) })
 			loops.Go(func() { p.Evacuations.Run(ctx) })
--- a/core/batch/cache.go
+++ b/core/batch/cache.go
@@ -19,6 +19,9 @@
 	ProgressPrefix = Root + "run/"
 	// CancelPrefix is for cancellations. The entry that cancels a job writes this record once.
 	CancelPrefix = Root + "end/"
+	// RefusedPrefix is for marks of jobs that were refused for lack of capacity. The entry that refuses a job writes the mark under a
+	// lease, so that no earlier attempt at its submission can be stored afterwards.
+	RefusedPrefix = Root + "refused/"
 )
 
 // LearnedKey is the key of the learned run times (see package learn). Only the owner writes it.
@@ -33,6 +36,9 @@
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(id model.JobID) string { return CancelPrefix + string(id) }
 
+// RefusedKey returns the key of the mark of a refused job.
+func RefusedKey(id model.JobID) string { return RefusedPrefix + string(id) }
+
 // Encode returns the stored form of a record.
 func Encode(record any) ([]byte, error) { return cbor.Marshal(record) }
 
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -91,3 +91,38 @@
 		t.Errorf("a commit after a failed one must be allowed after %v and not before", failurePause)
 	}
 }
+
+// replayForecasts plays an owner that plans every interval, and returns the number of forecasts in a minute and their time as a share
+// of that of the plans.
+func replayForecasts(plan, forecast, interval time.Duration) (count int, share float64) {
+	var f Forecasts
+	var plans, forecasts time.Duration
+	for now := epoch; now.Before(epoch.Add(time.Minute)); now = now.Add(interval) {
+		f.RecordPlan(plan)
+		plans += plan
+		if f.Due(now) {
+			f.Record(now, now.Add(forecast))
+			forecasts += forecast
+			count++
+		}
+	}
+	return count, float64(forecasts) / float64(plans)
+}
+
+// Forecasts must not take the time of plans where plans are frequent, and must not fail to come where they are rare: entries use one
+// for 2 s.
+func TestForecastsTakeLittleOfThePlans(t *testing.T) {
+	const ms = time.Millisecond
+	if count, share := replayForecasts(ms, ms, 20*ms); share > 0.11 || count < 100 {
+		t.Errorf("cheap: got %d forecasts, share %.3f; want at least 100 with at most 0.11", count, share)
+	}
+	if count, share := replayForecasts(ms, 4*ms, 50*ms); share > 0.21 || count < 59 || count > 121 {
+		t.Errorf("dear: got %d forecasts, share %.3f; want 59 to 121 with at most 0.21", count, share)
+	}
+	if count, _ := replayForecasts(ms, 0, 10*ms); count > 120 {
+		t.Errorf("free: got %d forecasts in a minute, want at most 120", count)
+	}
+	if count, _ := replayForecasts(0, ms, 300*ms); count < 49 {
+		t.Errorf("without plans: got %d forecasts in a minute, want at least 49", count)
+	}
+}
--- a/core/room/admit.go
+++ b/core/room/admit.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math/bits"
+	"slices"
 	"time"
 
 	"wagtailhoist/core/batch"
@@ -113,6 +114,11 @@
 	return !a.arrived.IsZero() && fence != 0 && a.forecast.Fence == fence && now.Sub(a.arrived) <= Validity && !now.Before(a.arrived)
 }
 
+// Concerns reports whether there is a forecast by which work of a queue has to wait.
+func (a *Admission) Concerns(now time.Time, fence uint64, queue string) bool {
+	return a.valid(now, fence) && slices.ContainsFunc(a.forecast.Queues, func(q QueueForecast) bool { return q.Name == queue })
+}
+
 // Decide returns why a job that arrives now is refused, or false if it is accepted. fence is that of the owner that the entry knows.
 func (a *Admission) Decide(now time.Time, fence uint64, r *Request) (Refusal, bool) {
 	if !a.valid(now, fence) || len(r.Needs) == 0 {
--- a/io/intake/report.go
+++ b/io/intake/report.go
@@ -22,6 +22,7 @@
 	ReasonInvalid    = "body not decodable"
 	ReasonNoRoute    = "no route"
 	ReasonUnknownKey = "unknown key"
+	ReasonNoCapacity = "no capacity"
 
 	ReasonIdle     = "idle at the bound"
 	ReasonNoHeader = "no header at the bound"
--- a/io/jobs/notifier.go
+++ b/io/jobs/notifier.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"wagtailhoist/core/room"
+	"wagtailhoist/io/clock"
 	"wagtailhoist/io/intake"
 	"wagtailhoist/io/mirror"
 	"wagtailhoist/io/store"
@@ -33,6 +36,10 @@
 	Token string
 	HTTP  *http.Client
 	Log   *slog.Logger
+	// Forecast returns the forecast that is sent with an answer, and false if there is none; nil sends none.
+	Forecast func() (room.Forecast, bool)
+	// TakeForecast receives the forecast in an answer, with the time at which the call was sent; nil ignores forecasts.
+	TakeForecast func(sent time.Time, f room.Forecast)
 	// Bodies reads received notifications within a memory budget; nil means one with the default limit of intake.Bodies.
 	Bodies *intake.Bodies
 
@@ -52,7 +59,7 @@
 	}()
 }
 
-// sendItem posts an item to an owner. An answer of any status is success, since the watch delivers the item anyway.
+// sendItem posts an item to an owner and takes the forecast in its answer. An answer of any status is success, since the watch delivers the item anyway.
 func (n *Notifier) sendItem(owner string, item store.Item) error {
 	body, err := cbor.Marshal(item)
 	if err != nil {
@@ -65,11 +72,27 @@
 		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+n.Token)
+	sent := clock.Now()
 	resp, err := n.HTTP.Do(req)
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	defer resp.Body.Close()
+	if n.TakeForecast == nil || resp.StatusCode != http.StatusOK {
+		return nil
+	}
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, room.MaxEncoded+1))
+	if err != nil || len(answer) == 0 {
+		// The item was delivered; the forecast of a later answer takes the place of this one.
+		return nil
+	}
+	f, err := room.Decode(answer)
+	if err != nil {
+		n.Log.Warn("forecast of the owner can't be decoded; ignored", "owner", owner, "error", err)
+		return nil
+	}
+	n.TakeForecast(sent, f)
+	return nil
 }
 
 // ServeHTTP receives an item from another entry and merges it into the mirror.
@@ -95,4 +118,23 @@
 		return
 	}
 	n.Mirror.Merge(item)
+	n.answerForecast(w)
+}
+
+// answerForecast writes the present forecast, if there is one. Processes of older versions don't read the answer.
+func (n *Notifier) answerForecast(w http.ResponseWriter) {
+	if n.Forecast == nil {
+		return
+	}
+	f, ok := n.Forecast()
+	if !ok {
+		return
+	}
+	data, err := f.Encode()
+	if err != nil {
+		n.Log.Error("forecast can't be encoded; none is sent", "error", err)
+		return
+	}
+	// The sender has the forecast of a later answer if this one is lost.
+	_, _ = w.Write(data)
 }
--- a/io/jobs/service.go
+++ b/io/jobs/service.go
@@ -24,6 +24,8 @@
 	Mirror *mirror.Mirror
 	// Notify sends an item that was just stored to the owner, whose watch may be late; nil leaves it to the watch.
 	Notify func(store.Item)
+	// Gate refuses jobs for lack of capacity; nil accepts all.
+	Gate *Gate
 }
 
 // NotRunError reports a job or a cancellation that was certainly not stored; such a job never runs.
@@ -64,7 +66,8 @@
 	retryAfter = time.Second
 )
 
-// Submit stores a job. If a job with the same id is stored already, it is the same job, and Submit succeeds.
+// Submit stores a job. If a job with the same id is stored already, it is the same job, and Submit succeeds. With a Gate it may return a
+// NoCapacityError.
 func (s *Service) Submit(ctx context.Context, job *batch.Job) error {
 	value, err := batch.Encode(job)
 	if err != nil {
@@ -74,6 +77,19 @@
 		Checks: []store.Check{{Key: batch.JobKey(job.ID)}},
 		Sets:   []store.Set{{Key: batch.JobKey(job.ID), Value: value}},
 	}
+	if s.Gate == nil {
+		return s.commit(ctx, change)
+	}
+	// A mark that the mirror has is older than this attempt, which may replace it. Any other one refuses the attempt.
+	mark := s.Mirror.RefusedVersion(job.ID)
+	if err := s.Gate.refuse(ctx, job); err != nil {
+		return err
+	}
+	key := batch.RefusedKey(job.ID)
+	change.Checks = append(change.Checks, store.Check{Key: key, Version: mark})
+	if mark != 0 {
+		change.Deletes = []string{key}
+	}
 	return s.commit(ctx, change)
 }
 
@@ -90,7 +106,15 @@
 		}
 		var checkErr *store.CheckError
 		if errors.As(err, &checkErr) {
-			return nil
+			refused, expired := markChanged(change, checkErr.Items)
+			if refused {
+				return &NotRunError{retryAfter, errRefusedElsewhere}
+			}
+			if !expired {
+				return nil
+			}
+			change.Checks[1].Version, change.Deletes = 0, nil
+			continue
 		}
 		unknown = unknown || !store.HadNoEffect(err)
 		if !unknown && time.Since(begun) > retryLimit {
@@ -107,6 +131,28 @@
 	}
 }
 
+// errRefusedElsewhere is the cause of a refusal by another attempt at the same submission. None of this attempt's commits can be applied
+// any more, since they all depend on the version of the mark.
+var errRefusedElsewhere = errors.New("another attempt at this submission was refused")
+
+// markChanged reports, for a change that failed a check, whether it failed because the job was refused since the attempt began, or
+// because the mark of an earlier refusal has expired. If the job is stored, neither is so.
+func markChanged(change store.Change, items []store.Item) (refused, expired bool) {
+	if len(change.Checks) < 2 {
+		return false, false
+	}
+	versions := map[string]uint64{}
+	for _, item := range items {
+		versions[item.Key] = item.Version
+	}
+	job, mark := change.Checks[0], change.Checks[1]
+	if versions[job.Key] != 0 {
+		return false, false
+	}
+	current := versions[mark.Key]
+	return current != 0 && current != mark.Version, current == 0 && mark.Version != 0
+}
+
 // publish applies a stored item to the mirror and sends it to the owner.
 func (s *Service) publish(item store.Item) {
 	s.Mirror.Merge(item)
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -140,6 +140,15 @@
 	m.count("remote_bytes", "region", string(region), bytes)
 }
 
+// RefusedJob counts a job that was refused for lack of capacity, once by team and once by queue.
+func (m *Meter) RefusedJob(team model.Team, queue string) {
+	if m == nil {
+		return
+	}
+	m.inc(series{"refused_jobs_team", "team", m.teams.value("", string(team))}, 1)
+	m.inc(series{"refused_jobs_queue", "queue", m.classes.value("", queue)}, 1)
+}
+
 // Count adds n to a counter that has one label.
 func (m *Meter) Count(name, label, value string, n int64) { m.count(name, label, value, n) }
 
@@ -208,19 +217,23 @@
 	return h
 }
 
-// count adds n to a counter, which it creates on first use.
+// count adds n to a counter with a bounded number of label values.
 func (m *Meter) count(name, label, value string, n int64) {
 	if m == nil {
 		return
 	}
-	s := series{name, label, m.reasons.value(name, value)}
+	m.inc(series{name, label, m.reasons.value(name, value)}, n)
+}
+
+// inc adds n to the counter of a series, which it creates on first use.
+func (m *Meter) inc(s series, n int64) {
 	m.mu.RLock()
 	c, ok := m.counters[s]
 	m.mu.RUnlock()
 	if !ok {
 		m.mu.Lock()
 		if c, ok = m.counters[s]; !ok {
-			c = m.scope.Tagged(map[string]string{label: s.value}).Counter(name + "_total")
+			c = m.scope.Tagged(map[string]string{s.label: s.value}).Counter(s.name + "_total")
 			m.counters[s] = c
 		}
 		m.mu.Unlock()
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -47,7 +47,9 @@
 	cache batch.Cache
 	// leadItems holds the items that aren't of jobs, by key.
 	leadItems map[string]store.Item
-	revision  uint64
+	// refused holds the versions of the marks of refused jobs, by key.
+	refused  map[string]uint64
+	revision uint64
 	// synced is true once the first list has been applied.
 	synced bool
 	// contacted is when the store last answered, on the boot-time clock.
@@ -82,6 +84,7 @@
 	if full {
 		m.cache.Reset()
 		m.leadItems = map[string]store.Item{}
+		m.refused = nil
 		m.allChanged = true
 	}
 	if m.changedJobs == nil {
@@ -92,6 +95,10 @@
 			m.applyLeadItem(item)
 			continue
 		}
+		if strings.HasPrefix(item.Key, batch.RefusedPrefix) {
+			m.applyRefused(item)
+			continue
+		}
 		id, err := m.cache.Apply(item.Key, item.Value, item.Version)
 		if err != nil {
 			m.Log.Error("stored record can't be decoded; change ignored", "key", item.Key, "version", item.Version, "error", err)
@@ -112,6 +119,25 @@
 	m.leadItems[item.Key] = item
 }
 
+// applyRefused stores or deletes the version of the mark of a refused job.
+func (m *Mirror) applyRefused(item store.Item) {
+	if item.Version == 0 {
+		delete(m.refused, item.Key)
+		return
+	}
+	if m.refused == nil {
+		m.refused = map[string]uint64{}
+	}
+	m.refused[item.Key] = item.Version
+}
+
+// RefusedVersion returns the version of the mark of a refused job, or 0 if the copy has none.
+func (m *Mirror) RefusedVersion(id model.JobID) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.refused[batch.RefusedKey(id)]
+}
+
 // signal wakes the reader of Wake without blocking.
 func (m *Mirror) signal() {
 	select {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -74,6 +74,8 @@
 	// Evacuations is nil where no data centre is ever evacuated.
 	Evacuations Evacuations
 	Log         *slog.Logger
+	// Forecasts makes the owner forecast when waiting work can start.
+	Forecasts bool
 	// Meter counts decisions and measures times; nil disables it.
 	Meter *meter.Meter
 	// Policy returns the declared queues and teams, and their revision, which is 0 until a declaration has been read.
@@ -85,6 +87,9 @@
 	// candidate is used only by the goroutine of Run.
 	candidate elect.Candidate
 
+	// forecast is the latest one of the present term, nil without one.
+	forecast atomic.Pointer[ownForecast]
+
 	mu sync.Mutex
 	// term is nil while this entry isn't the owner.
 	term *term
@@ -197,6 +202,7 @@
 	endTerm()
 	<-renewStopped
 	o.leaseEnd.Store(0)
+	o.forecast.Store(nil)
 	t.close()
 	revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
--- a/io/owner/term.go
+++ b/io/owner/term.go
@@ -102,6 +102,9 @@
 	// progressVersions holds the versions of the progress records in the store, which the next change is conditional on.
 	progressVersions map[model.JobID]uint64
 	plans            pace.Plans
+	// forecastNumber counts the forecasts of the term.
+	forecasts      pace.Forecasts
+	forecastNumber uint64
 	// committing holds the jobs whose progress the commits under way store.
 	commits    pace.Commits
 	committing map[model.JobID]bool
@@ -377,6 +380,7 @@
 		t.scheduler.Plan(now, time.Now())
 		end := clock.Now()
 		t.plans.Record(now, end)
+		t.forecasts.RecordPlan(end.Sub(now))
 		if now = end; !t.owner.IsOwner(now) {
 			return
 		}
@@ -385,6 +389,7 @@
 	t.storeProgress(ctx, now)
 	t.requestAdvice(ctx, now)
 	t.sendOrders(now, false)
+	t.updateForecast(now)
 }
 
 // sendOrders sends the orders that are due, and the answers to reports. If resend is set, it also looks for orders that
