Replay a load beyond capacity with refusals

Cause: nothing showed what refusals do while capacity is short for minutes.

Change: the forecast places all work ahead in the scheduler's order on the sum of the capacity.

--- a/core/alloc/forecast.go
+++ b/core/alloc/forecast.go
@@ -23,7 +23,7 @@
 	if now.Before(s.termStart.Add(s.leaseTimeout())) {
 		return room.Forecast{}, false
 	}
-	state := room.State{Services: map[string]*room.Service{}, Use: map[model.Team]float64{}}
+	state := room.State{Services: map[string]*room.Service{}, Use: map[model.Team]batch.Amount{}}
 	for _, q := range s.policy.Queues {
 		if q.Stretch > 0 || q.Target > 0 {
 			state.Queues = append(state.Queues, room.Queue{Name: q.Name, Service: q.Service, Priority: q.Priority, Target: q.Target})
@@ -64,7 +64,7 @@
 	step := ps.step
 	w := room.Work{
 		Queue: ps.queue.Name, Priority: ps.queue.Priority, First: ps.guaranteed || step.LongRunning, Deadline: ps.deadline.Sub(now),
-		Useless: noLimit, Need: step.Allocation(), RunTime: ps.estimate, Restricted: ps.restricted(),
+		Useless: noLimit, Need: step.Allocation(), RunTime: ps.estimate,
 	}
 	for _, t := range ps.tasks {
 		if t.Phase != batch.TaskWaiting {
@@ -89,13 +89,6 @@
 	return w, true
 }
 
-// restricted reports whether there may be room for a task of the step that it can't use.
-func (ps *pendingStep) restricted() bool {
-	s := ps.step
-	return s.Gang && s.Count > 1 || s.RackLocal || s.RequiredLabel != "" || s.DataRack != "" || s.MaxPerWorker > 0 || s.CPUExempt ||
-		s.MaxTailLatency > 0 || ps.queue.RequiresTicket
-}
-
 // returns reports whether a worker gets tasks again without a further report, and when.
 func (w *worker) returns() (time.Time, bool) {
 	if !w.ready(w.Service) || w.evacuated {
@@ -135,7 +128,7 @@
 func (s *Scheduler) forecastRuns(now time.Time, state *room.State) {
 	for _, j := range s.active {
 		var last sameRuns
-		used := 0.0
+		var used batch.Amount
 		for _, t := range j.tasks {
 			if t.Phase != batch.TaskPlaced {
 				continue
@@ -145,7 +138,7 @@
 				continue
 			}
 			need := j.job.Steps[t.Step].Allocation()
-			used += need.Cores()
+			used = used.Add(need)
 			if !last.includes(w, t) {
 				last = s.runsLike(now, state, w, t)
 			}
@@ -153,8 +146,8 @@
 				*last.total = last.total.Add(need)
 			}
 		}
-		if used > 0 {
-			state.Use[j.job.Team] += used
+		if used != (batch.Amount{}) {
+			state.Use[j.job.Team] = state.Use[j.job.Team].Add(used)
 		}
 	}
 }
--- a/core/room/admit.go
+++ b/core/room/admit.go
@@ -64,8 +64,8 @@
 	forecast Forecast
 	// arrived is when the forecast arrived, zero without one; madeAt is a time at or before which it was made.
 	arrived, madeAt time.Time
-	// refusing holds the kinds of jobs of which the last one was refused.
-	refusing map[kind]bool
+	// refusing holds the kinds of jobs that are refused, with the smallest limit of those refused.
+	refusing map[kind]time.Duration
 }
 
 // kind is a queue and the class of the limit. Jobs of different limits are refused at different times, so that each class is
@@ -131,22 +131,29 @@
 		}
 	}
 	wait = max(0, wait-now.Sub(a.madeAt))
-	readmit := time.Duration(readmitFactor * float64(r.Limit))
+	readmit := func(limit time.Duration) time.Duration { return time.Duration(readmitFactor * float64(limit)) }
 	limit, k := r.Limit, r.kind()
-	if a.refusing[k] {
-		limit = readmit
+	least, refusing := a.refusing[k]
+	if refusing {
+		limit = readmit(limit)
+		if wait <= readmit(least) {
+			// Jobs of other limits in the class have room too. Otherwise one with a long limit would end the refusal of all.
+			delete(a.refusing, k)
+		}
 	}
 	if wait <= limit {
-		delete(a.refusing, k)
 		return Refusal{}, false
 	}
 	if a.refusing == nil {
-		a.refusing = map[kind]bool{}
+		a.refusing = map[kind]time.Duration{}
+	}
+	if !refusing {
+		least = r.Limit
 	}
-	if len(a.refusing) < maxRefusing {
-		a.refusing[k] = true
+	if refusing || len(a.refusing) < maxRefusing {
+		a.refusing[k] = min(least, r.Limit)
 	}
-	return Refusal{Wait: wait, Limit: limit, RetryAfter: a.retryAfter(r, wait-readmit)}, true
+	return Refusal{Wait: wait, Limit: limit, RetryAfter: a.retryAfter(r, wait-readmit(r.Limit))}, true
 }
 
 // retryAfter returns when a refused caller may return: when the job would be admitted if nothing more arrived, and up to half as long
--- a/core/room/admit_test.go
+++ b/core/room/admit_test.go
@@ -139,6 +139,15 @@
 			t.Errorf("step %d, forecast %d ms: got refused %v, want %v", i, step.wait, got, step.want)
 		}
 	}
+	// A job whose limit is so long that it has room must not end the refusal of those with shorter ones.
+	number++
+	a.Update(epoch, epoch, waitForecast(1, number, 9900*time.Millisecond), 1)
+	if _, refused := a.Decide(epoch, 1, request(1, 14*time.Second)); refused {
+		t.Error("a job with a longer limit was refused below 80 % of it")
+	}
+	if !decide(9900 * time.Millisecond) {
+		t.Error("a job with a longer limit has ended the refusal")
+	}
 	// Another owner may count differently; what was refused under the former one says nothing.
 	a.Update(epoch, epoch, waitForecast(2, 1, 9900*time.Millisecond), 2)
 	if _, refused := a.Decide(epoch, 2, request(1, 10*time.Second)); refused {
--- a/core/room/forecast.go
+++ b/core/room/forecast.go
@@ -10,7 +10,9 @@
 
 const (
 	// maxNeeds and maxObjectives bound the points of a queue's forecast, so that the forecast of 20 queues takes at most MaxEncoded.
-	maxNeeds, maxObjectives = 4, 4
+	maxNeeds, maxObjectives = 3, 8
+	// resolution is the unit in which times are sent. Waits are rounded down, and objectives up.
+	resolution = 100 * time.Millisecond
 	// maxTeams bounds the teams whose use is sent.
 	maxTeams = 16
 )
@@ -39,9 +41,6 @@
 	Need      batch.Amount
 	Count     int
 	RunTime   time.Duration
-	// Restricted reports whether the tasks can't run on any worker that has room for one of them: a gang or a step that needs a label,
-	// for example. It isn't counted as ahead of others.
-	Restricted bool
 }
 
 // Return is capacity that becomes usable after a time.
@@ -73,42 +72,99 @@
 type State struct {
 	Services map[string]*Service
 	Queues   []Queue
-	// Use is the capacity that each team uses, in cores.
-	Use map[model.Team]float64
+	// Use is the capacity that each team uses.
+	Use map[model.Team]batch.Amount
 }
 
 // Forecast returns when work of each queue could start at the earliest. Queues whose work needn't wait are left out.
 func (s *State) Forecast() Forecast {
 	var f Forecast
-	prepared := map[string]*service{}
 	for i := range s.Queues {
 		q := &s.Queues[i]
-		declared := s.Services[q.Service]
-		if declared == nil || len(declared.Waiting) == 0 || declared.Capacity == (batch.Amount{}) {
+		service := s.Services[q.Service]
+		if service == nil || service.Capacity == (batch.Amount{}) {
 			// Without a usable worker nothing is known of when there will be one.
 			continue
 		}
-		prep := prepared[q.Service]
-		if prep == nil {
-			prep = prepare(declared)
-			prepared[q.Service] = prep
-		}
-		if qf, ok := prep.forecast(q); ok {
-			f.Queues = append(f.Queues, qf)
+		if needs, objectives := service.points(q); len(needs) > 0 {
+			f.Queues = append(f.Queues, QueueForecast{
+				Name: q.Name, Needs: needs, Objectives: objectives, Waits: make([]time.Duration, len(needs)*len(objectives)),
+			})
 		}
 	}
+	for name, service := range s.Services {
+		s.fill(&f, name, service, false)
+		s.fill(&f, name, service, true)
+	}
+	f.Queues = slices.DeleteFunc(f.Queues, func(q QueueForecast) bool {
+		return !slices.ContainsFunc(q.Waits, func(w time.Duration) bool { return w > 0 })
+	})
 	if len(f.Queues) > 0 {
 		f.Teams = shares(s.Use)
 	}
 	return f
 }
 
+// position is a place in the order of the waiting work at which the forecast of a queue is taken.
+type position struct {
+	queue *QueueForecast
+	// objective is the index of the objective whose work has this place.
+	objective int
+	priority  int
+	deadline  time.Duration
+}
+
+// before reports whether work at the position is placed before w.
+func (p *position) before(w *Work) bool {
+	return !w.First && (p.priority < w.Priority || p.priority == w.Priority && p.deadline <= w.Deadline)
+}
+
+// fill places the waiting work of a service and takes the forecasts of its queues meanwhile: of those of priority 0 if urgent is set, and
+// of the others if it isn't.
+func (s *State) fill(f *Forecast, name string, service *Service, urgent bool) {
+	var positions []position
+	for i := range f.Queues {
+		q := &f.Queues[i]
+		declared := &s.Queues[slices.IndexFunc(s.Queues, func(d Queue) bool { return d.Name == q.Name })]
+		if declared.Service != name || urgent != (declared.Priority == 0) {
+			continue
+		}
+		for o, deadline := range q.Objectives {
+			positions = append(positions, position{q, o, declared.Priority, deadline})
+		}
+	}
+	if len(positions) == 0 {
+		return
+	}
+	slices.SortStableFunc(positions, func(a, b position) int {
+		if a.priority != b.priority {
+			return a.priority - b.priority
+		}
+		return int(a.deadline - b.deadline)
+	})
+	placing := newPlacing(service, urgent)
+	for i := range service.Waiting {
+		w := &service.Waiting[i]
+		for len(positions) > 0 && positions[0].before(w) {
+			placing.take(&positions[0])
+			positions = positions[1:]
+		}
+		if len(positions) == 0 {
+			return
+		}
+		placing.add(w)
+	}
+	for i := range positions {
+		placing.take(&positions[i])
+	}
+}
+
 // shares returns the use of the teams with the highest use, relative to the highest one.
-func shares(use map[model.Team]float64) []TeamShare {
+func shares(use map[model.Team]batch.Amount) []TeamShare {
 	var teams []TeamShare
 	highest := 0.0
-	for team, cores := range use {
-		if cores > 0 {
+	for team, amount := range use {
+		if cores := amount.Cores(); cores > 0 {
 			teams = append(teams, TeamShare{Team: team, Share: cores})
 			highest = max(highest, cores)
 		}
@@ -129,67 +185,15 @@
 	return teams
 }
 
-// service is a service that is prepared for the forecasts of its queues.
-type service struct {
-	waiting []*Work
-	// supply is the capacity that becomes available to work that stops no other, urgentSupply that to work of priority 0.
-	supply, urgentSupply *supply
-}
-
-func prepare(s *Service) *service {
-	prep := &service{supply: newSupply(s, false), urgentSupply: newSupply(s, true)}
-	prep.waiting = inTime(s.Waiting, prep.supply)
-	return prep
-}
-
-// inTime returns the work that can still start before it is useless. Other work comes after all that isn't useless by then.
-func inTime(waiting []Work, s *supply) []*Work {
-	kept := make([]*Work, 0, len(waiting))
-	var volume [resources]float64
-	for i := range waiting {
-		w := &waiting[i]
-		if w.Count <= 0 || w.Useless <= 0 || s.drained(&volume) > w.Useless.Seconds() {
-			continue
-		}
-		need := vector(w.Need)
-		work := float64(w.Count) * w.RunTime.Seconds()
-		for r := range volume {
-			volume[r] += need[r] * work
-		}
-		kept = append(kept, w)
-	}
-	return kept
-}
-
-// forecast returns the forecast of a queue, and whether any of its work has to wait.
-func (s *service) forecast(q *Queue) (QueueForecast, bool) {
-	needs, objectives := s.points(q)
-	if len(needs) == 0 {
-		return QueueForecast{}, false
-	}
-	supply := s.supply
-	if q.Priority == 0 {
-		supply = s.urgentSupply
-	}
-	qf := QueueForecast{Name: q.Name, Needs: needs, Objectives: objectives}
-	waits := false
-	for _, need := range needs {
-		for _, wait := range s.waits(q, supply, need, objectives) {
-			waits = waits || wait > 0
-			qf.Waits = append(qf.Waits, wait)
-		}
-	}
-	return qf, waits
-}
-
 // points returns the needs and objectives for which the forecast of a queue is made: the smallest need of each resource and the most
 // frequent ones of its waiting work, and the smallest objective and quantiles of those of its waiting work.
-func (s *service) points(q *Queue) ([]batch.Amount, []time.Duration) {
+func (s *Service) points(q *Queue) ([]batch.Amount, []time.Duration) {
 	tasks := map[batch.Amount]int{}
 	var objectives []time.Duration
 	var least batch.Amount
-	for _, w := range s.waiting {
-		if w.Queue != q.Name {
+	for i := range s.Waiting {
+		w := &s.Waiting[i]
+		if w.Queue != q.Name || w.Useless <= 0 {
 			continue
 		}
 		if len(tasks) == 0 {
@@ -216,9 +220,9 @@
 	})
 	needs = append([]batch.Amount{least}, needs[:min(len(needs), maxNeeds-1)]...)
 	slices.Sort(objectives)
-	points := []time.Duration{q.Target}
+	points := []time.Duration{roundUp(q.Target)}
 	for i := range maxObjectives - 1 {
-		points = append(points, objectives[(len(objectives)-1)*i/max(1, maxObjectives-2)])
+		points = append(points, roundUp(objectives[(len(objectives)-1)*i/max(1, maxObjectives-2)]))
 	}
 	slices.Sort(points)
 	return needs, slices.Compact(points)
@@ -234,47 +238,9 @@
 	return int(a.Memory - b.Memory)
 }
 
-// waits returns the forecast for tasks of a need, for each objective. objectives are in ascending order, so that the work ahead of one
-// contains that ahead of the one before.
-func (s *service) waits(q *Queue, supply *supply, need batch.Amount, objectives []time.Duration) []time.Duration {
-	volume := demand{}
-	queued := newInOrder(supply, need)
-	next := 0
-	var waits []time.Duration
-	record := func() {
-		wait := max(supply.earliest(&volume, need), queued.next())
-		if n := len(waits); n > 0 {
-			// More work is ahead of a longer objective; rounding may hide that.
-			wait = max(wait, waits[n-1].Seconds())
-		}
-		waits = append(waits, duration(wait))
-	}
-	// The work ahead of all objectives comes first; within the priority, work follows in the order of its deadlines.
-	own := make([]*Work, 0, len(s.waiting))
-	for _, w := range s.waiting {
-		switch {
-		case w.Restricted || !need.Contains(w.Need):
-		case w.First || w.Priority < q.Priority:
-			volume.add(w)
-			queued.add(w)
-		case w.Priority == q.Priority:
-			own = append(own, w)
-		}
-	}
-	for _, objective := range objectives {
-		for next < len(own) && own[next].Deadline < objective {
-			volume.add(own[next])
-			queued.add(own[next])
-			next++
-		}
-		record()
-	}
-	return waits
-}
-
-// duration rounds a time in seconds down to milliseconds, as it is sent.
-func duration(seconds float64) time.Duration {
-	return time.Duration(min(seconds, maxWait.Seconds())*1000) * time.Millisecond
+// roundUp rounds an objective up to the resolution.
+func roundUp(d time.Duration) time.Duration {
+	return (min(max(d, 0), maxObjective) + resolution - 1) / resolution * resolution
 }
 
 // maxWait is the longest forecast; longer ones are cut to it.
--- a/stand/replay/command.go
+++ b/stand/replay/command.go
@@ -17,8 +17,10 @@
 	Days    int    `default:"20" help:"Number of days, each with a seed of its own."`
 	First   int64  `default:"1" help:"Seed of the first day."`
 	Workers int    `default:"0" help:"Number of workers; 0 means that of the load pattern."`
-	Out     string `help:"File for the results as JSON."`
-	Against string `type:"existingfile" help:"File with the results of another version on the same days; the paired difference is printed."`
+	// RefuseLate sets that of the load pattern.
+	RefuseLate bool   `help:"Refuse jobs that can't start while their result is of use."`
+	Out        string `help:"File for the results as JSON."`
+	Against    string `type:"existingfile" help:"File with the results of another version on the same days; the paired difference is printed."`
 }
 
 // Run plays the days and prints their results.
@@ -33,6 +35,7 @@
 	if c.Workers > 0 {
 		load.Fleet.Workers = c.Workers
 	}
+	load.RefuseLate = load.RefuseLate || c.RefuseLate
 	results := Play(load, c.First, c.Days)
 	if err := printTable(os.Stdout, results); err != nil {
 		return err
--- a/stand/replay/day.go
+++ b/stand/replay/day.go
@@ -11,6 +11,8 @@
 	"wagtailhoist/core/alloc"
 	"wagtailhoist/core/batch"
 	"wagtailhoist/core/model"
+	"wagtailhoist/core/pace"
+	"wagtailhoist/core/room"
 )
 
 type teamName = model.Team
@@ -47,6 +49,9 @@
 	// completed is when its completion was stored, zero before.
 	completed time.Time
 	cancelled bool
+	// acceptedAt is when the job was accepted, zero before; refusals counts its refusals.
+	acceptedAt time.Time
+	refusals   int
 	// ran holds the tasks that have run, by index; allBegun is when the last of them began for the first time.
 	ran      map[int]bool
 	allBegun time.Time
@@ -74,6 +79,12 @@
 	thrown   float64
 	stops    int
 	planTime time.Duration
+	// admission is that of the entry, forecast what the owner has made last.
+	admission room.Admission
+	forecast  room.Forecast
+	forecasts pace.Forecasts
+	// decisions are those of the entry on each submission, in the order of time.
+	decisions []decision
 }
 
 // newDay prepares a day with its own seed.
@@ -135,7 +146,7 @@
 	for i, j := range d.order {
 		j.ID = model.JobID(fmt.Sprintf("%016x", uint64(i)*0x9e3779b97f4a7c15))
 		d.jobs[j.ID] = j
-		d.at(j.at, func() { d.scheduler.UpdateJob(d.now, d.now, j.ID, &batch.JobRecord{Job: &j.Job}) })
+		d.at(j.at, func() { d.submit(j) })
 		if !j.cancelAt.IsZero() {
 			d.at(j.cancelAt, func() { d.cancel(j) })
 		}
@@ -171,6 +182,9 @@
 func (d *day) cancel(j *submitted) {
 	if j.completed.IsZero() {
 		j.cancelled = true
+		if j.acceptedAt.IsZero() {
+			return
+		}
 		d.scheduler.UpdateJob(d.now, d.now, j.ID, &batch.JobRecord{Job: &j.Job, Cancelled: true})
 	}
 }
@@ -365,6 +379,7 @@
 		d.scheduler.Plan(d.now, d.now)
 		d.planTime += time.Since(begun)
 	}
+	d.updateForecast()
 	d.commit()
 	for _, id := range d.scheduler.TakeTouched() {
 		if orders, due := d.scheduler.Orders(d.now, id, 1<<20); due {
--- a/stand/replay/load.go
+++ b/stand/replay/load.go
@@ -26,6 +26,8 @@
 	Guarantee int64   `yaml:"guarantee"`
 	Classes   []Class `yaml:"classes"`
 	Events    []Event `yaml:"events"`
+	// RefuseLate makes the entry refuse jobs that can't start while their result is of use.
+	RefuseLate bool `yaml:"refuseLate"`
 }
 
 // Fleet describes the workers and how long their platform takes.
@@ -172,10 +174,9 @@
 // policy returns the queues and teams of a load.
 func (l *Load) policy() batch.Policy {
 	p := batch.Policy{Queues: map[string]batch.Queue{}, Teams: map[teamName]batch.Team{}}
-	for _, c := range l.Classes {
-		p.Queues[c.Name] = batch.Queue{
-			Name: c.Name, Service: service, Priority: c.Priority, MaxAttempts: 2, Stretch: c.Stretch, Target: seconds(c.Target),
-		}
+	for i := range l.Classes {
+		q := l.queue(&l.Classes[i])
+		p.Queues[q.Name] = q
 	}
 	for i := range l.Teams {
 		name := teamOf(i)
@@ -184,4 +185,11 @@
 	return p
 }
 
+// queue returns the queue of a class.
+func (l *Load) queue(c *Class) batch.Queue {
+	return batch.Queue{
+		Name: c.Name, Service: service, Priority: c.Priority, MaxAttempts: 2, Stretch: c.Stretch, Target: seconds(c.Target),
+	}
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/stand/replay/result.go
+++ b/stand/replay/result.go
@@ -47,6 +47,10 @@
 	Late   float64 `json:"late"`
 	Served float64 `json:"served"`
 	Begun  float64 `json:"begun"`
+	// Refused is the share of jobs that were refused until their callers gave up, Useless that of accepted jobs which completed, from then,
+	// too late to be of use, or never.
+	Refused float64 `json:"refused"`
+	Useless float64 `json:"useless"`
 	// Plans is the time that plans took, in seconds.
 	Plans float64 `json:"plans"`
 }
@@ -58,7 +62,7 @@
 	if j.completed.IsZero() {
 		return owed, 0
 	}
-	objective := seconds(j.class.Stretch*j.work.Seconds() + j.class.Target)
+	objective := j.objective()
 	switch taken := j.completed.Sub(j.at); {
 	case taken <= objective:
 		return owed, owed
@@ -68,6 +72,11 @@
 	return owed, 0
 }
 
+// objective returns the objective by the job's real run time.
+func (j *submitted) objective() time.Duration {
+	return seconds(j.class.Stretch*j.work.Seconds() + j.class.Target)
+}
+
 // cost returns the job's work in core seconds.
 func (j *submitted) cost() float64 {
 	s := &j.Steps[0]
@@ -137,13 +146,21 @@
 
 // countJobs sets the shares of jobs in a result.
 func (d *day) countJobs(r *Result) {
-	var jobs, inTime, late, served, urgent, begun float64
+	var jobs, inTime, late, served, urgent, begun, refused, accepted, useless float64
 	for _, j := range d.order {
 		if j.cancelled {
 			continue
 		}
 		jobs++
-		objective := seconds(j.class.Stretch*j.work.Seconds() + j.class.Target)
+		objective := j.objective()
+		if j.acceptedAt.IsZero() {
+			refused++
+		} else {
+			accepted++
+			if j.completed.IsZero() || j.completed.Sub(j.acceptedAt) > lateFactor*objective {
+				useless++
+			}
+		}
 		switch taken := j.completed.Sub(j.at); {
 		case j.completed.IsZero():
 		case taken <= objective:
@@ -163,6 +180,7 @@
 	}
 	r.InTime, r.Late, r.Served = share{jobs, inTime}.ratio(), share{jobs, late}.ratio(), share{jobs, served}.ratio()
 	r.Begun = share{urgent, begun}.ratio()
+	r.Refused, r.Useless = refused/max(1, jobs), useless/max(1, accepted)
 }
 
 // share is the worth that was owed and earned.
@@ -228,6 +246,8 @@
 	{"late", func(r *Result) float64 { return r.Late }},
 	{"served", func(r *Result) float64 { return r.Served }},
 	{"begun", func(r *Result) float64 { return r.Begun }},
+	{"refused", func(r *Result) float64 { return r.Refused }},
+	{"useless", func(r *Result) float64 { return r.Useless }},
 }
 
 // meanSpread returns the mean of a figure and the half width of its 95 % interval.
