Count only work that is placed first even with backfilling

Cause: on generated states, the forecast that counted all work ahead was above the start in a reference with backfilling by more than a quarter and a second in 1,535 of 4,622 states. A small task that has room beside a large one that waits would have been refused.

A refusal must be as certain as the run times.

Change: the forecast is made for sizes, a need and the width of a gang. Ahead of a size counts what has room wherever that size has it.

Conclusion: queues of gangs of many widths are refused less than could be, since few gangs are certain to come first.

--- a/core/alloc/forecast.go
+++ b/core/alloc/forecast.go
@@ -64,7 +64,7 @@
 	step := ps.step
 	w := room.Work{
 		Queue: ps.queue.Name, Priority: ps.queue.Priority, First: ps.guaranteed || step.LongRunning, Deadline: ps.deadline.Sub(now),
-		Useless: noLimit, Need: step.Allocation(), RunTime: ps.estimate,
+		Useless: noLimit, Need: step.Allocation(), RunTime: ps.estimate, Gang: step.Gang, Restricted: ps.restricted(),
 	}
 	for _, t := range ps.tasks {
 		if t.Phase != batch.TaskWaiting {
@@ -89,6 +89,13 @@
 	return w, true
 }
 
+// restricted reports whether there may be room for tasks of the step that they can't use.
+func (ps *pendingStep) restricted() bool {
+	s := ps.step
+	return s.RackLocal || s.RequiredLabel != "" || s.DataRack != "" || s.MaxPerWorker > 0 || s.CPUExempt || s.MaxTailLatency > 0 ||
+		ps.queue.RequiresTicket
+}
+
 // returns reports whether a worker gets tasks again without a further report, and when.
 func (w *worker) returns() (time.Time, bool) {
 	if !w.ready(w.Service) || w.evacuated {
--- a/core/alloc/forecast_test.go
+++ b/core/alloc/forecast_test.go
@@ -29,7 +29,7 @@
 	if !ok {
 		f.Fatal("got no forecast, want one")
 	}
-	return forecast.Wait(queue, batch.Amount{CPU: 1000, Memory: 100, GPU: 8}, 5*time.Second+time.Millisecond)
+	return forecast.Wait(queue, room.Size{Need: batch.Amount{CPU: 1000, Memory: 100, GPU: 8}, Width: 1}, 5*time.Second+time.Millisecond)
 }
 
 // The forecast must see what the plan sees: twenty tasks of 2 s behind one that has just begun. Those that can't start before three
--- a/core/room/admit.go
+++ b/core/room/admit.go
@@ -30,8 +30,8 @@
 	Team     model.Team
 	Queue    string
 	Priority int
-	// Needs are those of the tasks of the steps that depend on no other.
-	Needs     []batch.Amount
+	// Sizes are those of the steps that depend on no other.
+	Sizes     []Size
 	Objective time.Duration
 	// Limit is the time in which one of these tasks must start so that the job's completion is of use.
 	Limit time.Duration
@@ -51,7 +51,8 @@
 	}
 	for i := range j.Steps {
 		if len(j.Steps[i].After) == 0 {
-			r.Needs = append(r.Needs, j.Steps[i].Allocation())
+			w := Work{Need: j.Steps[i].Allocation(), Count: j.Steps[i].Count, Gang: j.Steps[i].Gang}
+			r.Sizes = append(r.Sizes, w.size())
 		}
 	}
 	// A job that can't be in time even if it starts at once isn't refused for lack of capacity.
@@ -121,12 +122,12 @@
 
 // Decide returns why a job that arrives now is refused, or false if it is accepted. fence is that of the owner that the entry knows.
 func (a *Admission) Decide(now time.Time, fence uint64, r *Request) (Refusal, bool) {
-	if !a.valid(now, fence) || len(r.Needs) == 0 {
+	if !a.valid(now, fence) || len(r.Sizes) == 0 {
 		return Refusal{}, false
 	}
 	wait := time.Duration(-1)
-	for _, need := range r.Needs {
-		if w := a.forecast.Wait(r.Queue, need, r.Objective); wait < 0 || w < wait {
+	for _, size := range r.Sizes {
+		if w := a.forecast.Wait(r.Queue, size, r.Objective); wait < 0 || w < wait {
 			wait = w
 		}
 	}
--- a/core/room/admit_test.go
+++ b/core/room/admit_test.go
@@ -14,13 +14,13 @@
 // waitForecast returns a forecast by which all tasks of queue q wait.
 func waitForecast(fence, number uint64, wait time.Duration) Forecast {
 	return Forecast{Fence: fence, Number: number, Queues: []QueueForecast{{
-		Name: "q", Needs: []batch.Amount{{}}, Objectives: []time.Duration{0}, Waits: []time.Duration{wait},
+		Name: "q", Sizes: []Size{{}}, Objectives: []time.Duration{0}, Waits: []time.Duration{wait},
 	}}}
 }
 
 func request(id int, limit time.Duration) *Request {
 	return &Request{
-		Job: model.JobID(fmt.Sprintf("%016x", id)), Team: "a", Queue: "q", Priority: 1, Needs: []batch.Amount{{CPU: 1000}},
+		Job: model.JobID(fmt.Sprintf("%016x", id)), Team: "a", Queue: "q", Priority: 1, Sizes: []Size{{batch.Amount{CPU: 1000}, 1}},
 		Objective: limit / 2, Limit: limit,
 	}
 }
@@ -98,8 +98,8 @@
 	}
 	// Objective 2 * 2 s + 1 s; the chain of 2 s must start 2 s before three objectives have passed.
 	r, _ := NewRequest(&batch.Job{QueueConfig: queue, Steps: []batch.Step{step, after}}, 0, func(int) time.Duration { return time.Second })
-	if want := 13 * time.Second; r.Limit != want || len(r.Needs) != 1 {
-		t.Errorf("got limit %v and %d first steps, want %v and 1", r.Limit, len(r.Needs), want)
+	if want := 13 * time.Second; r.Limit != want || len(r.Sizes) != 1 {
+		t.Errorf("got limit %v and %d first steps, want %v and 1", r.Limit, len(r.Sizes), want)
 	}
 }
 
@@ -107,14 +107,14 @@
 func TestOneStepInTimeIsEnough(t *testing.T) {
 	var a Admission
 	f := waitForecast(1, 1, time.Minute)
-	f.Queues[0].Needs[0] = batch.Amount{GPU: 4}
+	f.Queues[0].Sizes[0] = Size{batch.Amount{GPU: 4}, 1}
 	a.Update(epoch, epoch, f, 1)
 	r := request(1, 10*time.Second)
-	r.Needs = []batch.Amount{{GPU: 8}}
+	r.Sizes = []Size{{batch.Amount{GPU: 8}, 1}}
 	if _, refused := a.Decide(epoch, 1, r); !refused {
 		t.Error("a job whose only step has to wait was accepted, want a refusal")
 	}
-	r.Needs = append(r.Needs, batch.Amount{GPU: 1})
+	r.Sizes = append(r.Sizes, Size{batch.Amount{GPU: 1}, 1})
 	if _, refused := a.Decide(epoch, 1, r); refused {
 		t.Error("a job with a step that needn't wait was refused")
 	}
--- a/core/room/codec.go
+++ b/core/room/codec.go
@@ -28,8 +28,8 @@
 // QueueForecast holds lower bounds of the time until the start of a queue's tasks.
 type QueueForecast struct {
 	Name string
-	// Needs and Objectives are the points for which Waits holds the bounds, by need and then by objective.
-	Needs      []batch.Amount
+	// Sizes and Objectives are the points for which Waits holds the bounds, by size and then by objective.
+	Sizes      []Size
 	Objectives []time.Duration
 	Waits      []time.Duration
 }
@@ -40,18 +40,18 @@
 	Share float64
 }
 
-// Wait returns the lower bound for tasks of a need whose job has an objective: that of the points which need no more and have no
+// Wait returns the lower bound for tasks of a size whose job has an objective: that of the points which are no larger and have no
 // longer objective. Without such a point it is 0.
-func (f *Forecast) Wait(queue string, need batch.Amount, objective time.Duration) time.Duration {
+func (f *Forecast) Wait(queue string, size Size, objective time.Duration) time.Duration {
 	wait := time.Duration(0)
 	for i := range f.Queues {
 		q := &f.Queues[i]
 		if q.Name != queue {
 			continue
 		}
-		for n := range q.Needs {
+		for n := range q.Sizes {
 			for o := range q.Objectives {
-				if need.Contains(q.Needs[n]) && objective >= q.Objectives[o] {
+				if size.Contains(q.Sizes[n]) && objective >= q.Objectives[o] {
 					wait = max(wait, q.Waits[n*len(q.Objectives)+o])
 				}
 			}
@@ -68,11 +68,11 @@
 	Teams         []encodedTeam
 }
 
-// encodedQueue has times in units of resolution. Objectives, and the waits of one need, are the differences to the one before.
+// encodedQueue has times in units of resolution. Objectives, and the waits of one size, are the differences to the one before.
 type encodedQueue struct {
 	_          struct{} `cbor:",toarray"`
 	Name       string
-	Needs      [][resources]int64
+	Sizes      [][resources + 1]int64
 	Objectives []int64
 	Waits      []int64
 }
@@ -112,8 +112,8 @@
 
 func (q *QueueForecast) encoded() encodedQueue {
 	e := encodedQueue{Name: q.Name}
-	for _, n := range q.Needs {
-		e.Needs = append(e.Needs, [resources]int64{n.CPU, n.Memory, n.GPU})
+	for _, n := range q.Sizes {
+		e.Sizes = append(e.Sizes, [resources + 1]int64{int64(n.Width), n.Need.CPU, n.Need.Memory, n.Need.GPU})
 	}
 	last := time.Duration(0)
 	for _, o := range q.Objectives {
@@ -157,11 +157,11 @@
 
 func (e *encodedQueue) decoded() (QueueForecast, error) {
 	q := QueueForecast{Name: e.Name}
-	if len(e.Waits) != len(e.Needs)*len(e.Objectives) {
-		return q, fmt.Errorf("decode forecast of queue %q: got %d values for %d points", e.Name, len(e.Waits), len(e.Needs)*len(e.Objectives))
+	if len(e.Waits) != len(e.Sizes)*len(e.Objectives) {
+		return q, fmt.Errorf("decode forecast of queue %q: got %d values for %d points", e.Name, len(e.Waits), len(e.Sizes)*len(e.Objectives))
 	}
-	for _, n := range e.Needs {
-		q.Needs = append(q.Needs, batch.Amount{CPU: n[0], Memory: n[1], GPU: n[2]})
+	for _, n := range e.Sizes {
+		q.Sizes = append(q.Sizes, Size{batch.Amount{CPU: n[1], Memory: n[2], GPU: n[3]}, int(n[0])})
 	}
 	objective, wait := int64(0), int64(0)
 	for _, o := range e.Objectives {
--- a/core/room/forecast.go
+++ b/core/room/forecast.go
@@ -1,6 +1,8 @@
 package room
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,8 +11,9 @@
 )
 
 const (
-	// maxNeeds and maxObjectives bound the points of a queue's forecast, so that the forecast of 20 queues takes at most MaxEncoded.
-	maxNeeds, maxObjectives = 3, 8
+	// maxObjectives bounds the objectives for which a queue's forecast is made. With three sizes for each, the forecast of 20 queues takes
+	// at most MaxEncoded.
+	maxObjectives = 8
 	// resolution is the unit in which times are sent. Waits are rounded down, and objectives up.
 	resolution = 100 * time.Millisecond
 	// maxTeams bounds the teams whose use is sent.
@@ -41,8 +44,33 @@
 	Need      batch.Amount
 	Count     int
 	RunTime   time.Duration
+	// Gang reports whether the tasks start together.
+	Gang bool
+	// Restricted reports whether the tasks can't run on any worker that has room for them: a step that needs a label, for example. It
+	// isn't counted as ahead of others.
+	Restricted bool
 }
 
+// size returns the need of the tasks that start together.
+func (w *Work) size() Size {
+	if w.Gang {
+		return Size{w.Need, w.Count}
+	}
+	return Size{w.Need, 1}
+}
+
+// Size is the need of a task, and the number of tasks that start together: more than one for a gang.
+type Size struct {
+	Need  batch.Amount
+	Width int
+}
+
+// Contains reports whether there is room for tasks of the other size wherever there is room for tasks of this one.
+func (s Size) Contains(other Size) bool { return s.Width >= other.Width && s.Need.Contains(other.Need) }
+
+// cores returns the size as a number, by which sizes are ordered.
+func (s Size) cores() float64 { return s.Need.Cores() * float64(s.Width) }
+
 // Return is capacity that becomes usable after a time.
 type Return struct {
 	After    time.Duration
@@ -86,9 +114,9 @@
 			// Without a usable worker nothing is known of when there will be one.
 			continue
 		}
-		if needs, objectives := service.points(q); len(needs) > 0 {
+		if sizes, objectives := service.points(q); len(sizes) > 0 {
 			f.Queues = append(f.Queues, QueueForecast{
-				Name: q.Name, Needs: needs, Objectives: objectives, Waits: make([]time.Duration, len(needs)*len(objectives)),
+				Name: q.Name, Sizes: sizes, Objectives: objectives, Waits: make([]time.Duration, len(sizes)*len(objectives)),
 			})
 		}
 	}
@@ -107,11 +135,11 @@
 
 // position is a place in the order of the waiting work at which the forecast of a queue is taken.
 type position struct {
-	queue *QueueForecast
-	// objective is the index of the objective whose work has this place.
-	objective int
-	priority  int
-	deadline  time.Duration
+	size     Size
+	priority int
+	deadline time.Duration
+	// wait is where the forecast is stored.
+	wait *time.Duration
 }
 
 // before reports whether work at the position is placed before w.
@@ -119,8 +147,7 @@
 	return !w.First && (p.priority < w.Priority || p.priority == w.Priority && p.deadline <= w.Deadline)
 }
 
-// fill places the waiting work of a service and takes the forecasts of its queues meanwhile: of those of priority 0 if urgent is set, and
-// of the others if it isn't.
+// fill takes the forecasts of a service's queues: of those of priority 0 if urgent is set, and of the others if it isn't.
 func (s *State) fill(f *Forecast, name string, service *Service, urgent bool) {
 	var positions []position
 	for i := range f.Queues {
@@ -129,36 +156,58 @@
 		if declared.Service != name || urgent != (declared.Priority == 0) {
 			continue
 		}
-		for o, deadline := range q.Objectives {
-			positions = append(positions, position{q, o, declared.Priority, deadline})
+		for n, size := range q.Sizes {
+			for o, deadline := range q.Objectives {
+				positions = append(positions, position{size, declared.Priority, deadline, &q.Waits[n*len(q.Objectives)+o]})
+			}
 		}
 	}
 	if len(positions) == 0 {
 		return
 	}
 	slices.SortStableFunc(positions, func(a, b position) int {
-		if a.priority != b.priority {
-			return a.priority - b.priority
-		}
-		return int(a.deadline - b.deadline)
+		return cmp.Or(compareSizes(a.size, b.size), cmp.Compare(a.priority, b.priority), cmp.Compare(a.deadline, b.deadline))
 	})
-	placing := newPlacing(service, urgent)
-	for i := range service.Waiting {
-		w := &service.Waiting[i]
+	idle := newPlacing(service, urgent)
+	for len(positions) > 0 {
+		size := positions[0].size
+		end := 1
+		for end < len(positions) && positions[end].size == size {
+			end++
+		}
+		service.place(idle.clone(), size, positions[:end])
+		positions = positions[end:]
+	}
+}
+
+// place places the waiting work that has room wherever tasks of a size have it, and takes the forecasts for that size meanwhile. Other
+// work isn't certain to be placed before them.
+func (s *Service) place(p *placing, size Size, positions []position) {
+	for i := range s.Waiting {
+		w := &s.Waiting[i]
 		for len(positions) > 0 && positions[0].before(w) {
-			placing.take(&positions[0])
+			p.take(&positions[0])
 			positions = positions[1:]
 		}
 		if len(positions) == 0 {
 			return
 		}
-		placing.add(w)
+		if !w.Restricted && size.Contains(w.size()) {
+			p.add(w)
+		}
 	}
 	for i := range positions {
-		placing.take(&positions[i])
+		p.take(&positions[i])
 	}
 }
 
+func compareSizes(a, b Size) int {
+	return cmp.Or(
+		cmp.Compare(a.cores(), b.cores()), cmp.Compare(a.Width, b.Width), cmp.Compare(a.Need.GPU, b.Need.GPU),
+		cmp.Compare(a.Need.CPU, b.Need.CPU), cmp.Compare(a.Need.Memory, b.Need.Memory),
+	)
+}
+
 // shares returns the use of the teams with the highest use, relative to the highest one.
 func shares(use map[model.Team]batch.Amount) []TeamShare {
 	var teams []TeamShare
@@ -185,57 +234,54 @@
 	return teams
 }
 
-// points returns the needs and objectives for which the forecast of a queue is made: the smallest need of each resource and the most
-// frequent ones of its waiting work, and the smallest objective and quantiles of those of its waiting work.
-func (s *Service) points(q *Queue) ([]batch.Amount, []time.Duration) {
-	tasks := map[batch.Amount]int{}
+// points returns the sizes and objectives for which the forecast of a queue is made: the smallest of each resource and sizes that half
+// and nine tenths of the waiting tasks don't exceed, and the smallest objective and quantiles of those of the waiting work.
+func (s *Service) points(q *Queue) ([]Size, []time.Duration) {
+	tasks := map[Size]int{}
 	var objectives []time.Duration
-	var least batch.Amount
+	var least Size
+	total := 0
 	for i := range s.Waiting {
 		w := &s.Waiting[i]
 		if w.Queue != q.Name || w.Useless <= 0 {
 			continue
 		}
-		if len(tasks) == 0 {
-			least = w.Need
+		size := w.size()
+		if total == 0 {
+			least = size
+		}
+		least.Width = min(least.Width, size.Width)
+		for _, r := range []struct{ least, other *int64 }{
+			{&least.Need.CPU, &size.Need.CPU}, {&least.Need.Memory, &size.Need.Memory}, {&least.Need.GPU, &size.Need.GPU},
+		} {
+			*r.least = min(*r.least, *r.other)
 		}
-		least = batch.Amount{CPU: min(least.CPU, w.Need.CPU), Memory: min(least.Memory, w.Need.Memory), GPU: min(least.GPU, w.Need.GPU)}
-		tasks[w.Need] += w.Count
+		tasks[size] += w.Count
+		total += w.Count
 		objectives = append(objectives, w.Objective)
 	}
-	if len(tasks) == 0 {
+	if total == 0 {
 		return nil, nil
 	}
-	var needs []batch.Amount
-	for need := range tasks {
-		if need != least {
-			needs = append(needs, need)
+	distinct := slices.SortedFunc(maps.Keys(tasks), compareSizes)
+	sizes := []Size{least}
+	seen := 0
+	for _, size := range distinct {
+		before := seen
+		seen += tasks[size]
+		for _, share := range []int{5, 9} {
+			if before*10 < total*share && seen*10 >= total*share && sizes[len(sizes)-1] != size {
+				sizes = append(sizes, size)
+			}
 		}
 	}
-	slices.SortFunc(needs, func(a, b batch.Amount) int {
-		if tasks[a] != tasks[b] {
-			return tasks[b] - tasks[a]
-		}
-		return compareAmounts(a, b)
-	})
-	needs = append([]batch.Amount{least}, needs[:min(len(needs), maxNeeds-1)]...)
 	slices.Sort(objectives)
 	points := []time.Duration{roundUp(q.Target)}
 	for i := range maxObjectives - 1 {
 		points = append(points, roundUp(objectives[(len(objectives)-1)*i/max(1, maxObjectives-2)]))
 	}
 	slices.Sort(points)
-	return needs, slices.Compact(points)
-}
-
-func compareAmounts(a, b batch.Amount) int {
-	switch {
-	case a.GPU != b.GPU:
-		return int(a.GPU - b.GPU)
-	case a.CPU != b.CPU:
-		return int(a.CPU - b.CPU)
-	}
-	return int(a.Memory - b.Memory)
+	return sizes, slices.Compact(points)
 }
 
 // roundUp rounds an objective up to the resolution.
--- a/core/room/forecast_test.go
+++ b/core/room/forecast_test.go
@@ -40,9 +40,8 @@
 }
 
 // reference places waiting work on single machines, in its order, as soon as it fits. With backfill, work that doesn't fit doesn't hold
-// up what comes after it. gangs holds the indexes of the work whose tasks start together. It returns when the work at the index probe
-// starts.
-func reference(rng *rand.Rand, machines []*machine, order []*Work, gangs map[int]bool, probe int, backfill bool) time.Duration {
+// up what comes after it. It returns when the work at the index probe starts.
+func reference(rng *rand.Rand, machines []*machine, order []*Work, probe int, backfill bool) time.Duration {
 	left := make([]int, len(order))
 	for i, w := range order {
 		left[i] = w.Count
@@ -57,7 +56,7 @@
 				}
 				chosen = append(chosen, m)
 			}
-			if gangs[i] && len(chosen) < w.Count {
+			if w.Gang && len(chosen) < w.Count {
 				chosen = nil
 			}
 			if i == probe && len(chosen) > 0 {
@@ -117,8 +116,6 @@
 	probe Work
 	order []*Work
 	at    int
-	// gangs holds the indexes in order of the work that is placed together.
-	gangs map[int]bool
 }
 
 func randomNeed(rng *rand.Rand, needs int) batch.Amount {
@@ -154,6 +151,7 @@
 	}
 	for range rng.Intn(40) {
 		w := Work{
+			Gang:     gangs && rng.Intn(4) == 0,
 			Priority: 1 + rng.Intn(2), First: rng.Intn(10) == 0, Deadline: time.Duration(rng.Intn(20000)) * time.Millisecond, Useless: never,
 			Need: randomNeed(rng, needs), Count: 1 + rng.Intn(4), RunTime: time.Duration(1+rng.Intn(5000)) * time.Millisecond,
 		}
@@ -181,6 +179,9 @@
 		return 0
 	})
 	g.probe = Work{Priority: 1 + rng.Intn(2), Objective: time.Duration(rng.Intn(25000)) * time.Millisecond, Need: randomNeed(rng, needs), Count: 1, RunTime: time.Second}
+	if gangs && rng.Intn(2) == 0 {
+		g.probe.Gang, g.probe.Count = true, 1+rng.Intn(5)
+	}
 	g.probe.Deadline = g.probe.Objective
 	g.probe.Queue = fmt.Sprint("q", g.probe.Priority)
 	g.at = -1
@@ -195,12 +196,6 @@
 		g.at = len(g.order)
 		g.order = append(g.order, &g.probe)
 	}
-	g.gangs = map[int]bool{}
-	for i := range g.order {
-		if gangs && i != g.at && rng.Intn(4) == 0 {
-			g.gangs[i] = true
-		}
-	}
 	g.state = State{
 		Services: map[string]*Service{"svc": service},
 		Queues:   []Queue{{Name: "q1", Service: "svc", Priority: 1}, {Name: "q2", Service: "svc", Priority: 2}},
@@ -224,11 +219,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got := sent.Wait(g.probe.Queue, g.probe.Need, g.probe.Objective)
-		if local := f.Wait(g.probe.Queue, g.probe.Need, g.probe.Objective); got != local {
+		got := sent.Wait(g.probe.Queue, g.probe.size(), g.probe.Objective)
+		if local := f.Wait(g.probe.Queue, g.probe.size(), g.probe.Objective); got != local {
 			t.Fatalf("seed %d: got %v after it was sent, want %v", seed, got, local)
 		}
-		want := reference(rng, g.machines, g.order, g.gangs, g.at, false)
+		want := reference(rng, g.machines, g.order, g.at, false)
 		if got > want {
 			t.Errorf("seed %d: got a forecast of %v, but the reference starts the task after %v", seed, got, want)
 		}
@@ -258,8 +253,8 @@
 		if g.probe.Objective < objectives[len(objectives)-1] {
 			continue
 		}
-		got := f.Wait(g.probe.Queue, g.probe.Need, g.probe.Objective)
-		want := reference(rng, g.machines, g.order, g.gangs, g.at, false)
+		got := f.Wait(g.probe.Queue, g.probe.size(), g.probe.Objective)
+		want := reference(rng, g.machines, g.order, g.at, false)
 		if tolerance := 230*time.Millisecond + want/50; got < want-tolerance {
 			t.Errorf("seed %d: got %v, want %v", seed, got, want)
 		}
@@ -316,7 +311,7 @@
 	state := State{Services: map[string]*Service{"svc": service}, Queues: []Queue{{Name: "q", Service: "svc", Priority: 1}}}
 	f := state.Forecast()
 	// The first three start after 0, 10 and 20 s.
-	if got, want := f.Wait("q", service.Capacity, 5*time.Second), 30*time.Second; got != want {
+	if got, want := f.Wait("q", Size{service.Capacity, 1}, 5*time.Second), 30*time.Second; got != want {
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
@@ -328,7 +323,7 @@
 	for _, service := range []*Service{{Waiting: waiting}, {Waiting: waiting, Capacity: batch.Amount{Memory: 1}}} {
 		state := State{Services: map[string]*Service{"svc": service}, Queues: []Queue{{Name: "q", Service: "svc", Priority: 1}}}
 		f := state.Forecast()
-		if got := f.Wait("q", batch.Amount{CPU: 2}, time.Hour); got != 0 {
+		if got := f.Wait("q", Size{batch.Amount{CPU: 2}, 1}, time.Hour); got != 0 {
 			t.Errorf("capacity %+v: got a forecast of %v, want none", service.Capacity, got)
 		}
 	}
@@ -350,9 +345,35 @@
 			return
 		}
 		for i := range decoded.Queues {
-			if wait := decoded.Wait(decoded.Queues[i].Name, batch.Amount{CPU: 1 << 40}, time.Hour); wait < 0 || wait > maxWait {
+			if wait := decoded.Wait(decoded.Queues[i].Name, Size{batch.Amount{CPU: 1 << 40}, 1 << 40}, time.Hour); wait < 0 || wait > maxWait {
 				t.Errorf("got a wait of %v, want 0 to %v", wait, maxWait)
 			}
 		}
 	})
 }
+
+// The scheduler backfills, so that work may start before work ahead of it that finds no room. Only work that has room wherever a task has it
+// counts as ahead of the task. Among such work of several sizes, backfilling may still change the order; the forecast must then hardly
+// ever be above the start.
+func TestForecastBesideBackfilling(t *testing.T) {
+	waits, above := 0, 0
+	most := 0.0
+	for seed := range int64(6000) {
+		rng := rand.New(rand.NewSource(seed))
+		g := generate(rng, 1+rng.Intn(4), rng.Intn(2) == 0)
+		f := g.state.Forecast()
+		got := f.Wait(g.probe.Queue, g.probe.size(), g.probe.Objective)
+		if got == 0 {
+			continue
+		}
+		waits++
+		if want := reference(rng, g.machines, g.order, g.at, true); got > want {
+			above++
+			most = max(most, float64(got)/float64(want))
+		}
+	}
+	t.Logf("%d states with a wait: above the start in %d, at most %.2f times as long", waits, above, most)
+	if above*50 > waits || waits < 1000 {
+		t.Errorf("the forecast is above the start in %d of %d states, want at most 2 %% of at least 1000", above, waits)
+	}
+}
--- a/core/room/placing.go
+++ b/core/room/placing.go
@@ -80,6 +80,13 @@
 	return p
 }
 
+// clone returns a copy that can be changed by itself.
+func (p *placing) clone() *placing {
+	c := *p
+	c.ends = slices.Clone(p.ends)
+	return &c
+}
+
 // roundDown returns a time in milliseconds, rounded down by at most a 64th, so that the number of ends stays small.
 func roundDown(after time.Duration) int64 {
 	ms := max(0, after.Milliseconds())
@@ -165,32 +172,28 @@
 	return false
 }
 
-// take records when work at a position could start.
+// take records when tasks of the size of a position could start.
 func (p *placing) take(at *position) {
-	q := at.queue
-	var sorted ends
-	for i, need := range q.Needs {
-		v := vector(need)
-		now, free := p.now, p.free
-		if fitting(free, v, 1) == 0 {
-			if sorted == nil {
-				sorted = slices.Clone(p.ends)
-				sort.Slice(sorted, func(i, j int) bool { return sorted[i].at < sorted[j].at })
-			}
-			for j := 0; j < len(sorted) && fitting(free, v, 1) == 0; j++ {
-				now = max(now, sorted[j].at)
-				for r := range free {
-					free[r] += sorted[j].amount[r]
-				}
-			}
-			if fitting(free, v, 1) == 0 {
-				// It would fit only after workers have returned of which nothing is known.
-				now = 0
+	need := vector(at.size.Need)
+	for r := range need {
+		need[r] *= int64(at.size.Width)
+	}
+	now, free := p.now, p.free
+	if fitting(free, need, 1) == 0 {
+		sorted := slices.Clone(p.ends)
+		sort.Slice(sorted, func(i, j int) bool { return sorted[i].at < sorted[j].at })
+		for j := 0; j < len(sorted) && fitting(free, need, 1) == 0; j++ {
+			now = max(now, sorted[j].at)
+			for r := range free {
+				free[r] += sorted[j].amount[r]
 			}
 		}
-		wait := time.Duration(min(now, maxWait.Milliseconds())) * time.Millisecond
-		q.Waits[i*len(q.Objectives)+at.objective] = wait / resolution * resolution
+		if fitting(free, need, 1) == 0 {
+			// It would fit only after workers have returned of which nothing is known.
+			now = 0
+		}
 	}
+	*at.wait = time.Duration(min(now, maxWait.Milliseconds())) * time.Millisecond / resolution * resolution
 }
 
 // ends is a heap by time. It isn't one of container/heap, which allocates memory for each element.
--- a/io/jobs/gate_test.go
+++ b/io/jobs/gate_test.go
@@ -209,7 +209,7 @@
 				wait = time.Hour
 			}
 			return room.Forecast{Fence: 1, Number: number, Queues: []room.QueueForecast{{
-				Name: "q", Needs: []batch.Amount{{}}, Objectives: []time.Duration{0}, Waits: []time.Duration{wait},
+				Name: "q", Sizes: []room.Size{{}}, Objectives: []time.Duration{0}, Waits: []time.Duration{wait},
 			}}}, true
 		},
 	}}
@@ -520,7 +520,7 @@
 	ownerMirror := newSyncedMirror(t)
 	log := slog.New(slog.DiscardHandler)
 	forecast := room.Forecast{Fence: 3, Number: 1, Queues: []room.QueueForecast{{
-		Name: "q", Needs: []batch.Amount{{}}, Objectives: []time.Duration{0}, Waits: []time.Duration{time.Hour},
+		Name: "q", Sizes: []room.Size{{}}, Objectives: []time.Duration{0}, Waits: []time.Duration{time.Hour},
 	}}}
 	ok := true
 	receiver := &Notifier{Mirror: ownerMirror, Token: "t", Log: log, Forecast: func() (room.Forecast, bool) { return forecast, ok }}
