--- a/core/room/placing.go
+++ b/core/room/placing.go
@@ -29,8 +29,9 @@
 	steps int
 	// missed is what was last found to have no room in time.
 	missed missed
-	// popped is memory of await.
-	popped []end
+	// popped and scratch are memory of await and take.
+	popped  []end
+	scratch ends
 }
 
 // end is capacity that becomes free at a time.
@@ -180,12 +181,12 @@
 	}
 	now, free := p.now, p.free
 	if fitting(free, need, 1) == 0 {
-		sorted := slices.Clone(p.ends)
-		sort.Slice(sorted, func(i, j int) bool { return sorted[i].at < sorted[j].at })
-		for j := 0; j < len(sorted) && fitting(free, need, 1) == 0; j++ {
-			now = max(now, sorted[j].at)
+		p.scratch = append(p.scratch[:0], p.ends...)
+		for len(p.scratch) > 0 && fitting(free, need, 1) == 0 {
+			first := p.scratch.pop()
+			now = max(now, first.at)
 			for r := range free {
-				free[r] += sorted[j].amount[r]
+				free[r] += first.amount[r]
 			}
 		}
 		if fitting(free, need, 1) == 0 {
