--- a/stand/replay/admit_test.go
+++ b/stand/replay/admit_test.go
@@ -65,8 +65,10 @@
 		worth += results[i].Worth / days
 		uselessBefore += before[i].Useless / days
 		worthBefore += before[i].Worth / days
-		if got := played[i].turns("small", 5*time.Second); got < 2 || got > 4 {
-			t.Errorf("day %d: admission has turned %d times, want 2 to 4", i, got)
+		turns := played[i].turns("small", 5*time.Second)
+		t.Logf("day %d: admission has turned %d times", i, turns)
+		if turns < 2 || turns > 4 {
+			t.Errorf("day %d: admission has turned %d times, want 2 to 4", i, turns)
 		}
 	}
 	t.Logf("useless %.3f (without refusals %.3f), refused %.3f, worth %.3f (%.3f)", useless, uselessBefore, refused, worth, worthBefore)
