--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -37,6 +37,8 @@
 	m.Fragmentation("chur", 0.5)
 	m.Fragmentation("chur", math.NaN())
 	m.EvacuatedCentres(2)
+	m.RefusedJob("brennholz", "nightly")
+	m.Gauge("forecast_age_seconds", -1)
 	if err := m.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -56,6 +58,9 @@
 		`wagtailhoist_run_time_samples{queue="nightly"} 40`,
 		`wagtailhoist_fragmentation{cell="chur"} NaN`,
 		`wagtailhoist_evacuated_centres 2`,
+		`wagtailhoist_refused_jobs_team_total{team="brennholz"} 1`,
+		`wagtailhoist_refused_jobs_queue_total{queue="nightly"} 1`,
+		`wagtailhoist_forecast_age_seconds -1`,
 	} {
 		if !strings.Contains(got, want) {
 			t.Errorf("metrics: got no line %s", want)
