End the refusal of a queue when nothing of it waits

Cause: a queue without waiting work is left out of the forecast, so that no job of it was decided on and its refusal lasted until the next shortage, where it was then refused from 80 % of the limit.

Result: TestHysteresis; FuzzDecode for 10 s without a finding.

--- a/core/room/admit.go
+++ b/core/room/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -97,6 +98,7 @@
 	if f.Fence != a.forecast.Fence {
 		a.refusing = nil
 	}
+	maps.DeleteFunc(a.refusing, func(k kind, _ time.Duration) bool { return !f.concerns(k.queue) })
 	// The call reached the owner after it was sent, so that the forecast was made after sent less its age then.
 	a.forecast, a.arrived, a.madeAt = f, now, sent.Add(-f.Age)
 	return true
@@ -117,7 +119,12 @@
 
 // Concerns reports whether there is a forecast by which work of a queue has to wait.
 func (a *Admission) Concerns(now time.Time, fence uint64, queue string) bool {
-	return a.valid(now, fence) && slices.ContainsFunc(a.forecast.Queues, func(q QueueForecast) bool { return q.Name == queue })
+	return a.valid(now, fence) && a.forecast.concerns(queue)
+}
+
+// concerns reports whether work of a queue has to wait.
+func (f *Forecast) concerns(queue string) bool {
+	return slices.ContainsFunc(f.Queues, func(q QueueForecast) bool { return q.Name == queue })
 }
 
 // Decide returns why a job that arrives now is refused, or false if it is accepted. fence is that of the owner that the entry knows.
--- a/core/room/admit_test.go
+++ b/core/room/admit_test.go
@@ -148,6 +148,13 @@
 	if !decide(9900 * time.Millisecond) {
 		t.Error("a job with a longer limit has ended the refusal")
 	}
+	// Once nothing of the queue waits, the shortage is over.
+	number++
+	a.Update(epoch, epoch, Forecast{Fence: 1, Number: number}, 1)
+	if decide(9900 * time.Millisecond) {
+		t.Error("refused below the limit after the end of a shortage")
+	}
+	decide(10100 * time.Millisecond)
 	// Another owner may count differently; what was refused under the former one says nothing.
 	a.Update(epoch, epoch, waitForecast(2, 1, 9900*time.Millisecond), 2)
 	if _, refused := a.Decide(epoch, 2, request(1, 10*time.Second)); refused {
