--- a/cmds/desk.go
+++ b/cmds/desk.go
@@ -102,6 +102,8 @@
 	AnswerBudget   int `default:"37748736" help:"Bytes of memory for all answers of the store to forwarded calls that aren't passed on yet."`
 	MaxConnections int `default:"2048" help:"Largest number of callers' connections."`
 	MaxLinks       int `default:"1500" help:"Largest number of connections of the link listener: links of agents, and calls of other entries and agents."`
+
+	RefuseLate bool `help:"Refuse jobs that can't start while their result is of use. Set it on all entries."`
 }
 
 func (c *deskCmd) validate(k *validator) {
@@ -139,7 +141,7 @@
 func (c *deskCmd) Run(s streams) error {
 	return serveBounded(s, c.Level, c.ID,
 		fx.Supply(c),
-		fx.Provide(newPeerBodies, newDeskStore, newWatcher, newDeskEvacuations, newOwner, newNotifier, newJobService, newDeskMeter, newDeskReporter),
+		fx.Provide(newPeerBodies, newDeskStore, newWatcher, newDeskEvacuations, newOwner, newNotifier, newJobGate, newJobService, newDeskMeter, newDeskReporter),
 		fx.Invoke(startDesk),
 	)
 }
@@ -187,6 +189,7 @@
 	}
 	return &owner.Owner{
 		Advisor: advisor, Evacuations: e, Store: s, Mirror: m, Self: mirror.EntryInfo{ID: c.ID, Address: c.Link, Share: c.Share}, Log: log, Meter: metrics,
+		Forecasts: c.RefuseLate,
 		Settings: alloc.Settings{
 			Lease: c.Hold - leaseMargin, EarlyStart: c.Early / 2, RemoteSlowdown: c.Remote, Retention: c.Keep + c.Keep/2,
 			TeamOrder: alloc.TeamOrder(c.TeamOrder),
@@ -200,8 +203,12 @@
 	}
 }
 
-func newNotifier(c *deskCmd, m *mirror.Mirror, peers *intake.Bodies, log *slog.Logger) *jobs.Notifier {
-	return &jobs.Notifier{Mirror: m, Self: c.Link, Token: c.Token, HTTP: platform.NewHTTP(), Log: log, Bodies: peers}
+func newNotifier(c *deskCmd, m *mirror.Mirror, o *owner.Owner, g *jobs.Gate, peers *intake.Bodies, log *slog.Logger) *jobs.Notifier {
+	n := &jobs.Notifier{Mirror: m, Self: c.Link, Token: c.Token, HTTP: platform.NewHTTP(), Log: log, Bodies: peers}
+	if g != nil {
+		n.Forecast, n.TakeForecast = o.Forecast, g.TakeForecast
+	}
+	return n
 }
 
 // newPeerBodies returns the reader of the calls of other processes, which share a memory budget.
@@ -214,8 +221,16 @@
 	return &intake.Reporter{Log: log, Meter: m}
 }
 
-func newJobService(s *proxy.Store, m *mirror.Mirror, n *jobs.Notifier) *jobs.Service {
-	return &jobs.Service{Store: s, Mirror: m, Notify: n.Notify}
+// newJobGate returns nil, which accepts all jobs, unless jobs are refused for lack of capacity.
+func newJobGate(c *deskCmd, s *proxy.Store, m *mirror.Mirror, o *owner.Owner, metrics *meter.Meter, log *slog.Logger) *jobs.Gate {
+	if !c.RefuseLate {
+		return nil
+	}
+	return &jobs.Gate{Store: s, Leases: s, Mirror: m, Policy: o.Policy, Own: o.Forecast, Log: log, Meter: metrics}
+}
+
+func newJobService(s *proxy.Store, m *mirror.Mirror, n *jobs.Notifier, g *jobs.Gate) *jobs.Service {
+	return &jobs.Service{Store: s, Mirror: m, Notify: n.Notify, Gate: g}
 }
 
 // newDeskMeter returns nil, a meter that records nothing, if there is no metrics listener.
@@ -263,6 +278,7 @@
 	Jobs        *jobs.Service
 	PeerBodies  *intake.Bodies
 	Report      *intake.Reporter
+	Gate        *jobs.Gate
 	Meter       *meter.Meter
 }
 
@@ -305,6 +321,7 @@
 				p.Meter.Gauge("peer_bytes", float64(p.PeerBodies.Held()))
 				p.Meter.Gauge("answer_bytes", float64(p.Store.Answers.Held()))
 				p.Meter.Gauge("frame_bytes", float64(settings.Frames.Held()))
+				p.Gate.ReportAge()
 			})
 			go runPeriodically(ctx, metricsInterval, addCounts(p.Meter, brokenLinkSources(settings.Counters)))
 			loops.Go(func() { p.Watcher.Run(ctx) })
--- a/stand/replay/command.go
+++ b/stand/replay/command.go
@@ -20,8 +20,10 @@
 	First   int64  `default:"1" help:"Seed of the first day."`
 	Order   string `default:"deadline" enum:"deadline,share" help:"Order of the waiting work of different teams, as for desk --team-order."`
 	Workers int    `default:"0" help:"Number of workers; 0 means that of the load pattern."`
-	Out     string `help:"File for the results as JSON."`
-	Against string `type:"existingfile" help:"File with the results of another version on the same days; the paired difference is printed."`
+	// RefuseLate sets that of the load pattern.
+	RefuseLate bool   `help:"Refuse jobs that can't start while their result is of use."`
+	Out        string `help:"File for the results as JSON."`
+	Against    string `type:"existingfile" help:"File with the results of another version on the same days; the paired difference is printed."`
 }
 
 // Run plays the days and prints their results.
@@ -37,6 +39,7 @@
 		load.Fleet.Workers = c.Workers
 	}
 	load.Order = alloc.TeamOrder(c.Order)
+	load.RefuseLate = load.RefuseLate || c.RefuseLate
 	results := Play(load, c.First, c.Days)
 	if err := printTable(os.Stdout, results); err != nil {
 		return err
--- a/stand/replay/load.go
+++ b/stand/replay/load.go
@@ -29,6 +29,8 @@
 	Events    []Event `yaml:"events"`
 	// Order is the order of the waiting work of different teams; it is a setting of the scheduler, not of the pattern.
 	Order alloc.TeamOrder `yaml:"-"`
+	// RefuseLate makes the entry refuse jobs that can't start while their result is of use.
+	RefuseLate bool `yaml:"refuseLate"`
 }
 
 // Fleet describes the workers and how long their platform takes.
@@ -182,10 +184,9 @@
 // policy returns the queues and teams of a load.
 func (l *Load) policy() batch.Policy {
 	p := batch.Policy{Queues: map[string]batch.Queue{}, Teams: map[teamName]batch.Team{}}
-	for _, c := range l.Classes {
-		p.Queues[c.Name] = batch.Queue{
-			Name: c.Name, Service: service, Priority: c.Priority, MaxAttempts: 2, Stretch: c.Stretch, Target: seconds(c.Target),
-		}
+	for i := range l.Classes {
+		q := l.queue(&l.Classes[i])
+		p.Queues[q.Name] = q
 	}
 	for i := range l.Teams {
 		name := teamOf(i)
@@ -194,4 +195,11 @@
 	return p
 }
 
+// queue returns the queue of a class.
+func (l *Load) queue(c *Class) batch.Queue {
+	return batch.Queue{
+		Name: c.Name, Service: service, Priority: c.Priority, MaxAttempts: 2, Stretch: c.Stretch, Target: seconds(c.Target),
+	}
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
