Keep answers to forwarded calls that arrive

Cause: an answer that gave way to another while it arrived was in memory until its call of the store had ended, after its charge had gone.

Ruled out: a smaller default (a list of 16 MiB, the most that a peer takes, would no longer fit); a gate for decoding (it wouldn't bound the text of the answers).

Change: an answer can be given up only once it is written.

--- a/io/proxy/answers.go
+++ b/io/proxy/answers.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"sync"
@@ -31,8 +30,8 @@
 var longAgo = time.Unix(1, 0)
 
 // Answers bounds the memory of the store's answers to forwarded calls, from the first byte that the store sends to the last one that
-// the peer takes. When the memory is used up, the address with the most bytes loses the answer that has made no progress for the
-// longest time.
+// the peer takes. When the memory is used up, the address with the most bytes loses the answer that its peer hasn't read from for the
+// longest time. An answer that arrives isn't given up for others: its memory would be in use until its call has ended.
 type Answers struct {
 	// Limit is the number of bytes that all answers may hold; 0 means DefaultAnswerBudget. It is set before the first use.
 	Limit int64
@@ -57,11 +56,8 @@
 type answer struct {
 	answers *Answers
 	holder  string
-	// cancel ends the call of the store if the answer is given up.
-	cancel context.CancelFunc
 
-	// The mutex of answers guards the following fields. claim is nil until the first byte arrives: a watch that waits holds nothing, and
-	// is not given up.
+	// The mutex of answers guards the following fields. claim is nil until the first byte arrives: a watch that waits holds nothing.
 	claim *budget.Body
 	lost  bool
 	// control is set while the answer is written.
@@ -71,9 +67,7 @@
 }
 
 // newAnswer returns the room for the answer to a peer.
-func (a *Answers) newAnswer(holder string, cancel context.CancelFunc) *answer {
-	return &answer{answers: a, holder: holder, cancel: cancel}
-}
+func (a *Answers) newAnswer(holder string) *answer { return &answer{answers: a, holder: holder} }
 
 // received charges the answer for its page, of which the given number of bytes has arrived. A list has several pages, whose items stay
 // in memory.
@@ -84,10 +78,14 @@
 		r.pages += r.page
 	}
 	r.page = bytes
+	if r.claim == nil {
+		r.admitLocked()
+		r.answers.budget.Complete(r.claim)
+	}
 	return r.resizeLocked(r.pages + receivedFactor*bytes)
 }
 
-// decoded charges the answer for its items in place of their text.
+// decoded charges the answer for its items in place of their text. From now on it can be given up.
 func (r *answer) decoded(items []store.Item) error {
 	n := int64(cap(items)) * itemBytes
 	for i := range items {
@@ -95,24 +93,34 @@
 	}
 	r.answers.mu.Lock()
 	defer r.answers.mu.Unlock()
+	if r.lost {
+		return errAnswerRoom
+	}
+	if r.claim != nil {
+		r.answers.budget.Release(r.claim)
+	}
+	r.admitLocked()
 	return r.resizeLocked(n)
 }
 
+// admitLocked adds the answer to the budget.
+func (r *answer) admitLocked() {
+	a := r.answers
+	if a.budget.Limit = a.Limit; a.Limit == 0 {
+		a.budget.Limit = DefaultAnswerBudget
+	}
+	r.claim = a.budget.Admit(time.Now(), r.holder)
+	r.claim.Tag = r
+}
+
 // resizeLocked sets the number of bytes that the answer holds and notes that it has made progress. It returns errAnswerRoom if the
 // answer is given up.
 func (r *answer) resizeLocked(n int64) error {
 	if r.lost {
 		return errAnswerRoom
 	}
-	a, now := r.answers, time.Now()
-	if r.claim == nil {
-		if a.budget.Limit = a.Limit; a.Limit == 0 {
-			a.budget.Limit = DefaultAnswerBudget
-		}
-		r.claim = a.budget.Admit(now, r.holder)
-		r.claim.Tag = r
-	}
-	victims, err := a.budget.Grow(now, r.claim, n-r.claim.Held())
+	a := r.answers
+	victims, err := a.budget.Grow(time.Now(), r.claim, n-r.claim.Held())
 	for _, v := range victims {
 		v.Tag.(*answer).loseLocked()
 	}
@@ -127,7 +135,6 @@
 // loseLocked notes that the answer has lost its memory, and ends what is done for it.
 func (r *answer) loseLocked() {
 	r.lost = true
-	r.cancel()
 	if r.control != nil {
 		_ = r.control.SetWriteDeadline(longAgo)
 	}
--- a/io/proxy/store.go
+++ b/io/proxy/store.go
@@ -380,11 +380,9 @@
 		http.Error(w, err.Error(), intake.StatusCode(err))
 		return
 	}
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	answer := s.answers().newAnswer(intake.Address(r), cancel)
+	answer := s.answers().newAnswer(intake.Address(r))
 	defer answer.release()
-	reply := s.answerCall(ctx, r, q, answer)
+	reply := s.answerCall(r.Context(), q, answer)
 	// A read has no effect, so that its refusal is true. The outcome of another call without an answer is unknown.
 	if !answer.startWriting(http.NewResponseController(w)) {
 		if q.isRead() {
@@ -407,7 +405,7 @@
 }
 
 // answerCall makes a forwarded call directly, if direct calls are made, and charges its answer. It returns nil if the answer is given up.
-func (s *Store) answerCall(ctx context.Context, r *http.Request, q *Request, answer *answer) *Reply {
+func (s *Store) answerCall(ctx context.Context, q *Request, answer *answer) *Reply {
 	if !s.directAllowed() {
 		return &Reply{Kind: errorNotAttempted, Detail: "the peer's direct calls of the store have failed too"}
 	}
@@ -417,7 +415,7 @@
 		// The store isn't the cause, so that direct calls go on.
 		return nil
 	}
-	if !answeredByStore(err) && r.Context().Err() == nil {
+	if !answeredByStore(err) && ctx.Err() == nil {
 		s.suspendDirect(q, err)
 	}
 	return &reply
