Name the time of TestClaimsDontTakeTurns as it is

Cause: rounds of the test take 250 ms, so that four of them are 1 s, but its message still said 800 ms.

Ruled out: five rounds; 1 s is below the bound of 2,700 ms.

Change: the message.

Conclusion: nothing else changes.

--- a/core/alloc/turns_test.go
+++ b/core/alloc/turns_test.go
@@ -369,7 +369,7 @@
 			l.round()
 		}
 		if got, want := l.countRuns(id), int(claimer.Guarantee); got != want {
-			rt.Fatalf("runs of the claim after 800 ms: got %d, want %d", got, want)
+			rt.Fatalf("runs of the claim after 1 s: got %d, want %d", got, want)
 		}
 	})
 }
