Wait until a paused process has stopped

Cause: pause() of the proofs' harness returned right after SIGSTOP was sent.

Ruled out: an agent that is named wrongly as up to date; its log shows that it had the revision.

Change: pause returns when all threads of the process are stopped according to /proc, or the process has ended.

A trial that meets the failure without the change is missing.

Conclusion: the later steps of a test no longer depend on when the system stops the threads.

--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -202,8 +202,25 @@
 	<-p.done
 }
 
-// pause stops the process with SIGSTOP until resume is called.
-func (p *process) pause() { p.signal(syscall.SIGSTOP) }
+// pause stops the process with SIGSTOP until resume is called. It returns when all threads have stopped: on a busy machine they
+// run on for a while after the signal.
+func (p *process) pause() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	eventually(p.t, startTimeout, p.name+" stops", func() bool { return p.ended() || p.stopped() })
+}
+
+// stopped reports whether all threads of the process are stopped by a signal.
+func (p *process) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	for _, path := range threads {
+		data, readErr := os.ReadFile(path)
+		if readErr != nil || !strings.HasPrefix(string(data[bytes.LastIndexByte(data, ')')+1:]), " T ") {
+			return false
+		}
+	}
+	return err == nil && len(threads) > 0
+}
 
 func (p *process) resume() { p.signal(syscall.SIGCONT) }
 
