Forward a change whose answer was lost without a read

Cause: since changes are forwarded only after a read through the other process, one whose answer the store had lost waited for that read, too, which is lost as often. It protects nothing there: an attempt may have been carried out already.

Ruled out: a read side by side with the change, which costs a call for each.

Change: the read is made only while no attempt may have been carried out.

Result: TestLostChangeIsForwardedWithoutARead is new; with a read before each forwarded change it fails (2 calls instead of 1).

--- a/io/proxy/store.go
+++ b/io/proxy/store.go
@@ -167,9 +167,11 @@
 	forward := func() {
 		if !forwarded {
 			forwarded = true
+			// Once an attempt may have been carried out, the outcome is unknown anyhow.
+			careful := q.Op == OpCommit && pending == 0 && !unknown
 			pending++
 			go func() {
-				reply, err := s.forward(ctx, q)
+				reply, err := s.forward(ctx, q, careful)
 				results <- outcome{reply, err, false}
 			}()
 		}
@@ -391,8 +393,8 @@
 }
 
 // forward forwards a call to at most maxPeers processes, one after the other, until the store has answered one of them. The one
-// that had an answer lately comes first.
-func (s *Store) forward(ctx context.Context, q *Request) (Reply, error) {
+// that had an answer lately comes first. If careful is set, the call is forwarded only to a process that reaches the store.
+func (s *Store) forward(ctx context.Context, q *Request, careful bool) (Reply, error) {
 	peers := s.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	fresh := s.freshPeer(clock.Now())
@@ -402,7 +404,7 @@
 	var lastErr error = &store.RefusedError{Op: string(q.Op), Cause: fmt.Errorf("no other process is known to forward the call to")}
 	unknown := false
 	for _, peer := range peers[:min(maxPeers, len(peers))] {
-		if q.Op == OpCommit && peer != fresh && !s.peerAnswers(ctx, peer) {
+		if careful && peer != fresh && !s.peerAnswers(ctx, peer) {
 			lastErr = &store.RefusedError{Op: string(q.Op), Cause: fmt.Errorf("the store doesn't answer reads through %s in time", peer)}
 			continue
 		}
--- a/io/proxy/store_test.go
+++ b/io/proxy/store_test.go
@@ -394,6 +394,18 @@
 	}
 }
 
+// While the store loses answers, a change whose answer was lost is forwarded at once: a read before it would be lost as often.
+func TestLostChangeIsForwardedWithoutARead(t *testing.T) {
+	other := &fakeStore{}
+	s := newStoreWithPeer(t, &fakeStore{err: lost}, other)
+	if _, err := s.Commit(context.Background(), store.Change{Sets: []store.Set{{Key: "k"}}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := other.calls.Load(); got != 1 {
+		t.Errorf("got %d calls of the store by the peer, want 1", got)
+	}
+}
+
 // In an outage of some processes, changes follow one another: only the first one needs a read through the peer.
 func TestPeerThatAnsweredNeedsNoRead(t *testing.T) {
 	other := &fakeStore{}
