--- a/review/.standin2/minion.go
+++ b/review/.standin2/minion.go
@@ -33,6 +33,8 @@
 	wake     *sync.Cond
 	sequence uint64
 	down     bool
+	// draining is set before the minion leaves.
+	draining bool
 	// suspendedAt is when the suspension began, zero without one; suspended is the time of all earlier ones.
 	suspendedAt time.Time
 	suspended   time.Duration
@@ -47,6 +49,9 @@
 	pauses      [][2]time.Time
 }
 
+// drainTime is how long a minion goes on after the acknowledgement that it drains (drainMs).
+const drainTime = 2500 * time.Millisecond
+
 type amount struct {
 	CPU    int64 `json:"cpu"`
 	Memory int64 `json:"memMb"`
@@ -149,10 +154,14 @@
 }
 
 func (m *minion) statusBody(sequence uint64, service string) []byte {
-	body, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": service, "address": m.address, "zone": "z", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
 		"capacity": m.capacity, "labels": m.labels, "clockMs": m.clock(), "sequence": sequence, "born": m.born,
-	})
+	}
+	if m.draining {
+		fields["state"], fields["remainingMs"] = "draining", drainTime.Milliseconds()
+	}
+	body, err := json.Marshal(fields)
 	if err != nil {
 		fail("%v", err)
 	}
--- a/review/.standin2/site.go
+++ b/review/.standin2/site.go
@@ -234,6 +234,26 @@
 	}
 }
 
+// leave empties the minion and takes it away.
+func (m *machine) leave() {
+	n := m.current()
+	n.mu.Lock()
+	n.draining = true
+	n.mu.Unlock()
+	m.site.record("minion %s drains", n.id)
+	m.report()
+	time.Sleep(drainTime + time.Second)
+	req, err := http.NewRequest(http.MethodDelete, "http://"+m.control+"/instances/"+n.id, nil)
+	if err != nil {
+		fail("%v", err)
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+	}
+	m.site.record("minion %s has left", n.id)
+	n.crash()
+}
+
 // report sends one status report. A report without an acknowledgement within a second is repeated at the next beat.
 func (m *machine) report() {
 	n := m.current()
