Show the open entry of a task that ran again beside a restart

Cause: a notice of leaving that arrives after a minion has started again under its name lets the owner take all its runs as ended. One that the successor carries out in place of the minion isn't stopped first.

Change: case 8 with a script.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
     echo "target/wagtailhoist or target/review2-standin is missing: run the build of deploy/system.toml and review/build-2.sh" >&2
     exit 2
 fi
-exec target/review2-standin lasting target/wagtailhoist review/8/record.txt
+exec target/review2-standin restart target/wagtailhoist review/8/record.txt
