--- a/review/.standin2/cases.go
+++ b/review/.standin2/cases.go
@@ -296,7 +296,7 @@
 // TWICE.
 func playRestart(s *site) []string {
 	const (
-		length, jobGap, restartGap = 75 * time.Second, 60 * time.Millisecond, 1500 * time.Millisecond
+		length, jobGap, restartGap = 85 * time.Second, 40 * time.Millisecond, 1500 * time.Millisecond
 		// unacknowledged is after how long without an acknowledgement a minion that drains ends anyway, heldOn for how long its reports are
 		// still held up after its next start, and firstBeat when the next life reports first.
 		unacknowledged, heldOn, firstBeat = 3 * time.Second, 300 * time.Millisecond, 600 * time.Millisecond
@@ -317,7 +317,7 @@
 				return
 			case <-time.After(jobGap):
 			}
-			s.submit(fmt.Sprintf("e%015d", i), `{"spec":"1000","steps":[{"count":1,"cpu":8000,"memMb":256,"gpu":1,"estimateMs":1000}]}`)
+			s.submit(fmt.Sprintf("e%015d", i), `{"spec":"700","steps":[{"count":1,"cpu":8000,"memMb":256,"gpu":1,"estimateMs":700}]}`)
 		}
 	}()
 	for begun := time.Now(); time.Since(begun) < length; {
