Keep the sums of learned run times from falling below zero

The decisions of each elected owner panicked in core/learn, as long as the records of the ended jobs were stored.

Cause: addPoint took the square of an estimate's distance from the mean partly from the rounded new mean. The term is negative where rounding puts the mean beyond the estimate: -2.5e-18 for the first sample of 1.5 s with weight 1/9. As the weighted median of three teams it became the limit of the sums, limit / 0 * 0 made the line of the queue NaN, and int(NaN) is the least integer on x86-64.

Evidence: the sums and the line after each sample, printed in a test: -2.5e-18 and 0 and 0, then NaN. The stored model was rejected for the same sum.

Change: the term is weight * (1 - weight / samples) * distance squared, which rounding can't make negative. All else that enters the model is bounded by Decode or positive, as far as read.

--- a/core/learn/model.go
+++ b/core/learn/model.go
@@ -231,11 +231,14 @@
 		t.sumXY *= keep
 	}
 	t.samples += weight
-	dx := x - t.meanX
+	dx, dy := x-t.meanX, y-t.meanY
 	t.meanX += dx * weight / t.samples
-	t.meanY += (y - t.meanY) * weight / t.samples
-	t.sumXX += weight * dx * (x - t.meanX)
-	t.sumXY += weight * dx * (y - t.meanY)
+	t.meanY += dy * weight / t.samples
+	// The distance from the new mean, dx * (1 - weight / t.samples), isn't taken from the rounded mean: the square would be below zero
+	// where rounding puts the mean beyond x.
+	rest := weight * max(0, 1-weight/t.samples)
+	t.sumXX += rest * dx * dx
+	t.sumXY += rest * dx * dy
 }
 
 // Changes returns a number that grows with each sample that changes the model.
--- a/core/learn/model_test.go
+++ b/core/learn/model_test.go
@@ -370,3 +370,32 @@
 		m.Record(k, Sample{Estimate: 4 * time.Second, RunTime: 4 * time.Second, Weight: 1})
 	}
 }
+
+// Guards against expected run times that aren't numbers, with which the decisions of each owner in turn panicked: rounding made the
+// sum of squares of a team whose estimates are all the same negative, and that sum became the limit of the teams of its queue.
+func TestEqualEstimatesOfThreeTeams(t *testing.T) {
+	for first := 50 * time.Millisecond; first < 10*time.Second; first += 50 * time.Millisecond {
+		for _, weight := range []float64{1, 1.0 / 3, 1.0 / 7, 1.0 / 8, 1.0 / 9} {
+			var m Model
+			for i := range 30 {
+				estimate := []time.Duration{1500 * time.Millisecond, first, 4 * time.Second}[i%3]
+				k := Key{Queue: "q", Team: fmt.Sprint("team-", i%3), Image: "image", Kind: "kind"}
+				m.Record(k, Sample{Estimate: estimate, RunTime: estimate / 2, Weight: weight})
+				p := m.Predict(k, estimate)
+				if got := p.Expected(); got < estimate/4 || got > 2*estimate {
+					t.Fatalf("estimate %v, weight %.3f, run %d: expected run time: got %v, want about %v", first, weight, i, got, estimate/2)
+				}
+				for _, team := range m.queues["q"].order {
+					if team.sumXX < 0 {
+						t.Fatalf("estimate %v, weight %.3f, run %d: sum of squares: got %v, want at least 0", first, weight, i, team.sumXX)
+					}
+				}
+			}
+			if data, err := m.Encode(); err != nil {
+				t.Error(err)
+			} else if _, err := Decode(data); err != nil {
+				t.Errorf("estimate %v, weight %.3f: the stored form isn't accepted by the next owner: %v", first, weight, err)
+			}
+		}
+	}
+}
