Stop what runs on a worker when the agent's lease ends

Cause: agent and owner count the lease on their boot-time clocks, the worker on its steady clock, which doesn't count a suspension, and a worker never shortens a lease. The agent knew that its lease had ended and refused starts, but left the runs alone.

Ruled out: a longer wait of the owner. It can't know how long a suspension was, and a cut would cost that time always.

Change: the agent stops all runs that are listed or being started once its lease has ended, and 500 ms before if the worker's clock lags behind the latest end that the worker may have been told. A renewed lease changes nothing for the runs.

--- a/io/runner/order.go
+++ b/io/runner/order.go
@@ -71,7 +71,7 @@
 		return OrderResult{}, 0, ctx.Err()
 	}
 	r.mu.Lock()
-	deadline, expired := r.deadline(), !clock.Now().Before(r.leaseEnd)
+	deadline, expired := r.grantLease(), !clock.Now().Before(r.leaseEnd)
 	draining := r.status.Worker.Readiness != batch.WorkerReady || r.hasSuccessor
 	r.mu.Unlock()
 	switch {
--- a/io/runner/poll.go
+++ b/io/runner/poll.go
@@ -57,10 +57,12 @@
 	defer r.mu.Unlock()
 	state := pollState{
 		target: Target{r.status.Instance, r.fence}, worker: r.status.Worker.ID, acknowledged: r.acknowledged,
-		deadline: r.deadline(), pendingRefusals: len(r.refusals), outdated: r.workerChanged,
+		pendingRefusals: len(r.refusals), outdated: r.workerChanged,
 	}
 	if r.unverified {
-		state.verify, state.acknowledged, state.deadline = true, 0, 0
+		state.verify, state.acknowledged = true, 0
+	} else {
+		state.deadline = r.grantLease()
 	}
 	state.listCurrent = r.listFence == r.fence && !r.listAt.IsZero()
 	state.unacknowledgedEnds = len(r.list.Ended) > 0 && r.list.Ended[len(r.list.Ended)-1].Number > r.acknowledged
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -113,6 +113,8 @@
 	// workerClock is the last known value of the worker's clock in ms, received at clockReadAt on the boot-time clock.
 	workerClock int64
 	clockReadAt time.Time
+	// granted is the latest end of the lease that the worker may have been told, on its clock. A worker never shortens a lease.
+	granted int64
 	// list is the last list, listFence the fence with which it was polled, and listAt when it was received. listAt is zero
 	// while the list may not be reported.
 	list      RunList
@@ -159,11 +161,15 @@
 func (r *Runner) Run(ctx context.Context) {
 	r.init()
 	var wait sync.WaitGroup
-	wait.Add(3)
+	wait.Add(4)
 	go func() {
 		defer wait.Done()
 		r.confirmLoop(ctx)
 	}()
+	go func() {
+		defer wait.Done()
+		r.leaseLoop(ctx)
+	}()
 	go func() {
 		defer wait.Done()
 		r.pollLoop(ctx)
@@ -202,22 +208,6 @@
 	}
 }
 
-// syncClock relates the worker's clock to the boot-time clock. The worker's clock has gone on since it was read for the
-// answer that arrives now, so that a deadline computed from it is no later than the end of the lease.
-func (r *Runner) syncClock(workerClock int64, now time.Time) {
-	if workerClock > 0 {
-		r.workerClock, r.clockReadAt = workerClock, now
-	}
-}
-
-// deadline returns the end of the lease on the worker's clock, 0 if there is no lease or the clock isn't known.
-func (r *Runner) deadline() int64 {
-	if r.clockReadAt.IsZero() || r.leaseEnd.IsZero() {
-		return 0
-	}
-	return r.workerClock + r.leaseEnd.Sub(r.clockReadAt).Milliseconds()
-}
-
 // session connects to an owner, sends it reports and carries out its orders until the link ends.
 func (r *Runner) session(ctx context.Context, address string) {
 	sessionCtx, cancel := context.WithCancel(ctx)
@@ -367,21 +357,3 @@
 	}
 	return true
 }
-
-// extendLease extends the lease with the answer to a report. The lease counts from the sending of the report, since the
-// answer may be late.
-func (r *Runner) extendLease(o *batch.Orders) {
-	sent, ok := r.sendTimes[o.Sequence]
-	if !ok {
-		return
-	}
-	r.answeredAt = clock.Now()
-	for sequence := range r.sendTimes {
-		if sequence <= o.Sequence {
-			delete(r.sendTimes, sequence)
-		}
-	}
-	if end := sent.Add(o.Lease); o.Lease > 0 && end.After(r.leaseEnd) {
-		r.leaseEnd = end
-	}
-}
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -25,8 +25,9 @@
 	// callTime is how long an order takes; underWay and mostCalls count the orders under way and the most at one time.
 	callTime            time.Duration
 	underWay, mostCalls int
-	// polls counts the polls that have arrived.
-	polls int
+	// polls counts the polls that have arrived; running is listed in their answers.
+	polls   int
+	running []batch.RunStatus
 }
 
 // beginOrder records a call and lets it take its time.
@@ -66,14 +67,14 @@
 
 func (w *fakeWorker) ExtendLease(ctx context.Context, t Target, _ uint64, _ int64, wait time.Duration) (RunList, error) {
 	w.mu.Lock()
-	instance, born := w.instance, w.born
+	instance, list := w.instance, RunList{Born: w.born, Clock: 1000, Running: w.running}
 	w.polls++
 	w.mu.Unlock()
 	if t.Instance != instance {
 		return RunList{}, errors.New("another incarnation is meant")
 	}
 	clock.Sleep(ctx, wait)
-	return RunList{Born: born, Clock: 1000}, ctx.Err()
+	return list, ctx.Err()
 }
 
 // become makes the worker another incarnation.
--- a/io/runner/status.go
+++ b/io/runner/status.go
@@ -211,5 +211,5 @@
 	}
 	r.refusals, r.list, r.listFence, r.listAt = nil, RunList{}, 0, time.Time{}
 	r.hasSuccessor, r.unverified = false, false
-	r.acknowledged, r.workerClock, r.clockReadAt, r.refusingSince = 0, 0, time.Time{}, time.Time{}
+	r.acknowledged, r.workerClock, r.clockReadAt, r.granted, r.refusingSince = 0, 0, time.Time{}, 0, time.Time{}
 }
