Ask who answers before a notice of leaving ends a worker

Cause: an agent took the notice of leaving of a worker that drains as the end of that worker, also if a successor had answered under its name. The owner then took its runs as ended at once, and left out the stop at the successor, which may have carried out a start that was meant for the former life. Such a start counted as carried out, but was neither listed nor stopped.

Ruled out: the owner's part. It stops unproven runs at a successor first, but only if the agent reports the replacement instead of a departure.

Change: the agent asks the worker at each notice of leaving; if a successor answers, its status report decides. A start that a successor has answered, as its clock shows, is stopped at once.

--- a/io/runner/order.go
+++ b/io/runner/order.go
@@ -41,6 +41,11 @@
 			r.Log.Warn("start not answered by the worker; retrying", "task", s.Task.String(), "run", s.Run, "tries", attempts, "error", err)
 			clock.Sleep(ctx, orderRetryPause)
 		case result.Reason == "":
+			if r.answeredBySuccessor(result.Clock) {
+				r.Log.Warn("start carried out by the worker's successor; stopping the run", "task", s.Task.String(), "run", s.Run, "clock", result.Clock)
+				r.stop(ctx, t, s.RunID, o, batch.RefusedDraining)
+				return
+			}
 			r.Log.Info("started", "task", s.Task.String(), "run", s.Run, "deadline", deadline, "clock", result.Clock, "tries", attempts)
 			r.handleStarted(s, o, result.Clock)
 			return
@@ -60,6 +65,15 @@
 	}
 }
 
+// answeredBySuccessor reports whether an order that was meant for the worker was answered by a later incarnation under its name. The
+// successor's clock starts anew, while an answer of the worker itself is older than the last list by less than the time limit of a call.
+func (r *Runner) answeredBySuccessor(workerClock int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	startedAnew := workerClock > 0 && workerClock+orderTimeout.Milliseconds() < r.list.Clock
+	return startedAnew || r.hasSuccessor || r.status.Worker.Readiness == batch.WorkerDeparted
+}
+
 // tryStart makes one attempt to start a run once few enough others are under way, and returns the end of the lease that it was
 // started with. Without a lease, while the worker drains or in an evacuated data centre, the start is refused without a call, and
 // the deadline is 0.
--- a/io/runner/poll.go
+++ b/io/runner/poll.go
@@ -154,9 +154,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.status.Worker.ID == state.worker && list.Born > r.status.Worker.Born {
-		r.Log.Info("worker has started again under its name", "worker", state.worker, "born", list.Born)
-		r.hasSuccessor = true
-		r.notifyWorkerChanged()
+		r.setSuccessor(list.Born)
 	}
 	if r.status.Worker.ID != state.worker || list.Born != 0 && list.Born != r.status.Worker.Born || list.Clock < r.list.Clock {
 		return
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,8 @@
 	// callTime is how long an order takes; underWay and mostCalls count the orders under way and the most at one time.
 	callTime            time.Duration
 	underWay, mostCalls int
+	// arrived receives a value for each order, which then waits for released; nil means that orders don't wait.
+	arrived, released chan struct{}
 	// polls counts the polls that have arrived; running is listed in their answers.
 	polls   int
 	running []batch.RunStatus
@@ -37,6 +40,10 @@
 	w.underWay++
 	w.mostCalls = max(w.mostCalls, w.underWay)
 	w.mu.Unlock()
+	if w.arrived != nil {
+		w.arrived <- struct{}{}
+		<-w.released
+	}
 	time.Sleep(w.callTime)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -252,6 +259,38 @@
 	}
 }
 
+// Guards against a run that its agent forgets: a start that was under way when the worker started again is carried out by the successor,
+// for which it isn't meant, and its task was started elsewhere while it ran.
+func TestStartCarriedOutByTheSuccessorIsStopped(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		clock int64
+		known func(*Runner)
+		want  bool
+	}{
+		{"clock started anew", 1000, func(*Runner) {}, true},
+		{"successor has answered a poll", 480100, func(r *Runner) { r.hasSuccessor = true }, true},
+		{"worker has departed", 480100, func(r *Runner) { r.status.Worker.Readiness = batch.WorkerDeparted }, true},
+		{"answer was overtaken by a list", 479900, func(*Runner) {}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := &fakeWorker{results: []OrderResult{{Clock: tc.clock}}, arrived: make(chan struct{}, 2), released: make(chan struct{})}
+			r := newRunner(w)
+			r.list.Clock = 480000
+			r.applyOrders(context.Background(), &startOrders)
+			<-w.arrived
+			r.mu.Lock()
+			tc.known(r)
+			r.mu.Unlock()
+			close(w.released)
+			waitForOrders(t, r)
+			if got := slices.Contains(w.calls, "stop "+runID.Task.String()); got != tc.want {
+				t.Errorf("got calls %q, want a stop: %v", w.calls, tc.want)
+			}
+		})
+	}
+}
+
 // A poll that acknowledges the ends of the last incarnation makes its successor forget ends with the same numbers, whose tasks
 // then ran again. After a failed poll, the first one must not acknowledge any.
 func TestPollAfterAFailedOneAcknowledgesNothing(t *testing.T) {
@@ -403,24 +442,28 @@
 }
 
 // A notice of leaving may arrive after the worker has started again under its name. Taken as one of the present incarnation, it
-// made the owner start the tasks of that one elsewhere while they ran.
+// or as one of an incarnation that has a successor already, it made the owner start tasks elsewhere that the successor had begun.
 func TestLateNoticeOfLeavingIsIgnored(t *testing.T) {
 	for _, tc := range []struct {
 		name     string
 		answers  string
+		born     int64
 		draining bool
 		want     batch.Readiness
 	}{
-		{"still answers", "i-1", false, batch.WorkerReady},
-		{"no longer answers", "", false, batch.WorkerDeparted},
-		{"drains", "i-1", true, batch.WorkerDeparted},
+		{"still answers", "i-1", 1, false, batch.WorkerReady},
+		{"no longer answers", "", 1, false, batch.WorkerDeparted},
+		{"drains", "i-1", 1, true, batch.WorkerDeparted},
+		{"drains and no longer answers", "", 1, true, batch.WorkerDeparted},
+		{"successor answers", "i-1", 2, false, batch.WorkerReady},
+		{"drained, and its successor answers", "i-1", 2, true, batch.WorkerDraining},
 	} {
 		w := &fakeWorker{}
 		r := newRunner(w)
 		if tc.draining {
 			r.UpdateStatus(StatusReport{Instance: "i-1", Worker: batch.Worker{Born: 1, Service: "s", Readiness: batch.WorkerDraining}})
 		}
-		w.become(tc.answers, 1)
+		w.become(tc.answers, tc.born)
 		r.WorkerLeaving(context.Background(), "i-1")
 		if got := r.status.Worker.Readiness; got != tc.want {
 			t.Errorf("%s: got readiness %d after the notice, want %d", tc.name, got, tc.want)
--- a/io/runner/status.go
+++ b/io/runner/status.go
@@ -157,10 +157,16 @@
 
 // isIncarnation reports whether the worker answers a call that is addressed to an incarnation as that incarnation.
 func (r *Runner) isIncarnation(ctx context.Context, target Target, born int64) bool {
+	answering, err := r.answeringIncarnation(ctx, target)
+	return err == nil && (answering == 0 || answering == born)
+}
+
+// answeringIncarnation returns the start of the incarnation that answers under the name of target, 0 if the answer doesn't say it.
+func (r *Runner) answeringIncarnation(ctx context.Context, target Target) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	list, err := r.Worker.ExtendLease(ctx, target, 0, 0, 0)
-	return err == nil && (list.Born == 0 || list.Born == born)
+	return list.Born, err
 }
 
 // acceptCandidate applies the status report of a confirmed candidate and discards those of earlier incarnations.
@@ -179,8 +185,9 @@
 	}
 }
 
-// WorkerLeaving marks the worker as departed after it has announced that it leaves. A worker that doesn't drain has departed
-// only if it no longer answers: the notice may be a late one of an earlier incarnation with the same name.
+// WorkerLeaving marks the worker as departed after it has announced that it leaves. The notice may be a late one of an earlier incarnation
+// with the same name: a worker that doesn't drain has departed only if it no longer answers, and one whose successor answers is replaced
+// by the successor's status report. The owner would take the runs of a departed worker as ended, while the successor may have begun them.
 func (r *Runner) WorkerLeaving(ctx context.Context, instance string) {
 	r.init()
 	r.mu.Lock()
@@ -189,18 +196,35 @@
 	if target.Instance != instance {
 		return
 	}
-	if worker.Readiness != batch.WorkerDraining && r.isIncarnation(ctx, target, worker.Born) {
-		r.Log.Warn("notice of leaving ignored: the worker still answers and doesn't drain", "worker", worker.ID)
-		return
-	}
+	born, err := r.answeringIncarnation(ctx, target)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.status.Worker.ID != worker.ID {
 		return
 	}
-	r.Log.Info("worker departed: it announced that it leaves", "worker", worker.ID)
-	r.status.Worker.Readiness = batch.WorkerDeparted
-	signal(r.reportNow)
+	if err == nil && born > worker.Born {
+		r.setSuccessor(born)
+	}
+	switch {
+	case r.hasSuccessor:
+		r.Log.Info("notice of leaving left to the successor's status report", "worker", worker.ID)
+	case err == nil && r.status.Worker.Readiness != batch.WorkerDraining && (born == 0 || born == worker.Born):
+		r.Log.Warn("notice of leaving ignored: the worker still answers and doesn't drain", "worker", worker.ID)
+	default:
+		r.Log.Info("worker departed: it announced that it leaves", "worker", worker.ID)
+		r.status.Worker.Readiness = batch.WorkerDeparted
+		signal(r.reportNow)
+	}
+}
+
+// setSuccessor notes that a later incarnation answers under the worker's name.
+func (r *Runner) setSuccessor(born int64) {
+	if r.hasSuccessor {
+		return
+	}
+	r.Log.Info("worker has started again under its name", "worker", r.status.Worker.ID, "born", born)
+	r.hasSuccessor = true
+	r.notifyWorkerChanged()
 }
 
 // resetWorker discards all that concerns the last incarnation, and cancels its orders.
