Count no failure of a long run against its worker

Cause: each failure lengthened the quarantine of the worker up to 8 s. Only a run that is done ends such a row of failures, and long-running tasks never are.

Ruled out: a shorter quarantine for all. It keeps tasks from workers that fail all that they start.

Change: the failure of a long-running task that was at work for 5 s ends the row of failures and puts its worker into no quarantine.

--- a/core/alloc/finish.go
+++ b/core/alloc/finish.go
@@ -13,7 +13,7 @@
 	id := t.id(j)
 	s.trace("run ended", batch.RunID{Task: id, Run: t.Run}, w.ID, string(cause))
 	delete(w.runs, id)
-	stopOrdered := t.mustStop
+	stopOrdered, begun := t.mustStop, t.startedAt
 	s.learnRun(now, w, t, cause)
 	s.chargeEnded(now, t)
 	t.resetRun()
@@ -26,6 +26,9 @@
 	case cause == batch.EndFailed && !step.LongRunning:
 		w.recordFailure(now)
 		s.recordFailure(j, t, step)
+	case cause == batch.EndFailed && !begun.IsZero() && now.Sub(begun) >= soundRunTime:
+		w.resetFailures()
+		t.Phase = batch.TaskWaiting
 	default:
 		if cause == batch.EndFailed {
 			w.recordFailure(now)
--- a/core/alloc/scheduler_test.go
+++ b/core/alloc/scheduler_test.go
@@ -305,6 +305,34 @@
 	}
 }
 
+// Guards against long-running tasks that wait for many seconds beside free room: each failure of one of them, however long it had run, put
+// its worker into a longer quarantine.
+func TestFailuresOfLongRunsDoNotQuarantineTheirWorker(t *testing.T) {
+	f := newFixture(t)
+	w := f.addWorker("n1", "r1")
+	step := gpuStep(6, 1)
+	step.LongRunning = true
+	f.submit("p1", "a", step)
+	f.runRound()
+	for range 6 {
+		f.now = f.now.Add(15 * time.Second)
+		w.end(w.running[0].RunID, batch.EndFailed)
+		f.report(w)
+		f.runRound()
+		if got, want := len(w.running), 6; got != want {
+			t.Fatalf("got %d runs after the failure of one that had run for 15 s, want %d", got, want)
+		}
+	}
+	for range 3 {
+		w.end(w.running[len(w.running)-1].RunID, batch.EndFailed)
+		f.report(w)
+	}
+	f.runRound()
+	if got, want := len(w.running), 3; got != want {
+		t.Errorf("got %d runs after three failures of runs that had just begun, want %d", got, want)
+	}
+}
+
 // When a gang is done, a member that was ordered but isn't listed yet may still be running. Its capacity must not be used.
 func TestMemberOfADoneGangKeepsCapacityUntilListed(t *testing.T) {
 	f := newFixture(t)
--- a/core/alloc/worker.go
+++ b/core/alloc/worker.go
@@ -12,6 +12,8 @@
 	firstQuarantine = 500 * time.Millisecond
 	// maxQuarantine limits the quarantine after failures.
 	maxQuarantine = 8 * time.Second
+	// soundRunTime is after how long on a worker the failure of a long-running task no longer speaks against the worker.
+	soundRunTime = 5 * time.Second
 )
 
 // worker is an incarnation of a worker with its runs.
