Let a caller that is refused for lack of room finish its body

What callers saw: "connection reset by peer" instead of a 503, now and then.

Cause: the connection of a caller that was still sending was closed with unread bytes right after the answer; the reset may overtake the answer.

Change: after a refusal for lack of room, net/http goes on reading for 250 ms.

--- a/io/intake/body.go
+++ b/io/intake/body.go
@@ -31,6 +31,9 @@
 	maxReadPause   = 200 * time.Millisecond
 )
 
+// lingerTime is how long net/http goes on reading, after the answer, the body of a caller that is refused for lack of room.
+const lingerTime = 250 * time.Millisecond
+
 // longAgo is a deadline that ends a read at once.
 var longAgo = time.Unix(1, 0)
 
@@ -96,7 +99,13 @@
 	}
 	body.Release()
 	w.Header().Set("Connection", "close")
-	_ = body.control.SetReadDeadline(longAgo)
+	readUntil := longAgo
+	var full *budget.FullError
+	if errors.As(err, &full) {
+		// The caller is still sending. A connection that is closed with unread bytes is reset, and the reset may overtake the answer.
+		readUntil = time.Now().Add(lingerTime)
+	}
+	_ = body.control.SetReadDeadline(readUntil)
 	return nil, err
 }
 
--- a/io/intake/body_test.go
+++ b/io/intake/body_test.go
@@ -16,6 +16,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"wagtailhoist/core/budget"
 )
 
 // hangTimeout ends a test whose peer waits for something that never comes. It is below MaxArrival, so that a body isn't ended by
@@ -464,3 +466,31 @@
 	var none *Reporter
 	none.Refused(ReasonFull, "")
 }
+
+// deadlineRecorder records the read deadline of a connection.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	readDeadline time.Time
+}
+
+func (r *deadlineRecorder) SetReadDeadline(t time.Time) error {
+	r.readDeadline = t
+	return nil
+}
+
+// Guards against callers that get a reset instead of the refusal: the connection of a caller that was still sending was closed with
+// unread bytes as soon as the answer had been written.
+func TestRefusedCallerMayFinishItsBody(t *testing.T) {
+	bodies := &Bodies{Limit: 32 << 10}
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", 64<<10)))
+	now := time.Now()
+	_, err := bodies.Read(w, r, "a", 64<<10, now.Add(time.Minute))
+	var full *budget.FullError
+	if !errors.As(err, &full) {
+		t.Fatalf("got error %v, want a FullError", err)
+	}
+	if got := w.readDeadline.Sub(now); got < lingerTime || got >= time.Minute {
+		t.Errorf("got %v to finish the body, want about %v", got, lingerTime)
+	}
+}
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -441,8 +441,8 @@
 	}
 }
 
-// A notice of leaving may arrive after the worker has started again under its name. Taken as one of the present incarnation, it
-// or as one of an incarnation that has a successor already, it made the owner start tasks elsewhere that the successor had begun.
+// A notice of leaving may arrive after the worker has started again under its name. Taken as one of the present incarnation, or of an
+// earlier one that has a successor already, it made the owner start tasks elsewhere that the successor ran.
 func TestLateNoticeOfLeavingIsIgnored(t *testing.T) {
 	for _, tc := range []struct {
 		name     string
