Review case 12: no desk gets through its first list on a slow link

Cause: a page of the store's list has a time limit of one second whatever its size. At 10 Mbit/s a page with 1 MB of values takes longer, so that after a restart of all desks none is ready, and no owner is elected. Change: a script; it uses the stand-in of case 11, which now has pages and slow links.

--- a/review/.standin3/main.go
+++ b/review/.standin3/main.go
@@ -25,6 +25,7 @@
 	"memory":  {11, playMemory},
 	"reborn":  {11, playReborn},
 	"record":  {11, playRecord},
+	"link":    {11, playLink},
 }
 
 func main() {
@@ -52,7 +53,7 @@
 		fmt.Println("logs:", dir)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	s, err := newSystem(record, program, dir, c.agents)
+	s, err := newSystem(record, program, dir, c.agents, name == "link")
 	if s != nil {
 		defer s.stop()
 	}
--- a/review/.standin3/record.go
+++ b/review/.standin3/record.go
@@ -12,7 +12,7 @@
 // valueBytes is the largest value that the store takes.
 const valueBytes = 1 << 20
 
-// limitedStore is the platform's store with its limit on values, which the fake lacks.
+// limitedStore is the platform's store with its limit on values and its pages, which the fake lacks.
 type limitedStore struct {
 	sys *system
 	// refused counts the transactions refused for a value that is too large.
@@ -20,6 +20,10 @@
 }
 
 func (l *limitedStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/kv-range" {
+		l.servePage(w, r)
+		return
+	}
 	if r.URL.Path == "/kv-txn" {
 		data, err := io.ReadAll(r.Body)
 		if err != nil {
--- a/review/.standin3/system.go
+++ b/review/.standin3/system.go
@@ -145,7 +145,8 @@
 }
 
 // newSystem starts the deployment: three desks and the number of agents in three zones, three minions a rack.
-func newSystem(recordFile, program, dir string, agents int) (*system, error) {
+// With slow, each desk reaches the store over a link of its own with 10 Mbit/s.
+func newSystem(recordFile, program, dir string, agents int, slow bool) (*system, error) {
 	log, err := os.Create(recordFile)
 	if err != nil {
 		return nil, err
@@ -163,9 +164,15 @@
 	regions := map[string]string{"lausanne": "ch-west", "fribourg": "ch-west", "chur": "ch-east"}
 	for _, zone := range zones {
 		p := &process{name: "edge-" + zone + "-1", front: freeAddress(), ready: freeAddress()}
+		stores := s.stores
+		if slow {
+			if stores, err = slowLink(s.stores); err != nil {
+				return nil, err
+			}
+		}
 		p.args = []string{
 			program, "desk", "--id=" + p.name, "--region=" + regions[zone], "--centre=" + zone, "--listen=" + p.front, "--ready=" + p.ready,
-			"--link=" + freeAddress(), "--metrics=" + freeAddress(), "--store=" + s.stores, "--advice=" + freeAddress(), "--hold=10000ms", "--early=250ms",
+			"--link=" + freeAddress(), "--metrics=" + freeAddress(), "--store=" + stores, "--advice=" + freeAddress(), "--hold=10000ms", "--early=250ms",
 			"--remote=3", "--keep=120s", "--share=0.4",
 		}
 		s.desks = append(s.desks, p)
